--- /dev/null
+++ b/include/egretturn/Core/Racks.h
@@ -0,0 +1,218 @@
+// Ownership of racks and the workers in them: claims, take-over, leases, lists and lapses.
+#pragma once
+
+#include "egretturn/Core/Context.h"
+#include "egretturn/Placement/Fit.h"
+#include "egretturn/Placement/Health.h"
+#include "egretturn/Placement/Interference.h"
+#include "egretturn/Workers/Ledger.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretturn {
+
+enum class RunPhase
+{
+  Starting, ///< Recorded or about to be; the worker has not confirmed.
+  Running,
+  Stopping, ///< A stop was sent.
+};
+
+/// One attempt at a worker, as its owner sees it.
+struct Run
+{
+  RunPhase m_phase = RunPhase::Starting;
+  std::string m_kind;
+  std::string m_team;
+  bool m_urgent = false;
+  bool m_recorded = false; ///< Its start was read back.
+  bool m_adopted = false;  ///< Started by an earlier owner.
+  Instant m_startedAt{};
+  Instant m_sentAt{};      ///< Of the last start or stop call.
+  Instant m_confirmedAt{}; ///< When the worker accepted the start.
+  TaskEndReason m_stopReason = TaskEndReason::Evicted;
+  EntryToken m_endToken = 0; ///< Of the record of its end, while that is not read back.
+  uint32_t m_throttle = 100; ///< Percent of its processors.
+};
+
+/// Steps against interference on one worker, mildest first.
+enum class ReactionLevel
+{
+  None,
+  Hold, ///< Nothing is added.
+  Throttle,
+  Evict,
+};
+
+/// One worker of an owned rack.
+struct WorkerRun
+{
+  WorkerId m_id = 0;
+  std::string m_address;
+  std::string m_pool;
+  Resources m_size;
+  WorkerLedger m_ledger;
+  std::map<TaskAttempt, Run> m_runs;
+  std::vector<TaskAttempt> m_forget; ///< Ends recorded, to be told to the worker.
+  MixHistory m_mix;
+  uint64_t m_boot = 0;
+  bool m_listed = false;      ///< Its list was read under this epoch.
+  bool m_lapsed = false;      ///< Silent for so long that its leases have run out.
+  bool m_leaving = false;     ///< By its own word or the platform's list.
+  bool m_drained = false;     ///< By the configuration.
+  bool m_removed = false;     ///< No longer in the configuration.
+  bool m_sharedSlots = false; ///< The former owner may still have requests there.
+  Instant m_heardAt{};
+  Instant m_extendedAt{}; ///< Last call that may have extended a lease there.
+  Instant m_listSentAt{};
+  uint64_t m_listCall = 0; ///< In flight; zero for none.
+  Instant m_renewedAt{};
+  ReactionLevel m_reaction = ReactionLevel::None;
+  uint32_t m_reactionVotes = 0;
+  Instant m_reactedAt{};
+
+  bool TakesWork() const { return m_listed && !m_lapsed && !m_leaving && !m_drained && !m_removed; }
+};
+
+enum class RackPhase
+{
+  WaitingOut, ///< The former owner's authority has not lapsed for sure.
+  Listing,    ///< The workers' lists are being read.
+  Active,
+};
+
+/// One rack that this instance owns.
+struct RackRun
+{
+  std::string m_rack;
+  Epoch m_epoch = 0;
+  RackPhase m_phase = RackPhase::WaitingOut;
+  bool m_acting = false; ///< Handed over by a peer while the log is away; nothing can be recorded.
+  bool m_releasing = false;
+  Instant m_from{}; ///< End of WaitingOut, then start of Listing.
+  std::map<WorkerId, WorkerRun> m_workers;
+};
+
+/// Owner's side of racks and workers. Not thread-safe.
+class RackController
+{
+public:
+  explicit RackController(Context& aContext);
+
+  /// Timed work: claims, releases, lists, renewals and lapses.
+  void Tick();
+
+  /// A record was read back; \p aToken is non-zero for this instance's own.
+  void OnApplied(const Applied& aApplied, EntryToken aToken);
+  void OnWorkerAnswered(const WorkerAnswered& aAnswer);
+  void OnHandOver(const InstanceId& aFrom, const HandOver& aHandOver);
+  void OnInstanceList(const InstanceListArrived& aList);
+
+  /// The configuration or a restored state changed under the racks.
+  void Refresh();
+
+  /// Gives up every rack, by record where the log allows and by message otherwise.
+  void ReleaseAll();
+  bool OwnsNothing() const { return m_racks.empty(); }
+
+  std::map<std::string, RackRun>& Racks() { return m_racks; }
+  const std::map<std::string, RackRun>& Racks() const { return m_racks; }
+  RackRun* Find(const std::string& aRack);
+
+  /// The owned worker, or null.
+  WorkerRun* FindWorker(WorkerId aWorker);
+
+  /// Whether all workers of the rack are listed or lapsed, so that no attempt can run unseen.
+  static bool IsSettled(const RackRun& aRack);
+
+  /// Sends \p aBody to a worker, marked with the rack's epoch and the end of authority.
+  void Call(const RackRun& aRack, WorkerRun& aWorker, WorkerBody aBody);
+
+  /// Notes a new attempt on \p aWorker. The ledger must hold its reservation already.
+  Run& AddRun(WorkerRun& aWorker, const TaskAttempt& aAttempt, const Job& aJob);
+
+  /// Removes an attempt and frees what it holds.
+  void DropRun(WorkerRun& aWorker, const TaskAttempt& aAttempt);
+
+  /// Asks the worker to stop an attempt; its end will be recorded with \p aReason.
+  void StopRun(const RackRun& aRack,
+               WorkerRun& aWorker,
+               const TaskAttempt& aAttempt,
+               TaskEndReason aReason);
+
+  /// Queues the record of an attempt's end, once.
+  void RecordEnd(const RackRun& aRack,
+                 WorkerRun& aWorker,
+                 const TaskAttempt& aAttempt,
+                 TaskEndReason aReason,
+                 const std::string& aCheckpoint);
+
+  /// Sends the start of a recorded attempt, also again.
+  void SendStart(const RackRun& aRack, WorkerRun& aWorker, const TaskAttempt& aAttempt, Run& aRun);
+
+  /// What to reserve for a task of \p aKind on \p aWorker.
+  Resources Reservation(const std::string& aKind, const WorkerRun& aWorker) const;
+
+  InterferenceModel& Interference() { return m_interference; }
+  WorkerHealth& Health() { return m_health; }
+  const std::map<std::string, KindFit>& Fits() const { return m_fits; }
+
+  /// Racks of the configuration in this availability zone.
+  std::vector<std::string> ZoneRacks() const;
+
+  /// Counts changes of what can be routed to, so that routers are rebuilt only then.
+  uint64_t Changes() const { return m_changes; }
+
+private:
+  void TickClaims();
+  void ConsiderClaim(const std::string& aRack, const std::string& aDesired);
+  void Claim(const std::string& aRack, Epoch aEpoch, const char* aReason);
+  void Release(RackRun& aRack, const std::string& aSuccessor, const char* aReason);
+  void TakeOver(const std::string& aRack, Epoch aEpoch, bool aWaitOut);
+  void Drop(const std::string& aRack, const char* aReason);
+  void HandOverWithoutLog();
+  void TickRack(RackRun& aRack);
+  void TickWorker(RackRun& aRack, WorkerRun& aWorker);
+  void Renew(RackRun& aRack, WorkerRun& aWorker);
+  void SendAgain(RackRun& aRack, WorkerRun& aWorker);
+  void LapseIfSilent(RackRun& aRack, WorkerRun& aWorker);
+  void EndLapsed(RackRun& aRack, WorkerRun& aWorker);
+  void SyncWorkers(RackRun& aRack);
+  void AdoptRecorded(RackRun& aRack);
+  void ReadList(RackRun& aRack, WorkerRun& aWorker, const WorkerReply& aReply, Instant aListSentAt);
+  void ReadListedRun(RackRun& aRack, WorkerRun& aWorker, const ListedRun& aListed);
+  void OnStartAnswer(RackRun& aRack,
+                     WorkerRun& aWorker,
+                     const TaskAttempt& aRun,
+                     WorkerAnswer aAnswer);
+  void OnEndApplied(const TaskEnd& aEnd, WorkerRun& aWorker);
+  void EvictLeaving(RackRun& aRack, WorkerRun& aWorker);
+
+  struct PendingCall
+  {
+    std::string m_rack;
+    Epoch m_epoch = 0;
+    TaskAttempt m_start; ///< For start calls; attempt zero otherwise.
+    bool m_isList = false;
+    Instant m_sentAt{};
+  };
+
+  Context& m_context;
+  std::map<std::string, RackRun> m_racks;
+  std::map<std::string, EntryToken> m_claims; ///< Claims not read back yet.
+  std::map<std::string, Epoch> m_handedOver;  ///< Racks that peers stopped deciding for, by epoch.
+  std::map<std::string, Instant> m_surplusSince; ///< Owned racks that another instance should own.
+  std::map<uint64_t, PendingCall> m_calls;
+  std::set<std::string> m_listedLeaving; ///< Addresses on the platform's list.
+  uint64_t m_nextCall = 1;
+  uint64_t m_changes = 1;
+  Instant m_logLostAt{};
+  InterferenceModel m_interference;
+  WorkerHealth m_health;
+  std::map<std::string, KindFit> m_fits;
+};
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Core/Tasks.h
@@ -0,0 +1,100 @@
+// Batch work on owned racks: which waiting task starts where, moves, preemption and reactions.
+#pragma once
+
+#include "egretturn/Core/Racks.h"
+#include "egretturn/Placement/Placer.h"
+#include "egretturn/Routing/Router.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretturn {
+
+/// Routers by service, as the request controller keeps them.
+using RouterMap = std::map<std::string, Router, std::less<>>;
+
+/// Why a task waits, for `egretturn explain`.
+struct WaitNote
+{
+  PlacementReason m_reason = PlacementReason::NoRoom;
+  std::string m_text;
+  Instant m_since{};
+};
+
+/// Scheduler of the owned racks. Not thread-safe.
+class TaskController
+{
+public:
+  TaskController(Context& aContext, RackController& aRacks, const RouterMap& aRouters);
+
+  void Tick();
+  void OnApplied(const Applied& aApplied, EntryToken aToken);
+
+  /// Why \p aTask waits here, or null if nothing is noted.
+  const WaitNote* FindNote(const TaskId& aTask) const;
+
+  /// Room for batch work in each owned rack, for heartbeats.
+  std::vector<RackRoom> Room() const;
+
+private:
+  struct PendingStart
+  {
+    std::string m_rack;
+    WorkerId m_worker = 0;
+    TaskAttempt m_attempt;
+    bool m_sent = false; ///< Sent before it was read back, because the log is away.
+  };
+  struct Scan
+  {
+    std::set<std::string> m_blockedKinds;
+    bool m_quotaBlocked = false;
+  };
+
+  void ScheduleRack(RackRun& aRack);
+  bool ConsiderTask(RackRun& aRack, const WaitingTask& aTask, bool aBorrowing, Scan& aScan);
+  PlacementChoice Place(const RackRun& aRack, const Job& aJob, Resources& aSize) const;
+  void Start(RackRun& aRack,
+             WorkerRun& aWorker,
+             const Job& aJob,
+             const TaskId& aTask,
+             const Resources& aSize,
+             const PlacementChoice& aChoice);
+  void OnBlocked(RackRun& aRack,
+                 const Job& aJob,
+                 const TaskId& aTask,
+                 PlacementReason aReason,
+                 const Resources& aSize);
+  void Preempt(RackRun& aRack, const TaskId& aTask, const Resources& aSize);
+  bool MoveElsewhere(RackRun& aRack, const Job& aJob, const TaskId& aTask, const Resources& aSize);
+  void FailHopeless(const Job& aJob, const TaskId& aTask);
+  void NoteWait(const TaskId& aTask, PlacementReason aReason, std::string aText);
+  bool OverQuota(const Job& aJob) const;
+  void CountUsage();
+  std::vector<ServiceLoad> LoadsOn(const WorkerRun& aWorker) const;
+
+  void React();
+  void ReactOn(RackRun& aRack, WorkerRun& aWorker, double aSlowdown, const SlowdownLimits& aLimits);
+  double ObserveWorker(const WorkerRun& aWorker);
+  double BaselineUs(const std::string& aService, const Router& aRouter);
+  void ThrottleAll(RackRun& aRack, WorkerRun& aWorker, uint32_t aPercent);
+  void EvictNoisiest(RackRun& aRack, WorkerRun& aWorker);
+
+  Context& m_context;
+  RackController& m_racks;
+  const RouterMap& m_routers;
+  std::map<EntryToken, PendingStart> m_pending;
+  std::set<TaskId> m_busy; ///< Tasks with a start or move on its way to the log.
+  std::map<EntryToken, TaskId> m_moves;
+  std::map<TaskId, WaitNote> m_notes;
+  std::map<TaskId, Instant> m_preempted;    ///< When room was last made for a task.
+  std::map<std::string, int64_t> m_usage;   ///< Reserved millicores of each team on owned racks.
+  std::map<std::string, int64_t> m_movedTo; ///< Millicores sent to a rack since its last report.
+  std::map<std::string, double> m_baselines;
+  double m_ownedShare = 0; ///< Of all processors of the configuration.
+  Instant m_movedReset{};
+  Instant m_reactedAt{};
+};
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Jobs/JobTable.h
@@ -0,0 +1,199 @@
+// Life cycle of batch work as the log records it: an explicit state machine for each task.
+//
+//   Waiting --TaskStart--> Started --TaskEnd(finished)--> Finished
+//      ^                      |----TaskEnd(other)-------> Waiting, or Cancelled / Failed once the
+//      |----------------------+                           job was cancelled or failed
+//
+// Every instance of the availability zone applies the same records and reaches the same states.
+#pragma once
+
+#include "egretturn/Journal/Records.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace egretturn {
+
+enum class TaskPhase : uint8_t
+{
+  Waiting,
+  Started,
+  Finished,
+  Failed,
+  Cancelled,
+};
+
+/// Returns the lower-case name of \p aPhase.
+std::string_view NameOf(TaskPhase aPhase);
+
+struct TaskState
+{
+  TaskPhase m_phase = TaskPhase::Waiting;
+  Attempt m_attempt = 0; ///< The last one recorded.
+  WorkerId m_worker = 0; ///< Of that attempt.
+  uint16_t m_rack = 0;   ///< Index into JobTable's rack names.
+  std::string m_checkpoint;
+  std::vector<WorkerId> m_failedOn; ///< Distinct workers on which it failed.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("phase", aSelf.m_phase);
+    aVisit("attempt", aSelf.m_attempt);
+    aVisit("worker", aSelf.m_worker);
+    aVisit("rack", aSelf.m_rack);
+    aVisit("checkpoint", aSelf.m_checkpoint);
+    aVisit("failed_on", aSelf.m_failedOn);
+  }
+};
+
+/// What a caller is shown of a job. A job has one final state.
+enum class JobPhase : uint8_t
+{
+  Waiting,
+  Running,
+  Finished,
+  Failed,
+  Cancelled,
+};
+
+std::string_view NameOf(JobPhase aPhase);
+
+struct Job
+{
+  JobId m_id = 0;
+  JobSubmit m_spec;
+  bool m_local = false; ///< Runs in this availability zone; tasks are known only then.
+  bool m_cancelled = false;
+  std::string m_failReason;
+  std::vector<TaskState> m_tasks;
+  uint32_t m_finished = 0;
+  uint32_t m_started = 0;
+  uint32_t m_ended = 0; ///< Tasks in a final phase.
+
+  JobPhase Phase() const;
+};
+
+/// What became of a submission.
+struct Submission
+{
+  JobId m_id = 0;
+  bool m_first = false;    ///< This record created the job.
+  bool m_sameSpec = false; ///< Otherwise the key is in use for another job.
+};
+
+/// Orders the waiting tasks of a rack: urgent ones first, then by age.
+struct WaitingTask
+{
+  bool m_urgent = false;
+  TaskId m_task;
+
+  bool operator<(const WaitingTask& aOther) const
+  {
+    if (m_urgent != aOther.m_urgent) {
+      return m_urgent;
+    }
+    return m_task < aOther.m_task;
+  }
+};
+
+/// Jobs known to one instance. Not thread-safe.
+class JobTable
+{
+public:
+  explicit JobTable(std::string aZone);
+
+  /// Applies a submission of the intake stream.
+  Submission Apply(JobId aId, const JobSubmit& aSubmit);
+
+  // Records of the zone stream. Each returns whether the record counts. The caller has checked that
+  // the writer owned the task's rack with the record's epoch.
+  bool Apply(const TaskStart& aStart);
+  bool Apply(const TaskEnd& aEnd);
+  bool Apply(const TaskMove& aMove);
+  bool Apply(const JobCancel& aCancel);
+  bool Apply(const JobFail& aFail);
+
+  const Job* Find(JobId aId) const;
+  const Job* FindByKey(const std::string& aKey) const;
+  const TaskState* FindTask(const TaskId& aTask) const;
+
+  /// The rack that decides for \p aTask. \pre The task is known.
+  const std::string& RackOf(const TaskId& aTask) const;
+
+  /// Waiting tasks of \p aRack, in the order in which they should start.
+  const std::set<WaitingTask>& Waiting(const std::string& aRack) const;
+
+  /// Started tasks of \p aRack.
+  const std::set<TaskId>& Started(const std::string& aRack) const;
+
+  /// Whether all jobs that \p aJob comes after have finished.
+  bool MayStart(const Job& aJob) const;
+
+  const std::map<JobId, Job>& All() const { return m_jobs; }
+
+  // Snapshots. Specifications belong to the intake stream, task states to the zone stream.
+  struct SpecRow
+  {
+    JobId m_id = 0;
+    JobSubmit m_spec;
+
+    template<typename Self, typename Visit>
+    static void Fields(Self& aSelf, Visit&& aVisit)
+    {
+      aVisit("id", aSelf.m_id);
+      aVisit("spec", aSelf.m_spec);
+    }
+  };
+  struct TasksRow
+  {
+    JobId m_id = 0;
+    bool m_cancelled = false;
+    std::string m_failReason;
+    std::vector<TaskState> m_tasks;
+
+    template<typename Self, typename Visit>
+    static void Fields(Self& aSelf, Visit&& aVisit)
+    {
+      aVisit("id", aSelf.m_id);
+      aVisit("cancelled", aSelf.m_cancelled);
+      aVisit("fail_reason", aSelf.m_failReason);
+      aVisit("tasks", aSelf.m_tasks);
+    }
+  };
+  std::vector<SpecRow> Specs() const;
+  std::vector<TasksRow> Tasks() const;
+  const std::vector<std::string>& RackNames() const { return m_rackNames; }
+  void RestoreSpecs(const std::vector<SpecRow>& aRows);
+  void RestoreTasks(const std::vector<std::string>& aRackNames, const std::vector<TasksRow>& aRows);
+
+private:
+  struct RackIndex
+  {
+    std::set<WaitingTask> m_waiting;
+    std::set<TaskId> m_started;
+  };
+
+  uint16_t InternRack(const std::string& aRack);
+  TaskState* MutableTask(const TaskId& aTask);
+  void AddJob(JobId aId, const JobSubmit& aSubmit);
+  void SetPhase(Job& aJob, uint32_t aIndex, TaskPhase aPhase);
+  void Index(const Job& aJob, uint32_t aIndex, bool aAdd);
+  void EndWaiting(Job& aJob, TaskPhase aPhase);
+  void DropOldest();
+
+  const std::string m_zone;
+  std::map<JobId, Job> m_jobs;
+  std::unordered_map<std::string, JobId> m_byKey;
+  std::vector<std::string> m_rackNames;
+  std::unordered_map<std::string, uint16_t> m_rackIndexes;
+  std::unordered_map<std::string, RackIndex> m_racks;
+};
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Journal/Codec.h
@@ -0,0 +1,36 @@
+// Encodes batches and stream states as MessagePack bytes for the log.
+#pragma once
+
+#include "egretturn/Journal/Records.h"
+
+#include <string>
+#include <string_view>
+
+namespace egretturn {
+
+/// Thread-safe.
+std::string EncodeBatch(const Batch& aBatch);
+
+/// Decodes a batch. Errors: corrupt for bytes that are no batch or of a newer schema. Thread-safe.
+Expected<Batch> DecodeBatch(std::string_view aBytes);
+
+/// Encodes \p aValue compactly as MessagePack. Thread-safe.
+template<HasFields T>
+std::string
+PackCompact(const T& aValue)
+{
+  std::string bytes;
+  Json::to_msgpack(Encode(aValue, FieldStyle::Compact), bytes);
+  return bytes;
+}
+
+/// Decodes what PackCompact() wrote. False for other bytes. Thread-safe.
+template<HasFields T>
+bool
+UnpackCompact(std::string_view aBytes, T& aValue)
+{
+  const Json json = Json::from_msgpack(aBytes.begin(), aBytes.end(), true, false);
+  return !json.is_discarded() && Decode(json, aValue);
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Support/Log.h
@@ -0,0 +1,68 @@
+// Structured logs: one logfmt line for each event, written by a thread of its own.
+#pragma once
+
+#include "egretturn/Support/Error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace egretturn {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// Returns the stable lower-case name of \p aLevel.
+std::string_view NameOf(LogLevel aLevel);
+
+/// Returns the level named \p aName, or bad_input.
+Expected<LogLevel> ParseLogLevel(std::string_view aName);
+
+/// A line under construction: an event name, then key=value pairs in the order of the calls.
+/// Not thread-safe; a value type.
+class LogLine
+{
+public:
+  explicit LogLine(LogLevel aLevel, std::string_view aEvent);
+
+  LogLine& Add(std::string_view aKey, std::string_view aValue);
+  LogLine& Add(std::string_view aKey, const char* aValue)
+  {
+    return Add(aKey, std::string_view(aValue));
+  }
+  LogLine& Add(std::string_view aKey, int64_t aValue);
+  LogLine& Add(std::string_view aKey, uint64_t aValue);
+  LogLine& Add(std::string_view aKey, int aValue) { return Add(aKey, int64_t{ aValue }); }
+  LogLine& Add(std::string_view aKey, uint32_t aValue) { return Add(aKey, uint64_t{ aValue }); }
+  LogLine& Add(std::string_view aKey, double aValue);
+
+  LogLevel Level() const { return m_level; }
+  const std::string& Text() const { return m_text; }
+
+private:
+  LogLevel m_level;
+  std::string m_text;
+};
+
+/// Starts the log thread, which writes to standard error. \pre Called once, before any Log().
+/// Lines above kLogQueueLines waiting are dropped and counted.
+void StartLogging(LogLevel aLevel, std::string_view aInstance);
+
+/// Writes what is queued and stops the log thread. Log() does nothing afterwards.
+void StopLogging();
+
+/// Queues \p aLine if its level is enabled. Thread-safe; never blocks.
+void Log(LogLine aLine);
+
+/// Whether a line of \p aLevel would be written. Thread-safe.
+bool LogEnabled(LogLevel aLevel);
+
+/// Lines dropped because the queue was full. Thread-safe.
+uint64_t DroppedLogLines();
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Core/Claims.cpp
@@ -0,0 +1,269 @@
+// Which racks this instance claims, keeps and gives up.
+#include "egretturn/Core/Racks.h"
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+// A rack moves to a member only after the member has been alive this long.
+static constexpr Duration kSurplusSettle = std::chrono::seconds(2);
+static constexpr size_t kReleasesAtOnce = 2; // moves are spread over time
+static constexpr Duration kLogLostHandOver = std::chrono::seconds(2);
+
+std::vector<std::string>
+RackController::ZoneRacks() const
+{
+  std::set<std::string> racks;
+  for (const auto& [name, pool] : m_context.Config().m_pools) {
+    if (pool.m_zone == m_context.m_settings.m_zone) {
+      racks.insert(pool.m_rack);
+    }
+  }
+  return std::vector<std::string>(racks.begin(), racks.end());
+}
+
+void
+RackController::TickClaims()
+{
+  if (!m_context.LogFresh()) {
+    HandOverWithoutLog();
+    return;
+  }
+  m_logLostAt = Instant{};
+  // Before that, silence of a peer says nothing.
+  const Duration listen = m_context.Times().m_suspect + m_context.Times().m_heartbeat;
+  if (m_context.m_now - m_context.m_startedAt < listen || !m_context.m_ready) {
+    return;
+  }
+  const std::map<std::string, std::string> desired =
+    DesiredOwners(ZoneRacks(), m_context.m_members.Eligible(m_context.m_now, m_context.m_leaving));
+  for (const auto& [rack, owner] : desired) {
+    ConsiderClaim(rack, owner);
+  }
+}
+
+void
+RackController::ConsiderClaim(const std::string& aRack, const std::string& aDesired)
+{
+  if (m_claims.contains(aRack)) {
+    return;
+  }
+  const bool mine = aDesired == m_context.m_self.m_id && !m_context.m_leaving;
+  const RackOwner* recorded = m_context.m_replica.Racks().Find(aRack);
+  if (!recorded) {
+    if (mine) {
+      Claim(aRack, 1, "unowned");
+    }
+    return;
+  }
+  if (recorded->m_owner == m_context.m_self && !recorded->m_released) {
+    RackRun* run = Find(aRack);
+    if (mine || !run || run->m_releasing) {
+      m_surplusSince.erase(aRack);
+      return;
+    }
+    const Instant since = m_surplusSince.emplace(aRack, m_context.m_now).first->second;
+    if (m_context.m_now - since >= kSurplusSettle) {
+      Release(*run, aDesired, "rebalance");
+    }
+    return;
+  }
+  const Epoch next = recorded->m_epoch + 1;
+  const std::map<std::string, Epoch>::const_iterator handed = m_handedOver.find(aRack);
+  if (handed != m_handedOver.end() && handed->second == recorded->m_epoch) {
+    Claim(aRack, next, "handed_over");
+  } else if (!mine) {
+    return;
+  } else if (recorded->m_released) {
+    Claim(aRack, next, "released");
+  } else if (!m_context.m_members.IsAlive(recorded->m_owner, m_context.m_now)) {
+    Claim(aRack, next, "owner_silent");
+  } else {
+    const Member* owner = m_context.m_members.Find(recorded->m_owner.m_id);
+    const Instant since = m_surplusSince.emplace(aRack, m_context.m_now).first->second;
+    if (!owner || owner->m_last.m_logFresh) {
+      m_surplusSince.erase(aRack);
+    } else if (m_context.m_now - since >= 2 * kLogLostHandOver) {
+      Claim(aRack, next, "owner_without_log");
+    }
+  }
+}
+
+void
+RackController::Claim(const std::string& aRack, Epoch aEpoch, const char* aReason)
+{
+  const std::optional<EntryToken> token =
+    m_context.m_writer.Append(Stream::Zone, RackClaim{ aRack, aEpoch });
+  if (!token) {
+    return;
+  }
+  m_claims[aRack] = *token;
+  m_context.Log(LogLine(LogLevel::Info, "rack_claim")
+                  .Add("rack", aRack)
+                  .Add("epoch", aEpoch)
+                  .Add("reason", aReason));
+}
+
+void
+RackController::Release(RackRun& aRack, const std::string& aSuccessor, const char* aReason)
+{
+  const size_t releasing = static_cast<size_t>(std::count_if(
+    m_racks.begin(), m_racks.end(), [](const auto& aRow) { return aRow.second.m_releasing; }));
+  if (aRack.m_releasing || (!m_context.m_leaving && releasing >= kReleasesAtOnce)) {
+    return;
+  }
+  const RackRelease release{ aRack.m_rack, aRack.m_epoch, aSuccessor };
+  if (!m_context.m_writer.Append(Stream::Zone, release)) {
+    return;
+  }
+  aRack.m_releasing = true; // from here on nothing is sent to its workers
+  ++m_changes;
+  m_context.Log(LogLine(LogLevel::Info, "rack_release")
+                  .Add("rack", aRack.m_rack)
+                  .Add("epoch", aRack.m_epoch)
+                  .Add("successor", aSuccessor)
+                  .Add("reason", aReason));
+}
+
+void
+RackController::ReleaseAll()
+{
+  if (!m_context.LogFresh()) {
+    HandOverWithoutLog();
+    return;
+  }
+  const std::map<std::string, std::string> desired =
+    DesiredOwners(ZoneRacks(), m_context.m_members.Eligible(m_context.m_now, true));
+  for (auto& [name, rack] : m_racks) {
+    const std::map<std::string, std::string>::const_iterator it = desired.find(name);
+    Release(rack, it == desired.end() ? "" : it->second, "shutdown");
+  }
+}
+
+/// Without the log, racks go to a peer by message: when this instance leaves, or when only this
+/// instance has lost the log. The peer claims them as soon as it can.
+void
+RackController::HandOverWithoutLog()
+{
+  if (m_logLostAt == Instant{}) {
+    m_logLostAt = m_context.m_now;
+  }
+  const bool lostAlone = m_context.m_now - m_logLostAt >= kLogLostHandOver &&
+                         m_context.m_members.PeerReadsLog(m_context.m_now);
+  if ((!m_context.m_leaving && !lostAlone) || m_racks.empty()) {
+    return;
+  }
+  std::vector<std::string> heirs = m_context.m_members.Eligible(m_context.m_now, true);
+  if (lostAlone) {
+    std::erase_if(heirs, [this](const std::string& aPeer) {
+      return !m_context.m_members.Find(aPeer)->m_last.m_logFresh;
+    });
+  }
+  const std::map<std::string, std::string> desired = DesiredOwners(ZoneRacks(), heirs);
+  std::vector<std::string> given;
+  for (const auto& [name, rack] : m_racks) {
+    const std::map<std::string, std::string>::const_iterator it = desired.find(name);
+    if (it != desired.end()) {
+      m_context.Do(SendPeer{ it->second, HandOver{ name, rack.m_epoch } });
+      given.push_back(name);
+    } else if (m_context.m_leaving) {
+      given.push_back(name);
+    }
+  }
+  for (const std::string& name : given) {
+    Drop(name, "handed_over");
+  }
+}
+
+void
+RackController::OnHandOver(const InstanceId& aFrom, const HandOver& aHandOver)
+{
+  const RackOwner* recorded = m_context.m_replica.Racks().Find(aHandOver.m_rack);
+  const bool current = recorded && recorded->m_epoch == aHandOver.m_epoch && !recorded->m_released;
+  if (!current || m_context.m_leaving) {
+    return;
+  }
+  m_handedOver[aHandOver.m_rack] = aHandOver.m_epoch;
+  m_context.Log(LogLine(LogLevel::Info, "rack_handed_over")
+                  .Add("rack", aHandOver.m_rack)
+                  .Add("epoch", aHandOver.m_epoch)
+                  .Add("from", aFrom.m_id));
+  if (m_context.LogFresh() || recorded->m_owner != aFrom || m_racks.contains(aHandOver.m_rack)) {
+    return; // claimed at the next tick
+  }
+  TakeOver(aHandOver.m_rack, aHandOver.m_epoch, false);
+  m_racks[aHandOver.m_rack].m_acting = true;
+}
+
+void
+RackController::OnApplied(const Applied& aApplied, EntryToken aToken)
+{
+  const bool mine = aApplied.m_writer == m_context.m_self;
+  if (const RackClaim* claim = std::get_if<RackClaim>(&aApplied.m_entry)) {
+    const std::map<std::string, EntryToken>::iterator it = m_claims.find(claim->m_rack);
+    if (it != m_claims.end() && it->second == aToken) {
+      m_claims.erase(it);
+    }
+    if (!aApplied.m_counts) {
+      return;
+    }
+    const std::map<std::string, Epoch>::iterator handed = m_handedOver.find(claim->m_rack);
+    const bool given = handed != m_handedOver.end() && handed->second + 1 == claim->m_epoch;
+    const RackOwner* recorded = m_context.m_replica.Racks().Find(claim->m_rack);
+    const bool waitOut = !given && recorded->m_previous.m_incarnation != 0;
+    if (handed != m_handedOver.end()) {
+      m_handedOver.erase(handed);
+    }
+    Drop(claim->m_rack, "superseded");
+    if (mine) {
+      TakeOver(claim->m_rack, claim->m_epoch, waitOut);
+    }
+    return;
+  }
+  if (const RackRelease* release = std::get_if<RackRelease>(&aApplied.m_entry)) {
+    if (aApplied.m_counts && mine) {
+      Drop(release->m_rack, "released");
+    }
+    return;
+  }
+  const TaskEnd* end = std::get_if<TaskEnd>(&aApplied.m_entry);
+  const TaskState* task = end ? m_context.m_replica.Jobs().FindTask(end->m_task) : nullptr;
+  WorkerRun* worker = task ? FindWorker(task->m_worker) : nullptr;
+  if (worker && aApplied.m_counts) {
+    OnEndApplied(*end, *worker);
+  }
+}
+
+void
+RackController::TakeOver(const std::string& aRack, Epoch aEpoch, bool aWaitOut)
+{
+  RackRun& rack = m_racks[aRack];
+  rack = RackRun{};
+  rack.m_rack = aRack;
+  rack.m_epoch = aEpoch;
+  const Duration wait = m_context.Times().m_authority + m_context.Times().m_messageDelay;
+  rack.m_from = aWaitOut ? m_context.m_now + wait : m_context.m_now;
+  m_context.Log(LogLine(LogLevel::Info, "rack_takeover")
+                  .Add("rack", aRack)
+                  .Add("epoch", aEpoch)
+                  .Add("wait_ms", aWaitOut ? ToMillis(wait) : int64_t{ 0 }));
+  SyncWorkers(rack);
+  for (auto& [id, worker] : rack.m_workers) {
+    worker.m_sharedSlots = aWaitOut;
+  }
+  ++m_changes;
+}
+
+void
+RackController::Drop(const std::string& aRack, const char* aReason)
+{
+  if (m_racks.erase(aRack) == 0) {
+    return;
+  }
+  m_surplusSince.erase(aRack);
+  ++m_changes;
+  m_context.Log(LogLine(LogLevel::Info, "rack_drop").Add("rack", aRack).Add("reason", aReason));
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Core/Reactions.cpp
@@ -0,0 +1,189 @@
+// Steps against interference: stop adding, throttle, checkpoint and move; with hysteresis.
+#include "egretturn/Core/Tasks.h"
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr Duration kReactInterval = std::chrono::seconds(1);
+static constexpr uint32_t kVotesToStep = 3;  // reports in a row before a harder step
+static constexpr uint32_t kVotesToRelax = 5; // reports in a row before a milder one
+static constexpr Duration kBetweenEvictions = std::chrono::seconds(15);
+static constexpr uint32_t kThrottledPercent = 50;
+static constexpr double kBaselineGain = 0.2;
+static constexpr uint32_t kMinSamples = 5; // of a target's latency
+
+static constexpr EnumTable<ReactionLevel, 4> kLevelNames{ {
+  { ReactionLevel::None, "none" },
+  { ReactionLevel::Hold, "hold" },
+  { ReactionLevel::Throttle, "throttle" },
+  { ReactionLevel::Evict, "evict" },
+} };
+
+/// Latency of the service where nothing runs beside it; where there is no such worker, of the
+/// fastest one.
+double
+TaskController::BaselineUs(const std::string& aService, const Router& aRouter)
+{
+  double fastest = 0;
+  double aloneSum = 0;
+  size_t alone = 0;
+  for (const Target& target : aRouter.Targets()) {
+    if (target.m_meanUs <= 0 || target.m_samples < kMinSamples) {
+      continue;
+    }
+    fastest = fastest > 0 ? std::min(fastest, target.m_meanUs) : target.m_meanUs;
+    const WorkerRun* worker = m_racks.FindWorker(target.m_worker);
+    if (worker && worker->m_mix.Now().empty()) {
+      aloneSum += target.m_meanUs;
+      ++alone;
+    }
+  }
+  const double seen = alone > 0 ? aloneSum / static_cast<double>(alone) : fastest;
+  double& baseline = m_baselines[aService];
+  if (seen > 0) {
+    // Without workers that run the service alone, the baseline only falls.
+    const bool learn = alone > 0 || baseline <= 0 || seen < baseline;
+    baseline += learn ? (baseline > 0 ? kBaselineGain : 1) * (seen - baseline) : 0;
+  }
+  return baseline;
+}
+
+double
+TaskController::ObserveWorker(const WorkerRun& aWorker)
+{
+  double worst = 1;
+  for (const ServiceLoad& load : LoadsOn(aWorker)) {
+    const RouterMap::const_iterator router = m_routers.find(load.m_service);
+    const Target* target = router == m_routers.end() ? nullptr : router->second.Find(aWorker.m_id);
+    const double baseline = m_baselines[load.m_service];
+    if (!target || baseline <= 0 || target->m_meanUs <= 0 || target->m_samples < kMinSamples) {
+      continue;
+    }
+    const double slowdown = target->m_meanUs / baseline;
+    // The moving mean looks back about as far as the interval between reactions.
+    const TaskMix& mix = aWorker.m_mix.At(m_context.m_now - kReactInterval);
+    m_racks.Interference().Observe(load.m_service, load.m_band, mix, slowdown);
+    worst = std::max(worst, slowdown);
+  }
+  return worst;
+}
+
+void
+TaskController::React()
+{
+  if (m_context.m_now - m_reactedAt < kReactInterval) {
+    return;
+  }
+  m_reactedAt = m_context.m_now;
+  for (const auto& [name, router] : m_routers) {
+    BaselineUs(name, router);
+  }
+  const SlowdownLimits limits = LimitsFor(m_context.Config().m_policy.m_tailWeight);
+  for (auto& [name, rack] : m_racks.Racks()) {
+    for (auto& [id, worker] : rack.m_workers) {
+      if (worker.m_listed && !worker.m_lapsed) {
+        ReactOn(rack, worker, ObserveWorker(worker), limits);
+      }
+    }
+  }
+}
+
+/// The step that \p aSlowdown asks for.
+static ReactionLevel
+WantedLevel(double aSlowdown, const SlowdownLimits& aLimits)
+{
+  if (aSlowdown >= aLimits.m_evict) {
+    return ReactionLevel::Evict;
+  }
+  if (aSlowdown >= aLimits.m_throttle) {
+    return ReactionLevel::Throttle;
+  }
+  return aSlowdown >= aLimits.m_hold ? ReactionLevel::Hold : ReactionLevel::None;
+}
+
+void
+TaskController::ReactOn(RackRun& aRack,
+                        WorkerRun& aWorker,
+                        double aSlowdown,
+                        const SlowdownLimits& aLimits)
+{
+  const ReactionLevel wanted =
+    aWorker.m_runs.empty() ? ReactionLevel::None : WantedLevel(aSlowdown, aLimits);
+  if (wanted == aWorker.m_reaction && wanted != ReactionLevel::Evict) {
+    aWorker.m_reactionVotes = 0;
+    return;
+  }
+  const bool harder = wanted >= aWorker.m_reaction && wanted != ReactionLevel::None;
+  ++aWorker.m_reactionVotes;
+  if (aWorker.m_reactionVotes < (harder ? kVotesToStep : kVotesToRelax)) {
+    return;
+  }
+  aWorker.m_reactionVotes = 0;
+  const ReactionLevel before = aWorker.m_reaction;
+  const int step = harder ? 1 : -1;
+  const int next =
+    std::min(static_cast<int>(ReactionLevel::Evict), static_cast<int>(before) + step);
+  aWorker.m_reaction = static_cast<ReactionLevel>(std::max(next, 0));
+  m_context.Log(LogLine(LogLevel::Info, "reaction")
+                  .Add("worker", aWorker.m_address)
+                  .Add("slowdown", aSlowdown)
+                  .Add("from", NameIn(kLevelNames, before))
+                  .Add("to", NameIn(kLevelNames, aWorker.m_reaction)));
+  if (aWorker.m_reaction == ReactionLevel::Throttle) {
+    ThrottleAll(aRack, aWorker, kThrottledPercent);
+  } else if (aWorker.m_reaction == ReactionLevel::Evict) {
+    EvictNoisiest(aRack, aWorker);
+  } else if (before == ReactionLevel::Throttle) {
+    ThrottleAll(aRack, aWorker, 100);
+  }
+}
+
+void
+TaskController::ThrottleAll(RackRun& aRack, WorkerRun& aWorker, uint32_t aPercent)
+{
+  for (auto& [attempt, run] : aWorker.m_runs) {
+    if (run.m_phase == RunPhase::Running && !run.m_urgent && run.m_throttle != aPercent) {
+      run.m_throttle = aPercent;
+      m_racks.Call(aRack, aWorker, ThrottleCall{ attempt, aPercent });
+    }
+  }
+}
+
+/// Moves the task whose kind adds most, if it loses no work by it; the newest of its kind.
+void
+TaskController::EvictNoisiest(RackRun& aRack, WorkerRun& aWorker)
+{
+  if (m_context.m_now - aWorker.m_reactedAt < kBetweenEvictions) {
+    return;
+  }
+  const Model& model = m_context.Config();
+  const std::vector<ServiceLoad> loads = LoadsOn(aWorker);
+  const TaskAttempt* noisiest = nullptr;
+  double most = -1;
+  Instant newest{};
+  for (const auto& [attempt, run] : aWorker.m_runs) {
+    const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
+      model.m_kinds.find(run.m_kind);
+    if (run.m_phase != RunPhase::Running || run.m_urgent || kind == model.m_kinds.end() ||
+        !(kind->second.m_checkpoints || kind->second.m_restartable)) {
+      continue;
+    }
+    double adds = 0;
+    for (const ServiceLoad& load : loads) {
+      adds += m_racks.Interference().Added(load.m_service, load.m_band, run.m_kind);
+    }
+    if (adds > most || (adds == most && run.m_startedAt > newest)) {
+      most = adds;
+      newest = run.m_startedAt;
+      noisiest = &attempt;
+    }
+  }
+  if (noisiest) {
+    aWorker.m_reactedAt = m_context.m_now;
+    m_racks.StopRun(aRack, aWorker, *noisiest, TaskEndReason::Evicted);
+  }
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Core/Requests.cpp
@@ -0,0 +1,753 @@
+#include "egretturn/Core/Requests.h"
+
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr double kBudgetBurst = 20;
+static constexpr size_t kQueuePerSlot = 2; // queued requests per slot of the service
+static constexpr uint32_t kMaxAttempts = 4;
+static constexpr double kLinkBurstSeconds = 1; // of a link's budget that may be saved up
+static constexpr uint32_t kServerError = 500;
+// A keyed request may run on after its deadline for this long, so that its outcome gets recorded.
+static constexpr Duration kOrphanTime = std::chrono::seconds(30);
+
+RequestController::RequestController(Context& aContext, RackController& aRacks, RouterMap& aRouters)
+  : m_context(aContext)
+  , m_racks(aRacks)
+  , m_routers(aRouters)
+  , m_retryBudget(0.1, kBudgetBurst)
+  , m_hedgeBudget(0.02, kBudgetBurst)
+{
+}
+
+RequestState*
+RequestController::Find(RequestId aId)
+{
+  const std::unordered_map<RequestId, RequestState>::iterator it = m_requests.find(aId);
+  return it == m_requests.end() ? nullptr : &it->second;
+}
+
+const RequestKind*
+RequestController::KindOf(const RequestArrived& aRequest) const
+{
+  const Model& model = m_context.Config();
+  const std::map<std::string, Service, std::less<>>::const_iterator service =
+    model.m_services.find(aRequest.m_service);
+  if (service == model.m_services.end()) {
+    return nullptr;
+  }
+  const std::map<std::string, RequestKind, std::less<>>::const_iterator kind =
+    service->second.m_requests.find(aRequest.m_request);
+  return kind == service->second.m_requests.end() ? nullptr : &kind->second;
+}
+
+bool
+RequestController::Reject(const RequestArrived& aRequest,
+                          ErrorKind aKind,
+                          std::string aText,
+                          std::string aRemedy)
+{
+  ++m_counts.m_notRun;
+  AnswerRequest answer;
+  answer.m_id = aRequest.m_id;
+  answer.m_outcome = Outcome::NotRun;
+  answer.m_error = Error{ aKind, std::move(aText), std::move(aRemedy) };
+  m_context.Log(LogLine(LogLevel::Info, "route")
+                  .Add("request", aRequest.m_id)
+                  .Add("service", aRequest.m_service)
+                  .Add("outcome", NameOf(Outcome::NotRun))
+                  .Add("reason", answer.m_error.m_message));
+  m_context.Do(std::move(answer));
+  return false;
+}
+
+void
+RequestController::OnArrived(const RequestArrived& aRequest)
+{
+  ++m_counts.m_arrived;
+  if (!m_context.m_ready) {
+    Reject(aRequest,
+           ErrorKind::Unavailable,
+           "this instance is not ready: " + m_context.m_notReadyReason,
+           "retry through the balancer");
+    return;
+  }
+  const RequestKind* kind = KindOf(aRequest);
+  if (!kind) {
+    Reject(aRequest,
+           ErrorKind::NotFound,
+           "no service '" + aRequest.m_service + "' answers '" + aRequest.m_request + "'",
+           "check the path against the configuration");
+    return;
+  }
+  if (!kind->m_idempotent && aRequest.m_key.empty()) {
+    Reject(aRequest,
+           ErrorKind::BadInput,
+           "header Idempotency-Key is missing",
+           "send a key of its own with each " + aRequest.m_request +
+             ", and the same key with each retry");
+    return;
+  }
+  RequestState& state = m_requests[aRequest.m_id];
+  state.m_request = aRequest;
+  state.m_idempotent = kind->m_idempotent;
+  state.m_arrivedAt = m_context.m_now;
+  const bool shorter =
+    aRequest.m_deadline > Duration::zero() && aRequest.m_deadline < kind->m_deadline;
+  state.m_deadline = m_context.m_now + (shorter ? aRequest.m_deadline : kind->m_deadline);
+  m_deadlines.emplace(state.m_deadline, aRequest.m_id);
+  if (!kind->m_idempotent && !aRequest.m_forwarded) {
+    state.m_fullKey = aRequest.m_service + "/" + aRequest.m_request + "/" + aRequest.m_key;
+    GuardKey(state);
+    return;
+  }
+  Route(state);
+}
+
+/// Writes the intent of a keyed request; the request goes on when it has been read back.
+void
+RequestController::GuardKey(RequestState& aState)
+{
+  const KeyState* known = m_context.m_replica.Keys().Find(aState.m_fullKey);
+  if (known && known->m_bodyHash != aState.m_request.m_bodyHash) {
+    NotRun(aState,
+           ErrorKind::Conflict,
+           "the idempotency key was used with another body",
+           "send a new request with a new key");
+    return;
+  }
+  if (known && known->m_done) {
+    AnswerRecorded(aState, *known);
+    return;
+  }
+  if (known) {
+    aState.m_phase = RequestPhase::AwaitingOther;
+    m_byKey[aState.m_fullKey].insert(aState.m_request.m_id);
+    return;
+  }
+  const bool fresh = m_context.LogFresh() && m_context.m_intakeReadAt != Instant{};
+  const std::optional<EntryToken> token =
+    fresh ? m_context.m_writer.Append(Stream::Intake,
+                                      KeyIntent{ aState.m_fullKey, aState.m_request.m_bodyHash })
+          : std::nullopt;
+  if (!token) {
+    NotRun(aState,
+           ErrorKind::Unavailable,
+           "the log that guards keyed requests cannot be reached",
+           "retry with the same key after 5 s");
+    return;
+  }
+  aState.m_phase = RequestPhase::AwaitingIntent;
+  m_intents[*token] = aState.m_request.m_id;
+}
+
+void
+RequestController::OnApplied(const Applied& aApplied, EntryToken aToken)
+{
+  if (const KeyIntent* intent = std::get_if<KeyIntent>(&aApplied.m_entry)) {
+    OnIntent(*intent, aApplied, aToken);
+  } else if (const KeyOutcome* outcome = std::get_if<KeyOutcome>(&aApplied.m_entry)) {
+    if (aApplied.m_counts) {
+      OnOutcome(*outcome);
+    }
+  }
+}
+
+void
+RequestController::OnIntent(const KeyIntent& aIntent, const Applied& aApplied, EntryToken aToken)
+{
+  if (aApplied.m_writer != m_context.m_self) {
+    return;
+  }
+  const std::map<EntryToken, RequestId>::iterator it = m_intents.find(aToken);
+  RequestState* state = it == m_intents.end() ? nullptr : Find(it->second);
+  if (it != m_intents.end()) {
+    m_intents.erase(it);
+  }
+  if (!state) {
+    if (aApplied.m_intent == IntentVerdict::Granted) {
+      // Its caller was told that it did not run; free the key.
+      m_context.m_writer.Append(Stream::Intake,
+                                KeyOutcome{ aIntent.m_key, KeyFate::NotRun, 0, "" });
+    }
+    return;
+  }
+  switch (aApplied.m_intent) {
+    case IntentVerdict::Granted:
+      state->m_phase = RequestPhase::Queued;
+      Route(*state);
+      return;
+    case IntentVerdict::Settled: {
+      const KeyState* key = m_context.m_replica.Keys().Find(aIntent.m_key);
+      if (key && key->m_done) {
+        AnswerRecorded(*state, *key);
+        return;
+      }
+      break;
+    }
+    case IntentVerdict::OtherBody:
+      NotRun(*state,
+             ErrorKind::Conflict,
+             "the idempotency key was used with another body",
+             "send a new request with a new key");
+      return;
+    case IntentVerdict::Pending:
+      break;
+  }
+  state->m_phase = RequestPhase::AwaitingOther;
+  m_byKey[aIntent.m_key].insert(state->m_request.m_id);
+}
+
+void
+RequestController::OnOutcome(const KeyOutcome& aOutcome)
+{
+  const std::unordered_map<std::string, std::set<RequestId>>::iterator it =
+    m_byKey.find(aOutcome.m_key);
+  if (it == m_byKey.end()) {
+    return;
+  }
+  const std::set<RequestId> waiting = std::move(it->second);
+  m_byKey.erase(it);
+  for (const RequestId id : waiting) {
+    RequestState* state = Find(id);
+    if (!state || state->m_phase != RequestPhase::AwaitingOther) {
+      continue;
+    }
+    const KeyState* key = m_context.m_replica.Keys().Find(aOutcome.m_key);
+    if (key && key->m_done) {
+      AnswerRecorded(*state, *key);
+    } else {
+      GuardKey(*state); // the holder did not run it; the first of the others may
+    }
+  }
+}
+
+void
+RequestController::AnswerRecorded(RequestState& aState, const KeyState& aKey)
+{
+  ++m_counts.m_done;
+  AnswerRequest answer;
+  answer.m_id = aState.m_request.m_id;
+  answer.m_outcome = Outcome::Done;
+  answer.m_recordedStatus = aKey.m_status;
+  answer.m_recordedBody = aKey.m_body;
+  m_context.Log(LogLine(LogLevel::Info, "route")
+                  .Add("request", aState.m_request.m_id)
+                  .Add("service", aState.m_request.m_service)
+                  .Add("outcome", NameOf(Outcome::Done))
+                  .Add("reason", "recorded"));
+  m_context.Do(std::move(answer));
+  m_deadlines.erase({ aState.m_deadline, aState.m_request.m_id });
+  m_requests.erase(aState.m_request.m_id);
+}
+
+void
+RequestController::Route(RequestState& aState)
+{
+  if (m_context.m_now >= aState.m_deadline) {
+    NotRun(aState, ErrorKind::Overloaded, "the deadline has passed", "retry with a later deadline");
+    return;
+  }
+  if (RouteToWorker(aState) || RouteToPeer(aState)) {
+    return;
+  }
+  Queue(aState);
+}
+
+bool
+RequestController::RouteToWorker(RequestState& aState)
+{
+  const RouterMap::iterator router = m_routers.find(aState.m_request.m_service);
+  if (router == m_routers.end()) {
+    return false;
+  }
+  const WorkerId avoid = router->second.Targets().size() > 1 ? aState.m_lastWorker : 0;
+  const std::optional<RouteChoice> choice =
+    router->second.Choose(m_context.m_random, m_context.m_now, avoid);
+  if (!choice) {
+    return false;
+  }
+  const Target& target = router->second.Targets()[choice->m_target];
+  const RequestRun run{ ++aState.m_attempts, target.m_worker, "", m_context.m_now };
+  const std::string address = target.m_address;
+  m_context.Log(LogLine(LogLevel::Info, "route")
+                  .Add("request", aState.m_request.m_id)
+                  .Add("service", aState.m_request.m_service)
+                  .Add("attempt", run.m_attempt)
+                  .Add("worker", address)
+                  .Add("score", choice->m_score)
+                  .Add("other", choice->m_other)
+                  .Add("other_score", choice->m_otherScore)
+                  .Add("reason", aState.m_runs.empty() ? "chosen" : "hedge"));
+  router->second.Take(choice->m_target);
+  SendTo(aState, run, address);
+  return true;
+}
+
+void
+RequestController::SendTo(RequestState& aState, const RequestRun& aRun, const std::string& aAddress)
+{
+  aState.m_phase = RequestPhase::Running;
+  aState.m_lastWorker = aRun.m_worker;
+  aState.m_runs.push_back(aRun);
+  if (aState.m_idempotent && !aState.m_hedged && aRun.m_worker != 0) {
+    m_hedgeable.insert(aState.m_request.m_id);
+  }
+  Dispatch dispatch;
+  dispatch.m_id = aState.m_request.m_id;
+  dispatch.m_attempt = aRun.m_attempt;
+  dispatch.m_address = aAddress;
+  dispatch.m_peer = aRun.m_peer;
+  dispatch.m_notAfter = aState.m_deadline;
+  dispatch.m_timeout = aState.m_deadline - m_context.m_now;
+  if (!aState.m_fullKey.empty()) {
+    dispatch.m_timeout += kOrphanTime;
+  }
+  m_context.Do(std::move(dispatch));
+}
+
+bool
+RequestController::WithinLinkBudget(const RequestState& aState, const Member& aPeer)
+{
+  if (aPeer.m_settings.m_region == m_context.m_settings.m_region) {
+    return true;
+  }
+  for (const auto& [name, rule] : m_context.Config().m_rules) {
+    if (rule.m_service != aState.m_request.m_service) {
+      continue;
+    }
+    const double rate = static_cast<double>(rule.m_linkBytesPerSecond);
+    const auto [it, added] = m_links.try_emplace(name, TokenBucket(rate, rate * kLinkBurstSeconds));
+    it->second.SetRate(rate, rate * kLinkBurstSeconds);
+    const double bytes = static_cast<double>(aState.m_request.m_bodyBytes) + 512; // with headers
+    if (it->second.Take(bytes, m_context.m_now)) {
+      m_counts.m_linkBytes += static_cast<uint64_t>(bytes);
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string
+RequestController::ChoosePeer(const RequestState& aState, bool aOwnZone)
+{
+  std::set<std::string> spill;
+  for (const auto& [name, rule] : m_context.Config().m_rules) {
+    if (rule.m_service == aState.m_request.m_service) {
+      spill.insert(rule.m_spillZones.begin(), rule.m_spillZones.end());
+    }
+  }
+  std::string best;
+  int64_t bestRoom = 0;
+  for (const auto& [id, member] : m_context.m_members.All()) {
+    const bool local = m_context.m_members.IsLocal(member);
+    const bool allowed = aOwnZone ? local : !local && spill.contains(member.m_settings.m_zone);
+    if (!allowed || !m_context.m_members.IsAlive(id, m_context.m_now) || !member.m_last.m_ready) {
+      continue;
+    }
+    if (m_peerHeard[id] != member.m_last.m_sequence) {
+      m_peerHeard[id] = member.m_last.m_sequence;
+      std::erase_if(m_sentToPeer, [&id](const auto& aRow) { return aRow.first.first == id; });
+    }
+    for (const ServiceRoom& room : member.m_last.m_services) {
+      const std::map<std::pair<std::string, std::string>, uint32_t>::const_iterator sent =
+        m_sentToPeer.find({ id, room.m_service });
+      const int64_t left =
+        int64_t{ room.m_freeSlots } - (sent == m_sentToPeer.end() ? 0 : sent->second);
+      // Other regions only when they have room to spare for their own callers.
+      const int64_t spare = local ? left : left / 2;
+      if (room.m_service == aState.m_request.m_service && spare > bestRoom) {
+        best = id;
+        bestRoom = spare;
+      }
+    }
+  }
+  return best;
+}
+
+bool
+RequestController::RouteToPeer(RequestState& aState)
+{
+  if (aState.m_request.m_forwarded) {
+    return false; // one hop only
+  }
+  for (const bool ownZone : { true, false }) {
+    const std::string peer = ChoosePeer(aState, ownZone);
+    const Member* member = peer.empty() ? nullptr : m_context.m_members.Find(peer);
+    if (!member || (!ownZone && !WithinLinkBudget(aState, *member))) {
+      continue;
+    }
+    ++m_sentToPeer[{ peer, aState.m_request.m_service }];
+    ++m_counts.m_forwards;
+    const RequestRun run{ ++aState.m_attempts, 0, peer, m_context.m_now };
+    m_context.Log(LogLine(LogLevel::Info, "route")
+                    .Add("request", aState.m_request.m_id)
+                    .Add("service", aState.m_request.m_service)
+                    .Add("attempt", run.m_attempt)
+                    .Add("peer", peer)
+                    .Add("reason", ownZone ? "peer_has_room" : "spill"));
+    SendTo(aState, run, member->m_settings.m_address);
+    return true;
+  }
+  return false;
+}
+
+void
+RequestController::Queue(RequestState& aState)
+{
+  const RouterMap::const_iterator router = m_routers.find(aState.m_request.m_service);
+  const uint32_t slots = router == m_routers.end() ? 0 : router->second.TotalSlots();
+  std::deque<RequestId>& queue = m_queues[aState.m_request.m_service];
+  if (slots == 0 && aState.m_request.m_forwarded) {
+    NotRun(aState, ErrorKind::Overloaded, "no worker of the service is usable here", "retry");
+    return;
+  }
+  const double meanUs = router == m_routers.end() ? 0 : router->second.MeanUs();
+  const Duration wait(
+    slots > 0 ? static_cast<int64_t>(meanUs * static_cast<double>(queue.size() + 1) / slots) : 0);
+  const bool tooLate = m_context.m_now + wait >= aState.m_deadline;
+  if (tooLate || queue.size() >= kQueuePerSlot * std::max<size_t>(slots, 8)) {
+    NotRun(aState,
+           ErrorKind::Overloaded,
+           tooLate ? "the deadline cannot be met" : "the queue of the service is full",
+           "retry after 1 s");
+    return;
+  }
+  aState.m_phase = RequestPhase::Queued;
+  queue.push_back(aState.m_request.m_id);
+}
+
+void
+RequestController::ServeQueues()
+{
+  for (auto& [service, queue] : m_queues) {
+    while (!queue.empty()) {
+      RequestState* state = Find(queue.front());
+      if (state && state->m_phase == RequestPhase::Queued && !RouteToWorker(*state) &&
+          !RouteToPeer(*state)) {
+        break;
+      }
+      queue.pop_front();
+    }
+  }
+}
+
+void
+RequestController::FreeRun(const RequestState& aState, const RequestRun& aRun)
+{
+  const RouterMap::iterator router = m_routers.find(aState.m_request.m_service);
+  if (aRun.m_worker != 0 && router != m_routers.end()) {
+    router->second.Free(aRun.m_worker);
+  }
+}
+
+void
+RequestController::OnDispatchEnded(const DispatchEnded& aEnded)
+{
+  RequestState* state = Find(aEnded.m_id);
+  if (!state) {
+    return;
+  }
+  const std::vector<RequestRun>::iterator it =
+    std::find_if(state->m_runs.begin(), state->m_runs.end(), [&aEnded](const RequestRun& aRun) {
+      return aRun.m_attempt == aEnded.m_attempt;
+    });
+  if (it == state->m_runs.end()) {
+    return;
+  }
+  const RequestRun run = *it;
+  state->m_runs.erase(it);
+  const bool answered = aEnded.m_result == DispatchResult::Answered;
+  const bool failed = !answered || aEnded.m_status >= kServerError;
+  const RouterMap::iterator router = m_routers.find(state->m_request.m_service);
+  if (run.m_worker != 0 && router != m_routers.end()) {
+    router->second.Done(run.m_worker, m_context.m_now - run.m_startedAt, failed, m_context.m_now);
+  }
+  const bool peerNotRun = aEnded.m_peerOutcome == Outcome::NotRun;
+  const bool certainlyNotRun = aEnded.m_result == DispatchResult::NotSent ||
+                               aEnded.m_result == DispatchResult::Refused || peerNotRun;
+  state->m_mayHaveRun = state->m_mayHaveRun || !certainlyNotRun;
+  const bool peerUnknown = aEnded.m_peerOutcome == Outcome::Unknown;
+  const bool good = answered && !peerNotRun && !peerUnknown && (!failed || !state->m_idempotent);
+  if (good) {
+    m_retryBudget.Earn();
+    m_hedgeBudget.Earn();
+    AbandonRuns(*state, run.m_attempt);
+    if (!state->m_fullKey.empty()) {
+      RecordOutcome(*state, KeyFate::Done, aEnded.m_status, aEnded.m_keptBody);
+    }
+    Finish(*state, Outcome::Done, run.m_attempt, Error{});
+  } else {
+    Retry(*state, aEnded);
+  }
+  ServeQueues();
+}
+
+/// After a failed attempt: another one where that is safe and within the budget, else the outcome.
+void
+RequestController::Retry(RequestState& aState, const DispatchEnded& aEnded)
+{
+  if (!aState.m_runs.empty()) {
+    return; // a hedge still runs
+  }
+  const bool safe = aState.m_idempotent || !aState.m_mayHaveRun;
+  const bool orphaned = aState.m_phase == RequestPhase::Orphaned;
+  const bool inTime = m_context.m_now < aState.m_deadline;
+  if (safe && !orphaned && inTime && !aState.m_callerGone && aState.m_attempts < kMaxAttempts &&
+      m_retryBudget.Take()) {
+    ++m_counts.m_retries;
+    Route(aState);
+    return;
+  }
+  if (!aState.m_mayHaveRun) {
+    NotRun(aState,
+           ErrorKind::Unavailable,
+           "no target took the request (" + std::string(NameOf(aEnded.m_result)) + ")",
+           "retry after 1 s");
+    return;
+  }
+  if (aEnded.m_result == DispatchResult::Answered && !aEnded.m_peerOutcome) {
+    Finish(aState, Outcome::Done, aEnded.m_attempt, Error{}); // the target's own error answer
+    return;
+  }
+  Finish(aState,
+         Outcome::Unknown,
+         0,
+         Error{ ErrorKind::Unavailable,
+                "the target did not answer whole (" + std::string(NameOf(aEnded.m_result)) + ")",
+                aState.m_idempotent ? "retry" : "ask again with the same key" });
+}
+
+void
+RequestController::Hedge(RequestState& aState)
+{
+  const RouterMap::const_iterator router = m_routers.find(aState.m_request.m_service);
+  if (router == m_routers.end() || aState.m_runs.size() != 1 || aState.m_runs[0].m_worker == 0) {
+    return;
+  }
+  const Duration after = router->second.HedgeAfter();
+  const Duration running = m_context.m_now - aState.m_runs[0].m_startedAt;
+  if (after <= Duration::zero() || running < after || !m_hedgeBudget.Take()) {
+    return;
+  }
+  aState.m_hedged = true;
+  m_hedgeable.erase(aState.m_request.m_id);
+  if (RouteToWorker(aState)) {
+    ++m_counts.m_hedges;
+  }
+}
+
+void
+RequestController::RecordOutcome(const RequestState& aState,
+                                 KeyFate aFate,
+                                 uint32_t aStatus,
+                                 std::string aBody)
+{
+  m_context.m_writer.Append(Stream::Intake,
+                            KeyOutcome{ aState.m_fullKey, aFate, aStatus, std::move(aBody) });
+}
+
+void
+RequestController::AbandonRuns(RequestState& aState, uint32_t aExcept)
+{
+  for (const RequestRun& run : aState.m_runs) {
+    if (run.m_attempt != aExcept) {
+      m_context.Do(AbandonDispatch{ aState.m_request.m_id, run.m_attempt });
+      FreeRun(aState, run);
+    }
+  }
+  aState.m_runs.clear();
+}
+
+void
+RequestController::NotRun(RequestState& aState,
+                          ErrorKind aKind,
+                          std::string aText,
+                          std::string aRemedy)
+{
+  const bool holds = !aState.m_fullKey.empty() && aState.m_phase != RequestPhase::AwaitingIntent &&
+                     aState.m_phase != RequestPhase::AwaitingOther;
+  const KeyState* key = m_context.m_replica.Keys().Find(aState.m_fullKey);
+  if (holds && key && key->m_holder == m_context.m_self && !key->m_done) {
+    RecordOutcome(aState, KeyFate::NotRun, 0, "");
+  }
+  Finish(aState, Outcome::NotRun, 0, Error{ aKind, std::move(aText), std::move(aRemedy) });
+}
+
+void
+RequestController::Finish(RequestState& aState, Outcome aOutcome, uint32_t aAttempt, Error aError)
+{
+  const RequestId id = aState.m_request.m_id;
+  m_hedgeable.erase(id);
+  m_deadlines.erase({ aState.m_deadline, id });
+  if (aState.m_phase != RequestPhase::Orphaned) {
+    m_counts.m_done += aOutcome == Outcome::Done ? 1 : 0;
+    m_counts.m_notRun += aOutcome == Outcome::NotRun ? 1 : 0;
+    m_counts.m_unknown += aOutcome == Outcome::Unknown ? 1 : 0;
+    AnswerRequest answer;
+    answer.m_id = id;
+    answer.m_outcome = aOutcome;
+    answer.m_attempt = aAttempt;
+    answer.m_error = std::move(aError);
+    if (aOutcome != Outcome::Done) {
+      m_context.Log(LogLine(LogLevel::Info, "route")
+                      .Add("request", id)
+                      .Add("service", aState.m_request.m_service)
+                      .Add("outcome", NameOf(aOutcome))
+                      .Add("reason", answer.m_error.m_message));
+    }
+    m_context.Do(std::move(answer));
+  }
+  m_requests.erase(id);
+}
+
+/// The deadline of a request that is not answered yet.
+void
+RequestController::OnDeadline(RequestState& aState)
+{
+  const Error late{ ErrorKind::Unavailable,
+                    "the deadline passed while the request ran",
+                    aState.m_idempotent ? "retry" : "ask again with the same key" };
+  switch (aState.m_phase) {
+    case RequestPhase::AwaitingOther:
+      Finish(aState,
+             Outcome::Unknown,
+             0,
+             Error{ ErrorKind::Unavailable,
+                    "an earlier request with this key has no known outcome",
+                    "ask again with the same key" });
+      return;
+    case RequestPhase::AwaitingIntent:
+      NotRun(aState,
+             ErrorKind::Unavailable,
+             "the log did not answer in time",
+             "retry with the same key");
+      return;
+    case RequestPhase::Queued:
+      if (aState.m_mayHaveRun) {
+        Finish(aState, Outcome::Unknown, 0, late);
+      } else {
+        NotRun(aState, ErrorKind::Overloaded, "no slot became free in time", "retry after 1 s");
+      }
+      return;
+    case RequestPhase::Running:
+      if (aState.m_fullKey.empty()) {
+        AbandonRuns(aState, 0);
+        Finish(aState, Outcome::Unknown, 0, late);
+        return;
+      }
+      break;
+    case RequestPhase::Orphaned:
+      return;
+  }
+  // A keyed request runs on, so that a retry of the key can be told its outcome.
+  AnswerRequest answer;
+  answer.m_id = aState.m_request.m_id;
+  answer.m_outcome = Outcome::Unknown;
+  answer.m_error = late;
+  ++m_counts.m_unknown;
+  m_context.Do(std::move(answer));
+  aState.m_phase = RequestPhase::Orphaned;
+}
+
+void
+RequestController::OnCallerGone(const CallerGone& aGone)
+{
+  RequestState* state = Find(aGone.m_id);
+  if (!state) {
+    return;
+  }
+  state->m_callerGone = true;
+  if (state->m_fullKey.empty()) {
+    AbandonRuns(*state, 0);
+    Finish(*state, Outcome::Unknown, 0, Error{});
+    ServeQueues();
+  }
+}
+
+void
+RequestController::OnWorkerBusy(WorkerId aWorker, uint32_t aBusySlots)
+{
+  WorkerRun* worker = m_racks.FindWorker(aWorker);
+  if (!worker || !worker->m_sharedSlots) {
+    return;
+  }
+  // After a take-over without release, requests of the former owner may still run.
+  bool foreign = false;
+  for (auto& [name, router] : m_routers) {
+    router.ReportBusy(aWorker, aBusySlots);
+    const Target* target = router.Find(aWorker);
+    foreign = foreign || (target && target->m_foreign > 0);
+  }
+  worker->m_sharedSlots = foreign;
+}
+
+void
+RequestController::RefreshRouters()
+{
+  if (m_seenChanges == m_racks.Changes()) {
+    return;
+  }
+  m_seenChanges = m_racks.Changes();
+  const Model& model = m_context.Config();
+  std::erase_if(m_routers,
+                [&model](const auto& aRow) { return !model.m_services.contains(aRow.first); });
+  m_retryBudget.SetShare(model.m_policy.m_retryShare);
+  m_hedgeBudget.SetShare(model.m_policy.m_hedgeShare);
+  for (const auto& [name, service] : model.m_services) {
+    std::vector<Target> targets;
+    for (const auto& [rackName, rack] : m_racks.Racks()) {
+      for (const auto& [id, worker] : rack.m_workers) {
+        const bool serves =
+          std::find(service.m_pools.begin(), service.m_pools.end(), worker.m_pool) !=
+          service.m_pools.end();
+        if (serves && worker.TakesWork() && !rack.m_releasing) {
+          Target target;
+          target.m_worker = id;
+          target.m_address = worker.m_address;
+          target.m_rack = rackName;
+          targets.push_back(std::move(target));
+        }
+      }
+    }
+    Router& router = m_routers[name];
+    router.Configure(service.m_slots, model.m_policy.m_tailWeight, model.m_policy.m_ejectShare);
+    router.SetTargets(targets);
+  }
+}
+
+std::vector<ServiceRoom>
+RequestController::Room() const
+{
+  std::vector<ServiceRoom> rooms;
+  for (const auto& [name, router] : m_routers) {
+    const uint32_t free = m_context.m_leaving ? 0 : router.FreeSlots(m_context.m_now);
+    rooms.push_back(ServiceRoom{ name, free });
+  }
+  return rooms;
+}
+
+void
+RequestController::Tick()
+{
+  RefreshRouters();
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_context.m_now) {
+    const RequestId id = m_deadlines.begin()->second;
+    m_deadlines.erase(m_deadlines.begin());
+    if (RequestState* state = Find(id)) {
+      OnDeadline(*state);
+    }
+  }
+  const std::vector<RequestId> hedgeable(m_hedgeable.begin(), m_hedgeable.end());
+  for (const RequestId id : hedgeable) {
+    if (RequestState* state = Find(id)) {
+      Hedge(*state);
+    }
+  }
+  ServeQueues();
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Core/Tasks.cpp
@@ -0,0 +1,459 @@
+// Starts, moves and preemption of waiting tasks.
+#include "egretturn/Core/Tasks.h"
+
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr size_t kScanPerTick = 64;   // waiting tasks considered for a rack
+static constexpr size_t kStartsPerTick = 32; // of a rack; 32 every 20 ms is 1,600 a second
+static constexpr Duration kMoveAfter = std::chrono::milliseconds(500);
+static constexpr Duration kPreemptAgain = std::chrono::seconds(2);
+static constexpr Duration kMovedReset = std::chrono::seconds(1);
+static constexpr size_t kHopelessWorkers = 3; // distinct healthy workers on which a task failed
+
+TaskController::TaskController(Context& aContext, RackController& aRacks, const RouterMap& aRouters)
+  : m_context(aContext)
+  , m_racks(aRacks)
+  , m_routers(aRouters)
+{
+}
+
+const WaitNote*
+TaskController::FindNote(const TaskId& aTask) const
+{
+  const std::map<TaskId, WaitNote>::const_iterator it = m_notes.find(aTask);
+  return it == m_notes.end() ? nullptr : &it->second;
+}
+
+std::vector<RackRoom>
+TaskController::Room() const
+{
+  std::vector<RackRoom> rooms;
+  for (const auto& [name, rack] : m_racks.Racks()) {
+    RackRoom room{ name, 0 };
+    for (const auto& [id, worker] : rack.m_workers) {
+      if (worker.TakesWork() && RackController::IsSettled(rack)) {
+        room.m_freeMilliCores += std::max<int64_t>(0, worker.m_ledger.Free().m_milliCores);
+      }
+    }
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
+void
+TaskController::CountUsage()
+{
+  m_usage.clear();
+  int64_t owned = 0;
+  for (const auto& [name, rack] : m_racks.Racks()) {
+    for (const auto& [id, worker] : rack.m_workers) {
+      owned += worker.m_size.m_milliCores;
+      for (const auto& [attempt, run] : worker.m_runs) {
+        const std::map<TaskAttempt, Resources>::const_iterator held =
+          worker.m_ledger.Held().find(attempt);
+        m_usage[run.m_team] += held == worker.m_ledger.Held().end() ? 0 : held->second.m_milliCores;
+      }
+    }
+  }
+  int64_t all = 0;
+  for (const auto& [name, pool] : m_context.Config().m_pools) {
+    all += pool.m_size.m_milliCores * static_cast<int64_t>(pool.m_workers.size());
+  }
+  m_ownedShare = all > 0 ? static_cast<double>(owned) / static_cast<double>(all) : 0;
+}
+
+bool
+TaskController::OverQuota(const Job& aJob) const
+{
+  const std::map<std::string, Team, std::less<>>::const_iterator team =
+    m_context.Config().m_teams.find(aJob.m_spec.m_team);
+  const std::map<std::string, int64_t>::const_iterator used = m_usage.find(aJob.m_spec.m_team);
+  if (team == m_context.Config().m_teams.end() || used == m_usage.end()) {
+    return false;
+  }
+  const double share = static_cast<double>(team->second.m_quotaMilliCores) * m_ownedShare;
+  return static_cast<double>(used->second) >= share;
+}
+
+void
+TaskController::Tick()
+{
+  if (m_context.m_now - m_movedReset >= kMovedReset) {
+    m_movedTo.clear();
+    m_movedReset = m_context.m_now;
+  }
+  if (!m_context.HasAuthority() || m_context.m_leaving) {
+    return;
+  }
+  CountUsage();
+  for (auto& [name, rack] : m_racks.Racks()) {
+    if (RackController::IsSettled(rack) && !rack.m_acting) {
+      ScheduleRack(rack);
+    }
+  }
+  React();
+}
+
+void
+TaskController::ScheduleRack(RackRun& aRack)
+{
+  // Tasks within their team's quota go first; what is left over is lent.
+  Scan scan;
+  size_t started = 0;
+  for (const bool borrowing : { false, true }) {
+    if (borrowing && scan.m_quotaBlocked) {
+      return; // what frees up next belongs to a team within its quota
+    }
+    size_t scanned = 0;
+    for (const WaitingTask& task : m_context.m_replica.Jobs().Waiting(aRack.m_rack)) {
+      if (++scanned > kScanPerTick || started >= kStartsPerTick) {
+        break;
+      }
+      started += ConsiderTask(aRack, task, borrowing, scan) ? 1 : 0;
+    }
+  }
+}
+
+bool
+TaskController::ConsiderTask(RackRun& aRack, const WaitingTask& aTask, bool aBorrowing, Scan& aScan)
+{
+  const JobTable& jobs = m_context.m_replica.Jobs();
+  const Job& job = *jobs.Find(aTask.m_task.m_job);
+  const std::string& kind = job.m_spec.m_kind;
+  if (m_busy.contains(aTask.m_task) || (aScan.m_blockedKinds.contains(kind) && !aTask.m_urgent)) {
+    return false;
+  }
+  if (!m_context.LogFresh() && !job.m_spec.m_restartable) {
+    NoteWait(aTask.m_task, PlacementReason::NoRoom, "the log is unreachable");
+    return false;
+  }
+  if (!jobs.MayStart(job)) {
+    FailHopeless(job, aTask.m_task);
+    NoteWait(aTask.m_task, PlacementReason::NoRoom, "an earlier job has not finished");
+    return false;
+  }
+  if (!aTask.m_urgent && OverQuota(job) != aBorrowing) {
+    return false;
+  }
+  const std::map<std::string, Team, std::less<>>::const_iterator team =
+    m_context.Config().m_teams.find(job.m_spec.m_team);
+  if (aBorrowing && team != m_context.Config().m_teams.end() && !team->second.m_borrows) {
+    NoteWait(aTask.m_task, PlacementReason::NoRoom, "the team's quota is used up");
+    return false;
+  }
+  const std::vector<WorkerId>& failedOn = jobs.FindTask(aTask.m_task)->m_failedOn;
+  if (failedOn.size() >= kHopelessWorkers) {
+    FailHopeless(job, aTask.m_task);
+  }
+  Resources size;
+  const PlacementChoice choice = Place(aRack, job, size);
+  if (choice.m_reason != PlacementReason::Chosen) {
+    aScan.m_blockedKinds.insert(kind);
+    aScan.m_quotaBlocked = aScan.m_quotaBlocked || !aBorrowing;
+    OnBlocked(aRack, job, aTask.m_task, choice.m_reason, size);
+    return false;
+  }
+  WorkerRun& worker = std::next(aRack.m_workers.begin(), static_cast<long>(choice.m_index))->second;
+  Start(aRack, worker, job, aTask.m_task, size, choice);
+  return true;
+}
+
+std::vector<ServiceLoad>
+TaskController::LoadsOn(const WorkerRun& aWorker) const
+{
+  std::vector<ServiceLoad> loads;
+  for (const auto& [name, service] : m_context.Config().m_services) {
+    const std::vector<std::string>& pools = service.m_pools;
+    if (std::find(pools.begin(), pools.end(), aWorker.m_pool) == pools.end()) {
+      continue;
+    }
+    ServiceLoad load{ name, 0 };
+    const RouterMap::const_iterator router = m_routers.find(name);
+    const Target* target = router == m_routers.end() ? nullptr : router->second.Find(aWorker.m_id);
+    if (target) {
+      load.m_band =
+        InterferenceModel::BandOf(static_cast<double>(target->m_outstanding) / service.m_slots);
+    }
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+PlacementChoice
+TaskController::Place(const RackRun& aRack, const Job& aJob, Resources& aSize) const
+{
+  const Model& model = m_context.Config();
+  const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
+    model.m_kinds.find(aJob.m_spec.m_kind);
+  std::vector<WorkerView> views;
+  views.reserve(aRack.m_workers.size());
+  for (const auto& [id, worker] : aRack.m_workers) {
+    WorkerView view;
+    view.m_worker = id;
+    view.m_size = worker.m_size;
+    view.m_free = worker.m_ledger.Free();
+    view.m_mix = &worker.m_mix.Now();
+    view.m_services = LoadsOn(worker);
+    view.m_usable =
+      worker.TakesWork() && worker.m_reaction == ReactionLevel::None &&
+      m_racks.Health().Usable(id, m_context.m_now, worker.m_runs.size()) &&
+      kind != model.m_kinds.end() &&
+      std::find(kind->second.m_pools.begin(), kind->second.m_pools.end(), worker.m_pool) !=
+        kind->second.m_pools.end();
+    if (view.m_usable) {
+      aSize = m_racks.Reservation(aJob.m_spec.m_kind, worker);
+    }
+    views.push_back(std::move(view));
+  }
+  const Placer placer(m_racks.Interference(), PlacementMode::Full, model.m_policy.m_tailWeight);
+  return placer.Choose(aJob.m_spec.m_kind, aSize, views, m_context.m_random.Next());
+}
+
+void
+TaskController::Start(RackRun& aRack,
+                      WorkerRun& aWorker,
+                      const Job& aJob,
+                      const TaskId& aTask,
+                      const Resources& aSize,
+                      const PlacementChoice& aChoice)
+{
+  const TaskAttempt attempt{ aTask, m_context.m_replica.Jobs().FindTask(aTask)->m_attempt + 1 };
+  if (!aWorker.m_ledger.Reserve(attempt, aSize)) {
+    return;
+  }
+  const std::optional<EntryToken> token = m_context.m_writer.Append(
+    Stream::Zone, TaskStart{ aTask, attempt.m_attempt, aWorker.m_id, aRack.m_epoch });
+  if (!token) {
+    aWorker.m_ledger.Release(attempt);
+    return;
+  }
+  Run& run = m_racks.AddRun(aWorker, attempt, aJob);
+  PendingStart pending{ aRack.m_rack, aWorker.m_id, attempt, false };
+  if (!m_context.LogFresh()) {
+    pending.m_sent = true;
+    m_racks.SendStart(aRack, aWorker, attempt, run);
+  }
+  m_pending[*token] = pending;
+  m_busy.insert(aTask);
+  m_notes.erase(aTask);
+  m_usage[run.m_team] += aSize.m_milliCores;
+  m_context.Log(LogLine(LogLevel::Info, "place")
+                  .Add("job", aTask.m_job)
+                  .Add("task", aTask.m_index)
+                  .Add("attempt", attempt.m_attempt)
+                  .Add("kind", run.m_kind)
+                  .Add("worker", aWorker.m_address)
+                  .Add("score", aChoice.m_score)
+                  .Add("next_score", aChoice.m_nextScore)
+                  .Add("considered", static_cast<uint64_t>(aChoice.m_considered))
+                  .Add("reserved_millicores", aSize.m_milliCores)
+                  .Add("reason", NameOf(aChoice.m_reason)));
+}
+
+void
+TaskController::NoteWait(const TaskId& aTask, PlacementReason aReason, std::string aText)
+{
+  const auto [it, added] = m_notes.try_emplace(aTask);
+  if (added) {
+    it->second.m_since = m_context.m_now;
+  }
+  it->second.m_reason = aReason;
+  it->second.m_text = std::move(aText);
+}
+
+void
+TaskController::OnBlocked(RackRun& aRack,
+                          const Job& aJob,
+                          const TaskId& aTask,
+                          PlacementReason aReason,
+                          const Resources& aSize)
+{
+  const bool first = !m_notes.contains(aTask);
+  NoteWait(aTask, aReason, "rack " + aRack.m_rack + ": " + std::string(NameOf(aReason)));
+  if (first) {
+    m_context.Log(LogLine(LogLevel::Info, "place_wait")
+                    .Add("job", aTask.m_job)
+                    .Add("task", aTask.m_index)
+                    .Add("kind", aJob.m_spec.m_kind)
+                    .Add("rack", aRack.m_rack)
+                    .Add("reason", NameOf(aReason)));
+  }
+  const Duration waited = m_context.m_now - m_notes[aTask].m_since;
+  if (waited >= kMoveAfter && MoveElsewhere(aRack, aJob, aTask, aSize)) {
+    return;
+  }
+  if (aJob.m_spec.m_urgent && aReason == PlacementReason::NoRoom) {
+    Preempt(aRack, aTask, aSize);
+  }
+}
+
+/// Makes room for an urgent task: stops the fewest tasks of one worker that lose least by it.
+void
+TaskController::Preempt(RackRun& aRack, const TaskId& aTask, const Resources& aSize)
+{
+  const std::map<TaskId, Instant>::const_iterator last = m_preempted.find(aTask);
+  if (last != m_preempted.end() && m_context.m_now - last->second < kPreemptAgain) {
+    return;
+  }
+  const Model& model = m_context.Config();
+  WorkerRun* best = nullptr;
+  std::vector<TaskAttempt> bestVictims;
+  for (auto& [id, worker] : aRack.m_workers) {
+    if (!worker.TakesWork() || !m_racks.Health().Usable(id, m_context.m_now, 0)) {
+      continue;
+    }
+    Resources room = worker.m_ledger.Free();
+    std::vector<TaskAttempt> victims;
+    for (const auto& [attempt, run] : worker.m_runs) {
+      const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
+        model.m_kinds.find(run.m_kind);
+      const bool movable =
+        kind != model.m_kinds.end() && (kind->second.m_checkpoints || kind->second.m_restartable);
+      if (aSize.FitsIn(room) || run.m_urgent || run.m_phase != RunPhase::Running || !movable) {
+        continue;
+      }
+      room += worker.m_ledger.Held().find(attempt)->second;
+      victims.push_back(attempt);
+    }
+    if (aSize.FitsIn(room) && !victims.empty() && (!best || victims.size() < bestVictims.size())) {
+      best = &worker;
+      bestVictims = std::move(victims);
+    }
+  }
+  if (!best) {
+    return;
+  }
+  m_preempted[aTask] = m_context.m_now;
+  for (const TaskAttempt& victim : bestVictims) {
+    m_racks.StopRun(aRack, *best, victim, TaskEndReason::Evicted);
+  }
+}
+
+bool
+TaskController::MoveElsewhere(RackRun& aRack,
+                              const Job& aJob,
+                              const TaskId& aTask,
+                              const Resources& aSize)
+{
+  const Model& model = m_context.Config();
+  const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
+    model.m_kinds.find(aJob.m_spec.m_kind);
+  if (kind == model.m_kinds.end() || !m_context.LogFresh()) {
+    return false;
+  }
+  std::set<std::string> allowed;
+  for (const std::string& name : kind->second.m_pools) {
+    const std::map<std::string, Pool, std::less<>>::const_iterator pool = model.m_pools.find(name);
+    if (pool != model.m_pools.end() && pool->second.m_zone == m_context.m_settings.m_zone) {
+      allowed.insert(pool->second.m_rack);
+    }
+  }
+  std::vector<RackRoom> rooms = Room();
+  for (const auto& [id, member] : m_context.m_members.All()) {
+    if (m_context.m_members.IsLocal(member) && m_context.m_members.IsAlive(id, m_context.m_now)) {
+      rooms.insert(rooms.end(), member.m_last.m_racks.begin(), member.m_last.m_racks.end());
+    }
+  }
+  const RackRoom* best = nullptr;
+  int64_t bestRoom = 0;
+  for (const RackRoom& room : rooms) {
+    const int64_t left = room.m_freeMilliCores - m_movedTo[room.m_rack];
+    if (room.m_rack != aRack.m_rack && allowed.contains(room.m_rack) && left > bestRoom) {
+      best = &room;
+      bestRoom = left;
+    }
+  }
+  // Twice the size, since the room of a rack is spread over its workers.
+  if (!best || bestRoom < 2 * aSize.m_milliCores) {
+    return false;
+  }
+  const std::optional<EntryToken> token =
+    m_context.m_writer.Append(Stream::Zone, TaskMove{ aTask, aRack.m_epoch, best->m_rack });
+  if (!token) {
+    return false;
+  }
+  m_movedTo[best->m_rack] += aSize.m_milliCores;
+  m_moves[*token] = aTask;
+  m_busy.insert(aTask);
+  m_context.Log(LogLine(LogLevel::Info, "place_move")
+                  .Add("job", aTask.m_job)
+                  .Add("task", aTask.m_index)
+                  .Add("from", aRack.m_rack)
+                  .Add("to", best->m_rack)
+                  .Add("room_millicores", bestRoom));
+  return true;
+}
+
+void
+TaskController::FailHopeless(const Job& aJob, const TaskId& aTask)
+{
+  std::string reason;
+  for (const JobId before : aJob.m_spec.m_after) {
+    const Job* earlier = m_context.m_replica.Jobs().Find(before);
+    const JobPhase phase = earlier ? earlier->Phase() : JobPhase::Finished;
+    if (phase == JobPhase::Failed || phase == JobPhase::Cancelled) {
+      reason = "job " + std::to_string(before) + ", which must finish first, is " +
+               std::string(NameOf(phase));
+    }
+  }
+  const TaskState& task = *m_context.m_replica.Jobs().FindTask(aTask);
+  const size_t healthy = static_cast<size_t>(
+    std::count_if(task.m_failedOn.begin(), task.m_failedOn.end(), [this](WorkerId aWorker) {
+      return !m_racks.Health().Suspect(aWorker);
+    }));
+  if (reason.empty() && healthy >= kHopelessWorkers) {
+    reason = "task " + std::to_string(aTask.m_index) + " failed on " + std::to_string(healthy) +
+             " healthy workers";
+  }
+  if (reason.empty() || !m_context.m_writer.Append(Stream::Zone, JobFail{ aJob.m_id, reason })) {
+    return;
+  }
+  m_busy.insert(aTask); // until the record ends it
+  m_context.Log(LogLine(LogLevel::Warning, "job_fail").Add("job", aJob.m_id).Add("reason", reason));
+}
+
+void
+TaskController::OnApplied(const Applied& aApplied, EntryToken aToken)
+{
+  if (std::holds_alternative<TaskMove>(aApplied.m_entry)) {
+    const std::map<EntryToken, TaskId>::iterator move = m_moves.find(aToken);
+    if (move != m_moves.end()) {
+      m_busy.erase(move->second);
+      m_notes.erase(move->second);
+      m_moves.erase(move);
+    }
+    return;
+  }
+  if (const TaskEnd* end = std::get_if<TaskEnd>(&aApplied.m_entry)) {
+    m_preempted.erase(end->m_task);
+    m_notes.erase(end->m_task);
+    return;
+  }
+  const std::map<EntryToken, PendingStart>::iterator it = m_pending.find(aToken);
+  if (aToken == 0 || it == m_pending.end()) {
+    return;
+  }
+  const PendingStart pending = it->second;
+  m_pending.erase(it);
+  m_busy.erase(pending.m_attempt.m_task);
+  RackRun* rack = m_racks.Find(pending.m_rack);
+  WorkerRun* worker = rack ? m_racks.FindWorker(pending.m_worker) : nullptr;
+  if (!worker || !worker->m_runs.contains(pending.m_attempt)) {
+    return;
+  }
+  if (!aApplied.m_counts) {
+    m_racks.DropRun(*worker, pending.m_attempt); // the list stops it if it was sent
+    return;
+  }
+  Run& run = worker->m_runs[pending.m_attempt];
+  run.m_recorded = true;
+  if (!pending.m_sent) {
+    m_racks.SendStart(*rack, *worker, pending.m_attempt, run);
+  }
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Journal/Reader.cpp
@@ -0,0 +1,155 @@
+#include "egretturn/Journal/Reader.h"
+
+#include "egretturn/Journal/Codec.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr size_t kKeptIncarnations = 8; // of one id; older ones can have nothing in flight
+
+std::vector<ReadBatch>
+StreamReader::Feed(const LogChunk& aChunk)
+{
+  std::vector<ReadBatch> out;
+  if (aChunk.m_oldest > m_next) {
+    m_behind = true;
+    m_gapFrom = aChunk.m_oldest;
+    m_next = aChunk.m_oldest;
+    m_held.clear();
+    m_gathering.clear();
+    m_snapshot.reset();
+  }
+  if (!m_behind) {
+    for (const ReadBatch& batch : m_held) {
+      Accept(batch, out);
+    }
+    m_held.clear();
+  }
+  for (const LogRecord& record : aChunk.m_records) {
+    if (record.m_offset < m_next) {
+      continue;
+    }
+    m_next = record.m_offset + 1;
+    Expected<Batch> batch = DecodeBatch(record.m_bytes);
+    if (!batch) {
+      ++m_corrupt;
+      continue;
+    }
+    ReadBatch read{ record.m_offset, std::move(*batch) };
+    NoteSnapshot(read);
+    if (m_behind) {
+      m_held.push_back(std::move(read));
+    } else {
+      Accept(read, out);
+    }
+  }
+  return out;
+}
+
+void
+StreamReader::NoteSnapshot(const ReadBatch& aBatch)
+{
+  std::optional<Snapshot> snapshot = GatherSnapshot(aBatch);
+  if (!snapshot) {
+    return;
+  }
+  m_snapshotCovers = snapshot->m_covers;
+  if (m_behind && !m_snapshot && CanRestore(snapshot->m_covers)) {
+    m_snapshot = std::move(snapshot);
+  }
+}
+
+bool
+StreamReader::CanRestore(Offset aCovers) const
+{
+  return m_behind ? aCovers >= m_gapFrom : aCovers > m_next;
+}
+
+std::optional<StreamReader::Snapshot>
+StreamReader::GatherSnapshot(const ReadBatch& aBatch)
+{
+  std::optional<Snapshot> whole;
+  for (const Entry& entry : aBatch.m_batch.m_entries) {
+    const SnapshotPart* part = std::get_if<SnapshotPart>(&entry);
+    if (!part) {
+      continue;
+    }
+    Gathering& gathering = m_gathering[aBatch.m_batch.m_writer];
+    if (gathering.m_covers != part->m_covers) {
+      gathering = Gathering{ part->m_covers, {} };
+    }
+    gathering.m_parts[part->m_part] = part->m_bytes;
+    if (gathering.m_parts.size() < part->m_parts) {
+      continue;
+    }
+    whole.emplace();
+    whole->m_covers = part->m_covers;
+    for (const auto& [index, bytes] : gathering.m_parts) {
+      whole->m_bytes += bytes;
+    }
+    m_gathering.erase(aBatch.m_batch.m_writer);
+  }
+  return whole;
+}
+
+std::optional<StreamReader::Snapshot>
+StreamReader::TakeSnapshot()
+{
+  std::optional<Snapshot> taken = std::move(m_snapshot);
+  m_snapshot.reset();
+  return taken;
+}
+
+void
+StreamReader::Restore(Offset aCovers, const std::vector<WriterMark>& aMarks)
+{
+  m_marks.clear();
+  for (const WriterMark& mark : aMarks) {
+    m_marks[mark.m_writer.m_id].push_back(mark);
+  }
+  std::erase_if(m_held, [aCovers](const ReadBatch& aBatch) { return aBatch.m_offset < aCovers; });
+  m_next = std::max(m_next, aCovers);
+  m_behind = false;
+}
+
+std::vector<WriterMark>
+StreamReader::Marks() const
+{
+  std::vector<WriterMark> all;
+  for (const auto& [id, marks] : m_marks) {
+    all.insert(all.end(), marks.begin(), marks.end());
+  }
+  return all;
+}
+
+bool
+StreamReader::IsDouble(const Batch& aBatch)
+{
+  std::vector<WriterMark>& marks = m_marks[aBatch.m_writer.m_id];
+  for (WriterMark& mark : marks) {
+    if (mark.m_writer != aBatch.m_writer) {
+      continue;
+    }
+    if (aBatch.m_sequence <= mark.m_sequence) {
+      return true;
+    }
+    mark.m_sequence = aBatch.m_sequence;
+    return false;
+  }
+  marks.push_back(WriterMark{ aBatch.m_writer, aBatch.m_sequence });
+  if (marks.size() > kKeptIncarnations) {
+    marks.erase(marks.begin());
+  }
+  return false;
+}
+
+void
+StreamReader::Accept(const ReadBatch& aBatch, std::vector<ReadBatch>& aOut)
+{
+  if (!IsDouble(aBatch.m_batch)) {
+    aOut.push_back(aBatch);
+  }
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Membership/Members.cpp
@@ -0,0 +1,190 @@
+#include "egretturn/Membership/Members.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr size_t kKeptSendTimes = 64;
+
+Members::Members(const Settings& aSettings, InstanceId aSelf)
+  : m_zone(aSettings.m_zone)
+  , m_timing(aSettings.m_timing)
+  , m_self(std::move(aSelf))
+{
+  for (const PeerSettings& peer : aSettings.m_peers) {
+    Member& member = m_members[peer.m_id];
+    member.m_settings = peer;
+    member.m_current.m_id = peer.m_id;
+  }
+}
+
+const Member*
+Members::Find(const std::string& aPeer) const
+{
+  const std::map<std::string, Member>::const_iterator it = m_members.find(aPeer);
+  return it == m_members.end() ? nullptr : &it->second;
+}
+
+/// Takes note of the incarnation of a sender. False if it is an old one.
+static bool
+AcceptIncarnation(Member& aMember, uint64_t aIncarnation)
+{
+  if (aMember.m_superseded.contains(aIncarnation)) {
+    return false;
+  }
+  if (aMember.m_current.m_incarnation == aIncarnation) {
+    return true;
+  }
+  if (aMember.m_current.m_incarnation != 0) {
+    aMember.m_superseded.insert(aMember.m_current.m_incarnation);
+  }
+  aMember.m_current.m_incarnation = aIncarnation;
+  aMember.m_left = false;
+  aMember.m_last = Heartbeat{};
+  aMember.m_consentUntil = Instant{};
+  return true;
+}
+
+bool
+Members::OnHeartbeat(const InstanceId& aFrom, const Heartbeat& aHeartbeat, Instant aNow)
+{
+  const std::map<std::string, Member>::iterator it = m_members.find(aFrom.m_id);
+  if (it == m_members.end() || !AcceptIncarnation(it->second, aFrom.m_incarnation)) {
+    return false;
+  }
+  Member& member = it->second;
+  if (member.m_left) {
+    return false; // delayed past the goodbye
+  }
+  if (aHeartbeat.m_sequence <= member.m_last.m_sequence) {
+    return true; // reordered; a newer one was taken
+  }
+  if (aNow - member.m_lastHeard >= m_timing.m_suspect) {
+    member.m_firstHeard = aNow;
+  }
+  member.m_lastHeard = aNow;
+  member.m_last = aHeartbeat;
+  member.m_counted = true;
+  if (!aHeartbeat.m_consents) {
+    member.m_consentUntil = Instant{};
+    return true;
+  }
+  if (aHeartbeat.m_echoIncarnation != m_self.m_incarnation) {
+    return true;
+  }
+  for (const auto& [sequence, sentAt] : member.m_sentAt) {
+    if (sequence == aHeartbeat.m_echo) {
+      member.m_consentUntil = std::max(member.m_consentUntil, sentAt + m_timing.m_authority);
+    }
+  }
+  return true;
+}
+
+void
+Members::OnGoodbye(const InstanceId& aFrom)
+{
+  const std::map<std::string, Member>::iterator it = m_members.find(aFrom.m_id);
+  if (it == m_members.end() || !AcceptIncarnation(it->second, aFrom.m_incarnation)) {
+    return;
+  }
+  it->second.m_left = true;
+  it->second.m_counted = false;
+}
+
+void
+Members::Address(Heartbeat& aHeartbeat, const std::string& aPeer, Instant aNow)
+{
+  const std::map<std::string, Member>::iterator it = m_members.find(aPeer);
+  if (it == m_members.end()) {
+    return;
+  }
+  Member& member = it->second;
+  aHeartbeat.m_sequence = ++member.m_sent;
+  aHeartbeat.m_echo = member.m_last.m_sequence;
+  aHeartbeat.m_echoIncarnation = member.m_current.m_incarnation;
+  member.m_sentAt.emplace_back(member.m_sent, aNow);
+  if (member.m_sentAt.size() > kKeptSendTimes) {
+    member.m_sentAt.pop_front();
+  }
+}
+
+void
+Members::Tick(Instant aNow, bool aLogFresh)
+{
+  if (!aLogFresh) {
+    return;
+  }
+  // The time in which a claim of a silent peer would have shown in the log.
+  const Duration settled = m_timing.m_suspect + m_timing.m_authority + m_timing.m_messageDelay;
+  for (auto& [id, member] : m_members) {
+    if (member.m_counted && aNow - member.m_lastHeard > settled) {
+      member.m_counted = false;
+    }
+  }
+}
+
+std::optional<Instant>
+Members::ConsentUntil(Instant aNow) const
+{
+  Instant until = Instant::max();
+  for (const auto& [id, member] : m_members) {
+    if (!IsLocal(member) || !member.m_counted) {
+      continue;
+    }
+    if (member.m_consentUntil <= aNow) {
+      return std::nullopt;
+    }
+    until = std::min(until, member.m_consentUntil);
+  }
+  return until == Instant::max() ? aNow + m_timing.m_authority : until;
+}
+
+bool
+Members::IsAlive(const std::string& aPeer, Instant aNow) const
+{
+  if (aPeer == m_self.m_id) {
+    return true;
+  }
+  const Member* member = Find(aPeer);
+  return member && member->m_current.m_incarnation != 0 && !member->m_left &&
+         aNow - member->m_lastHeard < m_timing.m_suspect;
+}
+
+bool
+Members::IsAlive(const InstanceId& aInstance, Instant aNow) const
+{
+  if (aInstance == m_self) {
+    return true;
+  }
+  const Member* member = Find(aInstance.m_id);
+  return member && member->m_current == aInstance && IsAlive(aInstance.m_id, aNow);
+}
+
+std::vector<std::string>
+Members::Eligible(Instant aNow, bool aSelfLeaving) const
+{
+  std::vector<std::string> ids;
+  if (!aSelfLeaving) {
+    ids.push_back(m_self.m_id);
+  }
+  for (const auto& [id, member] : m_members) {
+    if (IsLocal(member) && IsAlive(id, aNow) && member.m_last.m_ready && !member.m_last.m_leaving) {
+      ids.push_back(id);
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+bool
+Members::PeerReadsLog(Instant aNow) const
+{
+  for (const auto& [id, member] : m_members) {
+    if (IsLocal(member) && IsAlive(id, aNow) && member.m_last.m_logFresh) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Placement/Interference.cpp
@@ -0,0 +1,143 @@
+#include "egretturn/Placement/Interference.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr Duration kKeptHistory = std::chrono::seconds(60);
+static constexpr double kPriorAdded = 0.04; // cautious: a pair not seen yet
+static constexpr double kMaxAdded = 2.0;
+static constexpr double kLearnGain = 0.25; // of a sample's error
+static constexpr uint32_t kKnownSamples = 6;
+
+void
+MixHistory::Push(TaskMix aMix, Instant aNow)
+{
+  m_mixes.push_back(Entry{ aNow, std::move(aMix) });
+  while (m_mixes.size() > 2 && m_mixes[1].m_since < aNow - kKeptHistory) {
+    m_mixes.pop_front();
+  }
+}
+
+void
+MixHistory::Add(const std::string& aKind, Instant aNow)
+{
+  TaskMix mix = m_mixes.back().m_mix;
+  ++mix[aKind];
+  Push(std::move(mix), aNow);
+}
+
+void
+MixHistory::Remove(const std::string& aKind, Instant aNow)
+{
+  TaskMix mix = m_mixes.back().m_mix;
+  const TaskMix::iterator it = mix.find(aKind);
+  if (it == mix.end()) {
+    return;
+  }
+  if (--it->second == 0) {
+    mix.erase(it);
+  }
+  Push(std::move(mix), aNow);
+}
+
+const TaskMix&
+MixHistory::At(Instant aWhen) const
+{
+  for (std::deque<Entry>::const_reverse_iterator it = m_mixes.rbegin(); it != m_mixes.rend();
+       ++it) {
+    if (it->m_since <= aWhen) {
+      return it->m_mix;
+    }
+  }
+  return m_mixes.front().m_mix;
+}
+
+size_t
+InterferenceModel::BandOf(double aLoad)
+{
+  const double scaled = std::clamp(aLoad, 0.0, 0.999) * kBands;
+  return static_cast<size_t>(scaled);
+}
+
+const InterferenceModel::Pair*
+InterferenceModel::Find(const std::string& aService, const std::string& aKind) const
+{
+  const std::map<PairKey, Pair>::const_iterator it = m_pairs.find(PairKey(aService, aKind));
+  return it == m_pairs.end() ? nullptr : &it->second;
+}
+
+double
+InterferenceModel::Added(const std::string& aService, size_t aBand, const std::string& aKind) const
+{
+  const Pair* pair = Find(aService, aKind);
+  if (!pair) {
+    return kPriorAdded;
+  }
+  if (pair->m_samples[aBand] > 0) {
+    return pair->m_added[aBand];
+  }
+  // Nothing seen in this band: what was seen nearest below or above it.
+  for (size_t distance = 1; distance < kBands; ++distance) {
+    if (aBand >= distance && pair->m_samples[aBand - distance] > 0) {
+      return pair->m_added[aBand - distance];
+    }
+    if (aBand + distance < kBands && pair->m_samples[aBand + distance] > 0) {
+      return pair->m_added[aBand + distance];
+    }
+  }
+  return kPriorAdded;
+}
+
+double
+InterferenceModel::Predict(const std::string& aService, size_t aBand, const TaskMix& aMix) const
+{
+  double slowdown = 1;
+  for (const auto& [kind, count] : aMix) {
+    slowdown += count * Added(aService, aBand, kind);
+  }
+  return slowdown;
+}
+
+void
+InterferenceModel::Observe(const std::string& aService,
+                           size_t aBand,
+                           const TaskMix& aMix,
+                           double aSlowdown)
+{
+  double norm = 0;
+  for (const auto& [kind, count] : aMix) {
+    norm += static_cast<double>(count) * count;
+  }
+  if (norm <= 0) {
+    return;
+  }
+  // Normalized least mean squares: the error is shared out by how many tasks of each kind ran.
+  const double error = aSlowdown - Predict(aService, aBand, aMix);
+  for (const auto& [kind, count] : aMix) {
+    const double before = Added(aService, aBand, kind);
+    const auto [it, fresh] = m_pairs.try_emplace(PairKey(aService, kind));
+    Pair& pair = it->second;
+    if (fresh) {
+      pair.m_added.fill(kPriorAdded);
+    }
+    pair.m_added[aBand] = std::clamp(before + kLearnGain * error * count / norm, 0.0, kMaxAdded);
+    ++pair.m_samples[aBand];
+  }
+}
+
+bool
+InterferenceModel::Known(const std::string& aService, const std::string& aKind) const
+{
+  const Pair* pair = Find(aService, aKind);
+  if (!pair) {
+    return false;
+  }
+  uint32_t samples = 0;
+  for (uint32_t band : pair->m_samples) {
+    samples += band;
+  }
+  return samples >= kKnownSamples;
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/tools/egretturn-standin/Main.cpp
@@ -0,0 +1,108 @@
+// Stand-ins for the platform: the log service, the list of instances and the workers.
+#include "Platform.h"
+#include "Targets.h"
+#include "egretturn/Config/Document.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+static constexpr const char* kUsage = R"(egretturn-standin: small stand-ins for the platform
+
+Usage:
+  egretturn-standin platform --listen=ADDRESS
+  egretturn-standin workers --config=FILE [--service-us=US] [--task-ms=MS]
+  egretturn-standin (-h | --help)
+
+Options:
+  --listen=ADDRESS  Where the log and the list of instances answer.
+  --config=FILE     Configuration whose pools name the workers' addresses.
+  --service-us=US   Median time to answer a request [default: 2000].
+  --task-ms=MS      Run time of a task [default: 1500].
+  -h --help         Show this text.
+)";
+
+namespace {
+
+using namespace egretturn;
+
+int
+RunUntilSignal(boost::asio::io_context& aIo)
+{
+  boost::asio::signal_set signals(aIo, SIGTERM, SIGINT);
+  signals.async_wait([&aIo](const boost::system::error_code&, int) { aIo.stop(); });
+  aIo.run();
+  return 0;
+}
+
+int
+FailWith(const Error& aError)
+{
+  std::cerr << aError.Text() << '\n';
+  return 1;
+}
+
+int
+RunPlatform(const std::string& aAddress)
+{
+  boost::asio::io_context io(1);
+  PlatformServer server(io);
+  const Expected<void> listening = server.Listen(aAddress);
+  return listening ? RunUntilSignal(io) : FailWith(listening.error());
+}
+
+int
+RunWorkers(const std::string& aFile, const TargetOptions& aOptions)
+{
+  std::ifstream in(aFile);
+  std::ostringstream text;
+  text << in.rdbuf();
+  const tl::expected<Document, Errors> document = ParseDocument(text.str(), aFile);
+  if (!document) {
+    return FailWith(document.error().front());
+  }
+  const tl::expected<Model, Errors> model = CheckDocument(*document);
+  if (!model) {
+    return FailWith(model.error().front());
+  }
+  uint32_t slots = 0;
+  for (const auto& [name, service] : model->m_services) {
+    slots = std::max(slots, service.m_slots);
+  }
+  std::vector<std::string> kinds;
+  for (const auto& [name, kind] : model->m_kinds) {
+    kinds.push_back(name);
+  }
+  boost::asio::io_context io(1);
+  std::vector<std::unique_ptr<TargetServer>> servers;
+  for (const auto& [name, pool] : model->m_pools) {
+    for (const std::string& address : pool.m_workers) {
+      servers.push_back(
+        std::make_unique<TargetServer>(io, address, pool.m_size, slots, aOptions, kinds));
+      const Expected<void> listening = servers.back()->Listen();
+      if (!listening) {
+        return FailWith(listening.error());
+      }
+    }
+  }
+  return RunUntilSignal(io);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::map<std::string, docopt::value> arguments =
+    docopt::docopt(kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true);
+  if (arguments["platform"].asBool()) {
+    return RunPlatform(arguments["--listen"].asString());
+  }
+  TargetOptions options;
+  options.m_serviceUs = std::stoll(arguments["--service-us"].asString());
+  options.m_taskMs = std::stoll(arguments["--task-ms"].asString());
+  return RunWorkers(arguments["--config"].asString(), options);
+}
--- /dev/null
+++ b/tools/egretturn/Main.cpp
@@ -0,0 +1,108 @@
+// The command-line tool for operators and callers.
+#include "Commands.h"
+
+#include <iostream>
+
+static constexpr const char* kUsage = R"(egretturn: drives the egretturn scheduler
+
+Usage:
+  egretturn config check FILE
+  egretturn config publish FILE [--instance=ADDRESS] [--author=NAME] [--base=VERSION] [--wait=SECONDS] [--json]
+  egretturn config diff FILE [--instance=ADDRESS]
+  egretturn config (show | history | status) [--instance=ADDRESS] [--wait=SECONDS] [--json]
+  egretturn job submit --key=KEY --kind=KIND --team=TEAM [--tasks=N] [--after=IDS] [--urgent] [--restartable] [--instance=ADDRESS] [--json]
+  egretturn job (status | cancel | explain) ID [--instance=ADDRESS] [--json]
+  egretturn job list [--instance=ADDRESS] [--json]
+  egretturn request SERVICE REQUEST [--key=KEY] [--body=TEXT] [--deadline-ms=MS] [--instance=ADDRESS]
+  egretturn explain ID [--instance=ADDRESS] [--json]
+  egretturn (workers | instances | status) [--instance=ADDRESS] [--json]
+  egretturn version
+  egretturn (-h | --help)
+
+Options:
+  --instance=ADDRESS  An instance of the system [default: 127.0.0.1:18100].
+  --author=NAME       Who publishes; kept in the history.
+  --base=VERSION      Publish against this version instead of the one in force.
+  --wait=SECONDS      How long to wait for all instances [default: 10].
+  --key=KEY           Idempotency key: the same key never runs twice.
+  --kind=KIND         Batch kind of the configuration.
+  --team=TEAM         Team whose quota the job uses.
+  --tasks=N           Number of tasks [default: 1].
+  --after=IDS         Jobs that must finish first, separated by commas.
+  --urgent            Start before other work.
+  --restartable       May start while the log is unreachable.
+  --body=TEXT         Body of the request.
+  --deadline-ms=MS    Give up after this time.
+  --json              Print JSON for scripts.
+  -h --help           Show this text.
+
+Exit codes:
+  0  done
+  1  refused: the input or the state does not allow it
+  2  the arguments are wrong
+  3  an instance, the log or a target could not be reached, or time ran out
+
+Examples:
+  egretturn config publish examples/huon.toml --author=mia
+  egretturn job submit --key=meter-7 --kind=meter-watch --team=monitoring --tasks=40
+  egretturn request retrofit-desk claim --key=claim-81 --body='{"home":81}'
+  egretturn explain 2048
+)";
+
+static egretturn::ExitCode
+RunCommand(egretturn::Arguments& aArguments)
+{
+  const auto chosen = [&aArguments](const char* aName) { return aArguments[aName].asBool(); };
+  const std::string instance = aArguments["--instance"].asString();
+  if (chosen("version")) {
+    std::cout << EGRETTURN_VERSION << '\n';
+    return egretturn::ExitOk;
+  }
+  if (chosen("config")) {
+    return egretturn::RunConfig(aArguments);
+  }
+  if (chosen("job") || chosen("explain")) {
+    return egretturn::RunJob(aArguments);
+  }
+  if (chosen("request")) {
+    return egretturn::RunRequest(aArguments);
+  }
+  if (chosen("workers")) {
+    return egretturn::ShowAnswer(aArguments,
+                                 egretturn::GetFrom(instance, "/v1/workers"),
+                                 "workers",
+                                 { "worker",
+                                   "rack",
+                                   "epoch",
+                                   "takes_work",
+                                   "leaving",
+                                   "tasks",
+                                   "free_millicores",
+                                   "free_memory_mb" });
+  }
+  if (chosen("instances")) {
+    return egretturn::ShowAnswer(
+      aArguments,
+      egretturn::GetFrom(instance, "/v1/instances"),
+      "instances",
+      { "id", "zone", "alive", "ready", "leaving", "config_version", "address" });
+  }
+  return egretturn::ShowAnswer(aArguments, egretturn::GetFrom(instance, "/v1/status"), "", {});
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  egretturn::Arguments arguments;
+  try {
+    arguments = docopt::docopt_parse(
+      kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true, false);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return egretturn::ExitOk;
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\nsee egretturn --help\n";
+    return egretturn::ExitUsage;
+  }
+  return RunCommand(arguments);
+}
--- /dev/null
+++ b/tools/egretturn/Output.h
@@ -0,0 +1,20 @@
+// Tables for people and JSON for scripts.
+#pragma once
+
+#include "egretturn/Support/Fields.h"
+
+#include <string>
+#include <vector>
+
+namespace egretturn {
+
+/// Prints the members \p aColumns of each object in \p aRows as a table on standard output.
+void PrintTable(const Json& aRows, const std::vector<std::string>& aColumns);
+
+/// Prints the members of \p aObject, one a line.
+void PrintObject(const Json& aObject);
+
+/// Prints \p aError on standard error.
+void PrintError(const Error& aError);
+
+} // namespace egretturn
--- /dev/null
+++ b/tools/egretturnd/Main.cpp
@@ -0,0 +1,103 @@
+// The daemon: one entry instance.
+#include "egretturn/Config/Settings.h"
+#include "egretturn/Daemon/Shell.h"
+
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+static constexpr const char* kUsage = R"(egretturnd: one entry instance of the egretturn scheduler
+
+Usage:
+  egretturnd --settings=FILE [--check]
+  egretturnd (-h | --help)
+  egretturnd --version
+
+Options:
+  --settings=FILE  Settings in TOML; see docs/CONFIGURATION.md.
+  --check          Only check the settings.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit codes:
+  0  a graceful shutdown has ended, or the settings are right
+  1  the instance could not run
+  2  the settings or the arguments are wrong
+
+Example:
+  egretturnd --settings=/etc/egretturn/hobart-a-1.toml
+)";
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+/// A number that no earlier run of this instance has used; 53 bits, so that JSON keeps it whole.
+uint64_t
+DrawIncarnation()
+{
+  std::random_device device;
+  const uint64_t high = device();
+  return ((high << 32 | device()) >> 11) | 1;
+}
+
+int
+RunDaemon(const std::string& aFile, bool aCheckOnly)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    std::cerr << aFile << ": cannot be read; check the path and its permissions\n";
+    return kExitUsage;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  const tl::expected<egretturn::Settings, egretturn::Errors> settings =
+    egretturn::ParseSettings(text.str(), aFile);
+  if (!settings) {
+    for (const egretturn::Error& error : settings.error()) {
+      std::cerr << error.Text() << '\n';
+    }
+    return kExitUsage;
+  }
+  if (aCheckOnly) {
+    std::cout << aFile << ": ok\n";
+    return 0;
+  }
+  egretturn::StartLogging(settings->m_logLevel, settings->m_id);
+  tl::expected<void, egretturn::Error> run;
+  {
+    egretturn::Shell shell(*settings, DrawIncarnation());
+    run = shell.Run();
+  }
+  egretturn::StopLogging();
+  if (!run) {
+    std::cerr << run.error().Text() << '\n';
+    return kExitFailed;
+  }
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::map<std::string, docopt::value> arguments;
+  try {
+    arguments = docopt::docopt_parse(
+      kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return 0;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << EGRETTURN_VERSION << '\n';
+    return 0;
+  } catch (const std::exception&) {
+    std::cerr << kUsage;
+    return kExitUsage;
+  }
+  return RunDaemon(arguments["--settings"].asString(), arguments["--check"].asBool());
+}
