--- a/include/egretturn/Core/Core.h
+++ b/include/egretturn/Core/Core.h
@@ -41,6 +41,7 @@
     Offset m_snapshotFrom = 0;
   };
 
+  void NoticePause(Instant aNow);
   void Tick();
   void OnLogRead(const LogReadDone& aRead);
   void OnLogReadFailed(const LogReadFailed& aFailed);
@@ -69,6 +70,7 @@
   Instant m_heartbeatAt{};
   Instant m_farHeartbeatAt{};
   Instant m_askedPeersAt{};
+  Instant m_lastStepAt{};
   Instant m_leaveAt{};
   bool m_exited = false;
 };
--- a/include/egretturn/Core/Racks.h
+++ b/include/egretturn/Core/Racks.h
@@ -60,6 +60,7 @@
   MixHistory m_mix;
   uint64_t m_boot = 0;
   bool m_listed = false;      ///< Its list was read under this epoch.
+  bool m_fresh = false;       ///< Its list was read of late, so that new work may go there.
   bool m_lapsed = false;      ///< Silent for so long that its leases have run out.
   bool m_leaving = false;     ///< By its own word or the platform's list.
   bool m_drained = false;     ///< By the configuration.
@@ -74,7 +75,10 @@
   uint32_t m_reactionVotes = 0;
   Instant m_reactedAt{};
 
-  bool TakesWork() const { return m_listed && !m_lapsed && !m_leaving && !m_drained && !m_removed; }
+  bool TakesWork() const
+  {
+    return m_listed && m_fresh && !m_lapsed && !m_leaving && !m_drained && !m_removed;
+  }
 };
 
 enum class RackPhase
@@ -114,6 +118,9 @@
   /// The configuration or a restored state changed under the racks.
   void Refresh();
 
+  /// This process stood still for a while: what it knows of the workers is old.
+  void OnPaused();
+
   /// Gives up every rack, by record where the log allows and by message otherwise.
   void ReleaseAll();
   bool OwnsNothing() const { return m_racks.empty(); }
--- a/include/egretturn/Core/Requests.h
+++ b/include/egretturn/Core/Requests.h
@@ -75,6 +75,9 @@
   void OnApplied(const Applied& aApplied, EntryToken aToken);
   void OnWorkerBusy(WorkerId aWorker, uint32_t aBusySlots);
 
+  /// Follows changes of the owned racks at once instead of at the next tick.
+  void RefreshRouters();
+
   /// Room that this instance offers to peers, for heartbeats.
   std::vector<ServiceRoom> Room() const;
 
@@ -111,7 +114,6 @@
                      uint32_t aStatus,
                      std::string aBody);
   void AbandonRuns(RequestState& aState, uint32_t aExcept);
-  void RefreshRouters();
   void FreeRun(const RequestState& aState, const RequestRun& aRun);
 
   Context& m_context;
--- a/include/egretturn/Core/Tasks.h
+++ b/include/egretturn/Core/Tasks.h
@@ -54,7 +54,11 @@
 
   void ScheduleRack(RackRun& aRack);
   bool ConsiderTask(RackRun& aRack, const WaitingTask& aTask, bool aBorrowing, Scan& aScan);
-  PlacementChoice Place(const RackRun& aRack, const Job& aJob, Resources& aSize) const;
+  PlacementChoice Place(const RackRun& aRack,
+                        const Job& aJob,
+                        double aSlack,
+                        Resources& aSize) const;
+  double SlackOf(const WaitingTask& aTask) const;
   void Start(RackRun& aRack,
              WorkerRun& aWorker,
              const Job& aJob,
--- a/include/egretturn/Placement/Interference.h
+++ b/include/egretturn/Placement/Interference.h
@@ -56,6 +56,10 @@
   /// Slowdown added by one more task of \p aKind.
   double Added(const std::string& aService, size_t aBand, const std::string& aKind) const;
 
+  /// Moves what was learnt a little towards the prior, so that a wrong lesson does not last when
+  /// nothing is placed that could correct it. Call once a second.
+  void Fade();
+
   /// Whether enough was seen of the pair to trust Added().
   bool Known(const std::string& aService, const std::string& aKind) const;
 
--- a/include/egretturn/Placement/Placer.h
+++ b/include/egretturn/Placement/Placer.h
@@ -75,14 +75,16 @@
 public:
   Placer(const InterferenceModel& aModel, PlacementMode aRule, double aTailWeight);
 
-  /// Chooses among \p aViews for a task of \p aKind that reserves \p aSize.
+  /// Chooses among \p aViews for a task of \p aKind that reserves \p aSize. \p aSlack is added to
+  /// the slowdown at which nothing is added, so that no task waits for ever.
   PlacementChoice Choose(const std::string& aKind,
                          const Resources& aSize,
                          const std::vector<WorkerView>& aViews,
-                         uint64_t aRandom) const;
+                         uint64_t aRandom,
+                         double aSlack = 0) const;
 
 private:
-  double PredictedSlowdown(const std::string& aKind, const WorkerView& aView) const;
+  double PredictedSlowdown(const std::string& aKind, const WorkerView& aView, double aLimit) const;
   double Score(const Resources& aSize, const WorkerView& aView, double aSlowdown) const;
 
   const InterferenceModel& m_model;
--- a/include/egretturn/Routing/Router.h
+++ b/include/egretturn/Routing/Router.h
@@ -24,6 +24,7 @@
   double m_tailUs = 0;      ///< Moving 95th percentile.
   double m_failureRate = 0; ///< Moving share of failures.
   uint32_t m_samples = 0;
+  Instant m_sampledAt{};
   Instant m_ejectedUntil{};
   uint32_t m_ejections = 0;
 };
--- a/include/egretturn/Support/Random.h
+++ b/include/egretturn/Support/Random.h
@@ -33,7 +33,7 @@
 {
 public:
   explicit Random(uint64_t aSeed)
-    : m_state(aSeed)
+    : m_state(Mix(aSeed)) // spread, so that neighbouring seeds do not share a sequence
   {
   }
 
--- a/lib/Core/Claims.cpp
+++ b/lib/Core/Claims.cpp
@@ -59,13 +59,18 @@
   }
   if (recorded->m_owner == m_context.m_self && !recorded->m_released) {
     RackRun* run = Find(aRack);
-    if (mine || !run || run->m_releasing) {
+    if ((run && mine) || (run && run->m_releasing)) {
       m_surplusSince.erase(aRack);
       return;
     }
     const Instant since = m_surplusSince.emplace(aRack, m_context.m_now).first->second;
-    if (m_context.m_now - since >= kSurplusSettle) {
+    if (m_context.m_now - since < kSurplusSettle) {
+      return;
+    }
+    if (run) {
       Release(*run, aDesired, "rebalance");
+    } else if (!m_context.m_leaving) {
+      Claim(aRack, recorded->m_epoch + 1, "heir_silent"); // it was handed over, but nobody took it
     }
     return;
   }
--- a/lib/Core/Core.cpp
+++ b/lib/Core/Core.cpp
@@ -14,6 +14,7 @@
 static constexpr uint64_t kSnapshotRecords = 4000; // between snapshots of a stream
 static constexpr int kSnapshotsPerRetention = 4;
 static constexpr size_t kSnapshotPartBytes = 256 * 1024;
+static constexpr Duration kPauseNoticed = std::chrono::milliseconds(500); // without any event
 static constexpr Duration kLeaveWithoutLog = std::chrono::seconds(20);
 
 static constexpr std::array<Stream, kStreamCount> kStreams{ Stream::Config,
@@ -39,6 +40,7 @@
       following.m_snapshotAt = aNow;
     }
   }
+  NoticePause(aNow);
   std::visit(Overloaded{
                [&](const TickEvent&) { Tick(); },
                [&](const LogReadDone& aRead) { OnLogRead(aRead); },
@@ -84,6 +86,18 @@
   return actions;
 }
 
+void
+Core::NoticePause(Instant aNow)
+{
+  const Duration gap = aNow - m_lastStepAt;
+  if (m_lastStepAt != Instant{} && gap >= kPauseNoticed) {
+    m_context.Log(LogLine(LogLevel::Warning, "paused").Add("ms", ToMillis(gap)));
+    m_racks.OnPaused();
+    m_requests.RefreshRouters();
+  }
+  m_lastStepAt = aNow;
+}
+
 void
 Core::Tick()
 {
--- a/lib/Core/Racks.cpp
+++ b/lib/Core/Racks.cpp
@@ -7,7 +7,8 @@
 
 namespace egretturn {
 
-static constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+static constexpr Duration kListTimeout = std::chrono::milliseconds(500);
+static constexpr Duration kCallKept = std::chrono::seconds(10); // its answer may come so late
 static constexpr Duration kSendAgain = std::chrono::milliseconds(700);
 static constexpr int kRenewalsPerLease = 4;
 static constexpr double kClockDrift = 1.1; // a worker's clock may run slower by a tenth
@@ -157,7 +158,10 @@
 void
 RackController::Call(const RackRun& aRack, WorkerRun& aWorker, WorkerBody aBody)
 {
-  if (!m_context.HasAuthority() || aRack.m_releasing || aRack.m_phase == RackPhase::WaitingOut) {
+  // Reading a list changes nothing at the worker, so that it goes on without authority.
+  const bool isList = std::holds_alternative<ListCall>(aBody);
+  const bool allowed = isList || m_context.HasAuthority();
+  if (!allowed || aRack.m_releasing || aRack.m_phase == RackPhase::WaitingOut) {
     return;
   }
   PendingCall pending{ aRack.m_rack, aRack.m_epoch, {}, false, m_context.m_now };
@@ -169,7 +173,7 @@
     aWorker.m_extendedAt = m_context.m_now;
   }
   const uint64_t call = m_nextCall++;
-  if (std::holds_alternative<ListCall>(aBody)) {
+  if (isList) {
     pending.m_isList = true;
     aWorker.m_listCall = call;
     aWorker.m_listSentAt = m_context.m_now;
@@ -179,7 +183,8 @@
                            aWorker.m_address,
                            call,
                            WorkerCall{ aRack.m_epoch, std::move(aBody) },
-                           m_context.AuthorityUntil() });
+                           isList ? m_context.m_now + m_context.Times().m_messageDelay
+                                  : m_context.AuthorityUntil() });
 }
 
 Run&
@@ -287,6 +292,20 @@
   aWorker.m_forget.push_back(attempt);
 }
 
+void
+RackController::OnPaused()
+{
+  for (auto& [name, rack] : m_racks) {
+    for (auto& [id, worker] : rack.m_workers) {
+      worker.m_fresh = false;
+      worker.m_listCall = 0;
+      worker.m_listSentAt = Instant{};    // due at once
+      worker.m_heardAt = m_context.m_now; // it could not be heard meanwhile
+    }
+  }
+  ++m_changes;
+}
+
 void
 RackController::OnInstanceList(const InstanceListArrived& aList)
 {
@@ -309,7 +328,7 @@
     TickRack(rack);
   }
   std::erase_if(m_calls, [this](const auto& aRow) {
-    return m_context.m_now - aRow.second.m_sentAt > 10 * kCallTimeout;
+    return m_context.m_now - aRow.second.m_sentAt > kCallKept;
   });
 }
 
@@ -344,10 +363,14 @@
   const Timing& times = m_context.Times();
   const Duration sinceList = m_context.m_now - aWorker.m_listSentAt;
   const bool due =
-    aWorker.m_listCall == 0 ? sinceList >= times.m_workerPoll : sinceList >= kCallTimeout;
+    aWorker.m_listCall == 0 ? sinceList >= times.m_workerPoll : sinceList >= kListTimeout;
   if (due) {
     Call(aRack, aWorker, ListCall{});
   }
+  if (aWorker.m_fresh && m_context.m_now - aWorker.m_heardAt >= times.m_workerSilent) {
+    aWorker.m_fresh = false;
+    ++m_changes;
+  }
   LapseIfSilent(aRack, aWorker);
   if (aWorker.m_lapsed) {
     EndLapsed(aRack, aWorker);
@@ -417,7 +440,9 @@
 RackController::LapseIfSilent(RackRun& aRack, WorkerRun& aWorker)
 {
   const Timing& times = m_context.Times();
-  if (aWorker.m_lapsed || m_context.m_now - aWorker.m_heardAt < times.m_workerSilent) {
+  // Silence as long as a lease: a worker whose answers are only late or lost now and then may hold
+  // the results of attempts that have finished.
+  if (aWorker.m_lapsed || m_context.m_now - aWorker.m_heardAt < times.m_taskLease) {
     return;
   }
   const double leaseUs = static_cast<double>(times.m_taskLease.count()) * kClockDrift;
@@ -514,6 +539,7 @@
 {
   const bool wasTaking = aWorker.TakesWork();
   aWorker.m_listed = true;
+  aWorker.m_fresh = true;
   aWorker.m_lapsed = false;
   aWorker.m_boot = aReply.m_boot;
   aWorker.m_leaving = aReply.m_leaving || m_listedLeaving.contains(aWorker.m_address);
--- a/lib/Core/Reactions.cpp
+++ b/lib/Core/Reactions.cpp
@@ -58,7 +58,8 @@
     const RouterMap::const_iterator router = m_routers.find(load.m_service);
     const Target* target = router == m_routers.end() ? nullptr : router->second.Find(aWorker.m_id);
     const double baseline = m_baselines[load.m_service];
-    if (!target || baseline <= 0 || target->m_meanUs <= 0 || target->m_samples < kMinSamples) {
+    if (!target || baseline <= 0 || target->m_meanUs <= 0 || target->m_samples < kMinSamples ||
+        m_context.m_now - target->m_sampledAt > 2 * kReactInterval) {
       continue;
     }
     const double slowdown = target->m_meanUs / baseline;
@@ -80,6 +81,7 @@
   for (const auto& [name, router] : m_routers) {
     BaselineUs(name, router);
   }
+  m_racks.Interference().Fade();
   const SlowdownLimits limits = LimitsFor(m_context.Config().m_policy.m_tailWeight);
   for (auto& [name, rack] : m_racks.Racks()) {
     for (auto& [id, worker] : rack.m_workers) {
--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -568,6 +568,11 @@
                           std::string aText,
                           std::string aRemedy)
 {
+  if (aState.m_mayHaveRun) {
+    // An earlier attempt may have run, so that the promise cannot be given.
+    Finish(aState, Outcome::Unknown, 0, Error{ aKind, std::move(aText), std::move(aRemedy) });
+    return;
+  }
   const bool holds = !aState.m_fullKey.empty() && aState.m_phase != RequestPhase::AwaitingIntent &&
                      aState.m_phase != RequestPhase::AwaitingOther;
   const KeyState* key = m_context.m_replica.Keys().Find(aState.m_fullKey);
--- a/lib/Core/Tasks.cpp
+++ b/lib/Core/Tasks.cpp
@@ -12,6 +12,8 @@
 static constexpr Duration kMoveAfter = std::chrono::milliseconds(500);
 static constexpr Duration kPreemptAgain = std::chrono::seconds(2);
 static constexpr Duration kMovedReset = std::chrono::seconds(1);
+static constexpr double kSlackPerSecond = 0.05; // of slowdown, for each second that a task waits
+static constexpr double kUrgentSlack = 100;
 static constexpr size_t kHopelessWorkers = 3; // distinct healthy workers on which a task failed
 
 TaskController::TaskController(Context& aContext, RackController& aRacks, const RouterMap& aRouters)
@@ -150,7 +152,7 @@
     FailHopeless(job, aTask.m_task);
   }
   Resources size;
-  const PlacementChoice choice = Place(aRack, job, size);
+  const PlacementChoice choice = Place(aRack, job, SlackOf(aTask), size);
   if (choice.m_reason != PlacementReason::Chosen) {
     aScan.m_blockedKinds.insert(kind);
     aScan.m_quotaBlocked = aScan.m_quotaBlocked || !aBorrowing;
@@ -183,8 +185,20 @@
   return loads;
 }
 
+/// How far above the limit a placement may slow a service down: more the longer the task waits.
+double
+TaskController::SlackOf(const WaitingTask& aTask) const
+{
+  if (aTask.m_urgent) {
+    return kUrgentSlack;
+  }
+  const WaitNote* note = FindNote(aTask.m_task);
+  const Duration waited = note ? m_context.m_now - note->m_since : Duration::zero();
+  return std::chrono::duration<double>(waited).count() * kSlackPerSecond;
+}
+
 PlacementChoice
-TaskController::Place(const RackRun& aRack, const Job& aJob, Resources& aSize) const
+TaskController::Place(const RackRun& aRack, const Job& aJob, double aSlack, Resources& aSize) const
 {
   const Model& model = m_context.Config();
   const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
@@ -210,7 +224,7 @@
     views.push_back(std::move(view));
   }
   const Placer placer(m_racks.Interference(), PlacementMode::Full, model.m_policy.m_tailWeight);
-  return placer.Choose(aJob.m_spec.m_kind, aSize, views, m_context.m_random.Next());
+  return placer.Choose(aJob.m_spec.m_kind, aSize, views, m_context.m_random.Next(), aSlack);
 }
 
 void
--- a/lib/Placement/Interference.cpp
+++ b/lib/Placement/Interference.cpp
@@ -8,6 +8,7 @@
 static constexpr double kPriorAdded = 0.04; // cautious: a pair not seen yet
 static constexpr double kMaxAdded = 2.0;
 static constexpr double kLearnGain = 0.25; // of a sample's error
+static constexpr double kFadePerSecond = 0.01;
 static constexpr uint32_t kKnownSamples = 6;
 
 void
@@ -126,6 +127,16 @@
   }
 }
 
+void
+InterferenceModel::Fade()
+{
+  for (auto& [key, pair] : m_pairs) {
+    for (double& added : pair.m_added) {
+      added += kFadePerSecond * (kPriorAdded - added);
+    }
+  }
+}
+
 bool
 InterferenceModel::Known(const std::string& aService, const std::string& aKind) const
 {
--- a/lib/Placement/Placer.cpp
+++ b/lib/Placement/Placer.cpp
@@ -45,7 +45,7 @@
 }
 
 double
-Placer::PredictedSlowdown(const std::string& aKind, const WorkerView& aView) const
+Placer::PredictedSlowdown(const std::string& aKind, const WorkerView& aView, double aLimit) const
 {
   double worst = 1;
   for (const ServiceLoad& load : aView.m_services) {
@@ -55,7 +55,7 @@
     const TaskMix::const_iterator it = aView.m_mix->find(aKind);
     const uint32_t same = it == aView.m_mix->end() ? 0 : it->second;
     if (!m_model.Known(load.m_service, aKind) && same >= kUnknownPerWorker) {
-      worst = std::max(worst, m_limits.m_hold + 1); // one at a time until its effect was measured
+      worst = std::max(worst, aLimit + 1); // one at a time until its effect was measured
     }
   }
   return worst;
@@ -79,8 +79,10 @@
 Placer::Choose(const std::string& aKind,
                const Resources& aSize,
                const std::vector<WorkerView>& aViews,
-               uint64_t aRandom) const
+               uint64_t aRandom,
+               double aSlack) const
 {
+  const double limit = m_limits.m_hold + aSlack;
   PlacementChoice choice;
   bool fitsEmpty = false;
   bool anyUsable = false;
@@ -99,8 +101,8 @@
     }
     anyRoom = true;
     const bool full = m_rule == PlacementMode::Full;
-    const double slowdown = full ? PredictedSlowdown(aKind, view) : 1;
-    if (full && slowdown > m_limits.m_hold) {
+    const double slowdown = full ? PredictedSlowdown(aKind, view, limit) : 1;
+    if (full && slowdown > limit) {
       continue;
     }
     ++choice.m_considered;
--- a/lib/Routing/Router.cpp
+++ b/lib/Routing/Router.cpp
@@ -169,6 +169,7 @@
 Router::Learn(Target& aTarget, Duration aLatency, bool aFailed, Instant aNow)
 {
   ++aTarget.m_samples;
+  aTarget.m_sampledAt = aNow;
   aTarget.m_failureRate += kFailureGain * ((aFailed ? 1.0 : 0.0) - aTarget.m_failureRate);
   if (!aFailed) {
     const double us = static_cast<double>(aLatency.count());
--- /dev/null
+++ b/unittests/Fuzz/World.cpp
@@ -0,0 +1,946 @@
+#include "World.h"
+
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+namespace egretturn::fuzz {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr EnumTable<Promise, 10> kPromiseNames{ {
+  { Promise::Capacity, "capacity" },
+  { Promise::OnePlace, "one_place" },
+  { Promise::ResumeOnce, "resume_once" },
+  { Promise::WholeAnswer, "whole_answer" },
+  { Promise::NotRunIsTrue, "not_run_is_true" },
+  { Promise::AtMostOnce, "at_most_once" },
+  { Promise::Leaving, "leaving" },
+  { Promise::GracefulStop, "graceful_stop" },
+  { Promise::ConfigForward, "config_forward" },
+  { Promise::Liveness, "liveness" },
+} };
+
+static constexpr Duration kLeavingGrace = seconds(3); // "a few seconds" of the brief
+static constexpr Duration kLinger = milliseconds(500);
+static constexpr size_t kNoCaller = SIZE_MAX;
+
+std::string_view
+NameOf(Promise aPromise)
+{
+  return NameIn(kPromiseNames, aPromise);
+}
+
+World::World(uint64_t aSeed, const WorldShape& aShape)
+  : m_random(aSeed)
+  , m_shape(aShape)
+{
+  m_log.SetRetention(aShape.m_logRetention);
+  m_zoneCut.resize(aShape.m_nodes.size(), false);
+  for (size_t zone = 0; zone < aShape.m_racks.size(); ++zone) {
+    for (size_t i = 0; i < aShape.m_racks[zone] * aShape.m_workersPerRack; ++i) {
+      const std::string address =
+        "10." + std::to_string(zone) + ".0." + std::to_string(i + 1) + ":80";
+      WorkerModel model(Resources{ 16'000, 60'000, 0 }, m_random.Next());
+      model.SetTruth("plan", TaskTruth{ seconds(4), Resources{ 2'500, 3'000, 0 }, true });
+      model.SetTruth("watch", TaskTruth{ seconds(1), Resources{ 700, 400, 0 }, false });
+      model.SetFences(aShape.m_workersFence);
+      m_workers.push_back(
+        FakeWorker{ address, zone, std::move(model), false, 0, 0, Instant::max(), 0 });
+    }
+  }
+  BuildSettings();
+  for (size_t node = 0; node < m_nodes.size(); ++node) {
+    Start(node);
+  }
+  Advance(seconds(1));
+  Publish(0, BaseConfig());
+  Advance(seconds(5));
+}
+
+World::~World() = default;
+
+void
+World::BuildSettings()
+{
+  for (size_t zone = 0; zone < m_shape.m_nodes.size(); ++zone) {
+    for (size_t i = 0; i < m_shape.m_nodes[zone]; ++i) {
+      Node node;
+      node.m_zone = zone;
+      node.m_settings.m_id = "z" + std::to_string(zone) + "-" + std::to_string(i);
+      node.m_settings.m_zone = "z" + std::to_string(zone);
+      node.m_settings.m_region = node.m_settings.m_zone;
+      node.m_settings.m_timing.m_logRetention = m_shape.m_logRetention;
+      m_nodes.push_back(std::move(node));
+    }
+  }
+  for (Node& node : m_nodes) {
+    for (const Node& other : m_nodes) {
+      if (other.m_settings.m_id != node.m_settings.m_id) {
+        node.m_settings.m_peers.push_back(PeerSettings{ other.m_settings.m_id,
+                                                        other.m_settings.m_zone,
+                                                        other.m_settings.m_region,
+                                                        other.m_settings.m_id,
+                                                        other.m_settings.m_id });
+      }
+    }
+  }
+}
+
+std::string
+World::BaseConfig() const
+{
+  std::ostringstream text;
+  std::string pools;
+  size_t worker = 0;
+  for (size_t zone = 0; zone < m_shape.m_racks.size(); ++zone) {
+    text << "[zone.z" << zone << "]\nregion = \"z" << zone << "\"\n";
+    for (size_t rack = 0; rack < m_shape.m_racks[zone]; ++rack) {
+      const std::string name = "z" + std::to_string(zone) + "r" + std::to_string(rack);
+      pools += (pools.empty() ? "\"" : ", \"") + name + "\"";
+      text << "[pool." << name << "]\nzone = \"z" << zone
+           << "\"\nmillicores = 16000\nmemory_mb = 60000\nworkers = [";
+      for (size_t i = 0; i < m_shape.m_workersPerRack; ++i) {
+        text << (i > 0 ? ", " : "") << '"' << m_workers[worker++].m_address << '"';
+      }
+      text << "]\n";
+    }
+  }
+  text << "[service.desk]\npools = [" << pools << "]\nmillicores = 4000\nmemory_mb = 8000\n"
+       << "[service.desk.requests.ask]\nidempotent = true\ndeadline_ms = 1500\n"
+       << "[service.desk.requests.order]\nidempotent = false\ndeadline_ms = 3000\n"
+       << "[kind.plan]\npools = [" << pools
+       << "]\nmillicores = 4000\nmemory_mb = 8000\nrun_s = 4\ncheckpoints = true\n"
+       << "[kind.watch]\npools = [" << pools
+       << "]\nmillicores = 1000\nmemory_mb = 500\nrun_s = 1\nrestartable = true\n"
+       << "[team.one]\nquota_millicores = 100000\n[team.two]\nquota_millicores = 0\n"
+       << "[rule.spill]\nservice = \"desk\"\nspill_zones = [\"z0\"";
+  for (size_t zone = 1; zone < m_shape.m_racks.size(); ++zone) {
+    text << ", \"z" << zone << "\"";
+  }
+  text << "]\nlink_bytes_per_s = 100000\n[policy.default]\nlog_appends_per_s = 150\n";
+  return text.str();
+}
+
+void
+World::Violate(Promise aPromise, std::string aText)
+{
+  m_violations.push_back(Violation{ aPromise, std::move(aText), m_now });
+}
+
+std::string
+World::Report() const
+{
+  std::ostringstream text;
+  for (const Violation& violation : m_violations) {
+    text << NameOf(violation.m_promise) << " at "
+         << ToMillis(violation.m_at.time_since_epoch() - std::chrono::hours(1))
+         << " ms: " << violation.m_text << '\n';
+  }
+  return text.str();
+}
+
+void
+World::At(Duration aDelay, std::function<void()> aRun)
+{
+  m_timers.push(Timer{ m_now + aDelay, m_order++, std::move(aRun) });
+}
+
+void
+World::Advance(Duration aTime)
+{
+  const Instant until = m_now + aTime;
+  while (!m_timers.empty() && m_timers.top().m_at <= until) {
+    const Timer timer = m_timers.top();
+    m_timers.pop();
+    m_now = std::max(m_now, timer.m_at);
+    timer.m_run();
+  }
+  m_now = until;
+}
+
+bool
+World::AdvanceUntil(const std::function<bool()>& aDone, Duration aLimit)
+{
+  const Instant until = m_now + aLimit;
+  while (m_now < until) {
+    if (aDone()) {
+      return true;
+    }
+    Advance(milliseconds(100));
+  }
+  return aDone();
+}
+
+Duration
+World::Delay()
+{
+  const uint64_t quick = 300 + m_random.Below(2'000);
+  const bool slow = m_random.Unit() < m_faults.m_slow;
+  return Duration(static_cast<int64_t>(slow ? m_random.Below(450'000) : quick));
+}
+
+/// Runs \p aRun in this life of the node: at once, after its pause, or never.
+void
+World::OnNode(size_t aNode, uint64_t aIncarnation, std::function<void()> aRun)
+{
+  Node& node = m_nodes[aNode];
+  if (node.m_incarnation != aIncarnation || !node.m_core) {
+    return;
+  }
+  if (node.m_pausedUntil > m_now) {
+    At(node.m_pausedUntil - m_now, [this, aNode, aIncarnation, run = std::move(aRun)]() mutable {
+      OnNode(aNode, aIncarnation, std::move(run));
+    });
+    return;
+  }
+  aRun();
+}
+
+void
+World::Step(size_t aNode, const Event& aEvent)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  const uint64_t incarnation = node.m_incarnation;
+  for (Action& action : node.m_core->Step(aEvent, m_now)) {
+    if (const WriteLog* write = std::get_if<WriteLog>(&action)) {
+      if (m_trace) {
+        std::cerr << ToMillis(m_now.time_since_epoch() - std::chrono::hours(1)) << ' '
+                  << node.m_settings.m_id << '#' << incarnation << ' ' << write->m_line.Text()
+                  << '\n';
+      }
+      continue;
+    }
+    // A thread hands the action on a little later; a pause may come between.
+    At(Duration(static_cast<int64_t>(m_random.Below(200))),
+       [this, aNode, incarnation, carried = std::move(action)] {
+         OnNode(aNode, incarnation, [this, aNode, carried] { CarryOut(aNode, carried); });
+       });
+  }
+  CheckConfigOf(aNode);
+}
+
+void
+World::TickNode(size_t aNode, uint64_t aIncarnation)
+{
+  OnNode(aNode, aIncarnation, [this, aNode, aIncarnation] {
+    Step(aNode, TickEvent{});
+    At(kTickInterval, [this, aNode, aIncarnation] { TickNode(aNode, aIncarnation); });
+  });
+}
+
+void
+World::Start(size_t aNode)
+{
+  Node& node = m_nodes[aNode];
+  if (node.m_core) {
+    return;
+  }
+  node.m_incarnation = m_nextIncarnation++;
+  node.m_exited = false;
+  node.m_lingering = false;
+  node.m_configSeen = 0;
+  node.m_logReadBytes = 0;
+  node.m_pausedUntil = Instant{};
+  node.m_core = std::make_unique<Core>(
+    node.m_settings, InstanceId{ node.m_settings.m_id, node.m_incarnation }, m_random.Next());
+  TickNode(aNode, node.m_incarnation);
+}
+
+void
+World::Kill(size_t aNode)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  for (CallerRecord& caller : m_callers) {
+    if (caller.m_node == aNode && caller.m_incarnation == node.m_incarnation &&
+        !caller.m_answered) {
+      caller.m_nodeKilled = true;
+    }
+  }
+  node.m_core.reset();
+  node.m_waiting.clear();
+  node.m_requests.clear();
+  node.m_callerOf.clear();
+  node.m_answers.clear();
+  node.m_commands.clear();
+}
+
+void
+World::Pause(size_t aNode, Duration aTime)
+{
+  if (m_nodes[aNode].m_core) {
+    m_nodes[aNode].m_pausedUntil = m_now + aTime;
+  }
+}
+
+void
+World::Shutdown(size_t aNode)
+{
+  OnNode(aNode, m_nodes[aNode].m_incarnation, [this, aNode] { Step(aNode, ShutdownAsked{}); });
+}
+
+void
+World::CutZone(size_t aZone, bool aCut)
+{
+  m_zoneCut[aZone] = aCut;
+}
+
+void
+World::CutNodeFromLog(size_t aNode, bool aCut)
+{
+  m_nodes[aNode].m_logCut = aCut;
+}
+
+void
+World::CutNodes(size_t aLeft, size_t aRight, bool aCut)
+{
+  const std::pair<size_t, size_t> pair = std::minmax(aLeft, aRight);
+  if (aCut) {
+    m_cutPairs.insert(pair);
+  } else {
+    m_cutPairs.erase(pair);
+  }
+}
+
+void
+World::CutWorker(size_t aWorker, bool aCut)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  worker.m_cuts += aCut && !worker.m_cut ? 1 : 0;
+  worker.m_cut = aCut;
+}
+
+void
+World::RebootWorker(size_t aWorker)
+{
+  ++m_workers[aWorker].m_reboots;
+  CheckWorker(aWorker);
+  m_workers[aWorker].m_model.Reboot(m_random.Next(), m_now);
+}
+
+void
+World::SetWorkerFailsAll(size_t aWorker, bool aFails)
+{
+  m_workers[aWorker].m_model.SetFailsAll(aFails);
+}
+
+void
+World::SetWorkerLeaving(size_t aWorker, bool aLeaving)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  worker.m_leavingSince = aLeaving ? std::min(worker.m_leavingSince, m_now) : Instant::max();
+  worker.m_model.SetLeaving(aLeaving);
+}
+
+bool
+World::LogReachable(size_t aNode) const
+{
+  return !m_faults.m_logDown && !m_nodes[aNode].m_logCut && !m_zoneCut[m_nodes[aNode].m_zone];
+}
+
+bool
+World::Connected(size_t aLeft, size_t aRight) const
+{
+  const size_t left = m_nodes[aLeft].m_zone;
+  const size_t right = m_nodes[aRight].m_zone;
+  const bool zones = left == right || (!m_zoneCut[left] && !m_zoneCut[right]);
+  return zones && !m_cutPairs.contains(std::minmax(aLeft, aRight));
+}
+
+size_t
+World::WorkerAt(const std::string& aAddress) const
+{
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    if (m_workers[i].m_address == aAddress) {
+      return i;
+    }
+  }
+  return SIZE_MAX;
+}
+
+size_t
+World::NodeNamed(const std::string& aId) const
+{
+  for (size_t i = 0; i < m_nodes.size(); ++i) {
+    if (m_nodes[i].m_settings.m_id == aId) {
+      return i;
+    }
+  }
+  return SIZE_MAX;
+}
+
+std::string
+World::StreamName(size_t aNode, Stream aStream) const
+{
+  const std::string name(egretturn::NameOf(aStream));
+  return aStream == Stream::Zone ? name + "." + m_nodes[aNode].m_settings.m_zone : name;
+}
+
+void
+World::CarryOut(size_t aNode, const Action& aAction)
+{
+  Node& node = m_nodes[aNode];
+  std::visit(Overloaded{
+               [&](const ReadLog& aRead) { ReadLogFor(aNode, aRead); },
+               [&](const AppendLog& aAppend) { AppendFor(aNode, aAppend); },
+               [&](const SendPeer& aSend) { SendPeerFor(aNode, aSend); },
+               [&](const CallWorker& aCall) { CallWorkerFor(aNode, aCall); },
+               [&](const Dispatch& aDispatch) { DispatchFor(aNode, aDispatch); },
+               [&](const AbandonDispatch&) {},
+               [&](const AnswerRequest& aAnswer) {
+                 const std::map<RequestId, std::function<void(const AnswerRequest&)>>::iterator it =
+                   node.m_waiting.find(aAnswer.m_id);
+                 if (it == node.m_waiting.end()) {
+                   Violate(Promise::WholeAnswer, "a request was answered twice");
+                   return;
+                 }
+                 const std::function<void(const AnswerRequest&)> told = std::move(it->second);
+                 node.m_waiting.erase(it);
+                 told(aAnswer);
+               },
+               [&](const ReplyCommand& aReply) {
+                 const std::map<CommandId, std::function<void(const ReplyCommand&)>>::iterator it =
+                   node.m_commands.find(aReply.m_id);
+                 if (it != node.m_commands.end()) {
+                   const std::function<void(const ReplyCommand&)> told = std::move(it->second);
+                   node.m_commands.erase(it);
+                   told(aReply);
+                 }
+               },
+               [](const WriteLog&) {},
+               [&](const ExitProcess&) { Linger(aNode, node.m_incarnation); },
+             },
+             aAction);
+}
+
+/// As the shell does: no new connections, and the end when all requests have been answered.
+void
+World::Linger(size_t aNode, uint64_t aIncarnation)
+{
+  m_nodes[aNode].m_lingering = true;
+  At(kLinger, [this, aNode, aIncarnation] {
+    OnNode(aNode, aIncarnation, [this, aNode, aIncarnation] {
+      if (!m_nodes[aNode].m_waiting.empty()) {
+        Linger(aNode, aIncarnation);
+        return;
+      }
+      Kill(aNode);
+      m_nodes[aNode].m_exited = true;
+      if (m_healed) {
+        At(seconds(1), [this, aNode] { Start(aNode); }); // the platform replaces it
+      }
+    });
+  });
+}
+
+void
+World::ReadLogFor(size_t aNode, const ReadLog& aRead)
+{
+  const uint64_t incarnation = m_nodes[aNode].m_incarnation;
+  const Duration there =
+    m_faults.m_logSlow ? Duration(milliseconds(300 + m_random.Below(900))) : Delay();
+  At(there, [this, aNode, incarnation, aRead] {
+    if (!LogReachable(aNode)) {
+      OnNode(aNode, incarnation, [this, aNode, aRead] {
+        Step(aNode, LogReadFailed{ aRead.m_stream, aRead.m_askedAt });
+      });
+      return;
+    }
+    const LogChunk chunk = m_log.Read(StreamName(aNode, aRead.m_stream), aRead.m_from, 64, m_now);
+    for (const LogRecord& record : chunk.m_records) {
+      m_nodes[aNode].m_logReadBytes += record.m_bytes.size();
+    }
+    At(Delay(), [this, aNode, incarnation, aRead, chunk] {
+      OnNode(aNode, incarnation, [this, aNode, aRead, chunk] {
+        Step(aNode, LogReadDone{ aRead.m_stream, aRead.m_askedAt, chunk });
+      });
+    });
+  });
+}
+
+void
+World::AppendFor(size_t aNode, const AppendLog& aAppend)
+{
+  const uint64_t incarnation = m_nodes[aNode].m_incarnation;
+  const AppendCall call = aAppend.m_call;
+  const Duration there =
+    m_faults.m_logSlow ? Duration(milliseconds(300 + m_random.Below(900))) : Delay();
+  At(there, [this, aNode, incarnation, call] {
+    const bool reachable = LogReachable(aNode);
+    const bool taken =
+      reachable && m_log.Append(StreamName(aNode, call.m_stream), call.m_bytes, m_now).has_value();
+    if (taken && m_random.Unit() < m_faults.m_loseAppend) {
+      return; // neither yes nor no
+    }
+    At(Delay(), [this, aNode, incarnation, call, taken] {
+      OnNode(aNode, incarnation, [this, aNode, call, taken] {
+        Step(aNode, LogAppendEnded{ call.m_stream, call.m_sequence, taken });
+      });
+    });
+  });
+}
+
+void
+World::SendPeerFor(size_t aNode, const SendPeer& aSend)
+{
+  const size_t peer = NodeNamed(aSend.m_peer);
+  const InstanceId from{ m_nodes[aNode].m_settings.m_id, m_nodes[aNode].m_incarnation };
+  if (const StateReply* reply = std::get_if<StateReply>(&aSend.m_body)) {
+    m_peerBytes += reply->m_state.size();
+  }
+  const int copies = m_random.Unit() < m_faults.m_double ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (m_random.Unit() < m_faults.m_drop) {
+      continue;
+    }
+    At(Delay(), [this, aNode, peer, from, body = aSend.m_body] {
+      if (Connected(aNode, peer)) {
+        OnNode(peer, m_nodes[peer].m_incarnation, [this, peer, from, body] {
+          Step(peer, PeerArrived{ PeerMessage{ from, body } });
+        });
+      }
+    });
+  }
+}
+
+void
+World::CallWorkerFor(size_t aNode, const CallWorker& aCall)
+{
+  if (m_now >= aCall.m_notAfter) {
+    ++m_skippedCalls;
+    return;
+  }
+  const uint64_t incarnation = m_nodes[aNode].m_incarnation;
+  const size_t target = WorkerAt(aCall.m_address);
+  const int copies = m_random.Unit() < m_faults.m_double ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (m_random.Unit() < m_faults.m_drop) {
+      continue;
+    }
+    At(Delay(), [this, aNode, incarnation, target, aCall] {
+      FakeWorker& worker = m_workers[target];
+      if (worker.m_cut) {
+        return;
+      }
+      const WorkerReply reply = worker.m_model.Handle(aCall.m_body, m_now);
+      CheckWorker(target);
+      if (m_random.Unit() < m_faults.m_drop) {
+        return;
+      }
+      At(Delay(), [this, aNode, incarnation, aCall, reply] {
+        OnNode(aNode, incarnation, [this, aNode, aCall, reply] {
+          Step(aNode, WorkerAnswered{ aCall.m_worker, aCall.m_call, true, reply });
+        });
+      });
+    });
+  }
+}
+
+void
+World::DispatchFor(size_t aNode, const Dispatch& aDispatch)
+{
+  Node& node = m_nodes[aNode];
+  const uint64_t incarnation = node.m_incarnation;
+  const std::map<RequestId, size_t>::const_iterator it = node.m_callerOf.find(aDispatch.m_id);
+  const size_t caller = it == node.m_callerOf.end() ? kNoCaller : it->second;
+  const bool refused = m_random.Unit() < m_faults.m_refuse || m_now >= aDispatch.m_notAfter;
+  const size_t peer = aDispatch.m_peer.empty() ? SIZE_MAX : NodeNamed(aDispatch.m_peer);
+  const bool cut = peer != SIZE_MAX ? !Connected(aNode, peer) || !m_nodes[peer].m_core
+                                    : m_workers[WorkerAt(aDispatch.m_address)].m_cut;
+  if (refused || cut || caller == kNoCaller) {
+    At(Delay(), [this, aNode, incarnation, aDispatch] {
+      OnNode(aNode, incarnation, [this, aNode, aDispatch] {
+        Step(aNode,
+             DispatchEnded{
+               aDispatch.m_id, aDispatch.m_attempt, DispatchResult::NotSent, 0, std::nullopt, "" });
+      });
+    });
+    return;
+  }
+  // The connection ends the attempt at the timeout, whatever became of it.
+  At(aDispatch.m_timeout, [this, aNode, incarnation, aDispatch] {
+    OnNode(aNode, incarnation, [this, aNode, aDispatch] {
+      Step(aNode,
+           DispatchEnded{
+             aDispatch.m_id, aDispatch.m_attempt, DispatchResult::TimedOut, 0, std::nullopt, "" });
+    });
+  });
+  At(Delay(), [this, aNode, aDispatch, peer, caller] {
+    if (peer != SIZE_MAX) {
+      ForwardTo(aNode, aDispatch, peer, caller);
+    } else {
+      RunAtTarget(aNode, aDispatch, WorkerAt(aDispatch.m_address), caller);
+    }
+  });
+}
+
+void
+World::RunAtTarget(size_t aNode, const Dispatch& aDispatch, size_t aWorker, size_t aCaller)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  const uint64_t incarnation = m_nodes[aNode].m_incarnation;
+  if (m_now - kLeavingGrace > worker.m_leavingSince) {
+    Violate(Promise::Leaving, "a request reached " + worker.m_address + ", which is leaving");
+  }
+  CallerRecord& record = m_callers[aCaller];
+  ++record.m_ran;
+  if (record.m_answered && record.m_outcome == Outcome::NotRun) {
+    Violate(Promise::NotRunIsTrue, "a request ran after its caller was told that it did not");
+  }
+  if (!record.m_key.empty() && ++m_ranByKey[record.m_key] > 1) {
+    Violate(Promise::AtMostOnce, "key " + record.m_key + " ran twice");
+  }
+  const bool broken = m_random.Unit() < m_faults.m_breakAnswers;
+  At(Duration(milliseconds(2 + m_random.Below(30))) + Delay(),
+     [this, aNode, incarnation, aDispatch, aCaller, broken] {
+       OnNode(aNode, incarnation, [this, aNode, aDispatch, aCaller, broken] {
+         if (!broken) {
+           m_nodes[aNode].m_answers[{ aDispatch.m_id, aDispatch.m_attempt }] = aCaller + 1;
+         }
+         const DispatchResult result = broken ? DispatchResult::Broken : DispatchResult::Answered;
+         Step(aNode,
+              DispatchEnded{ aDispatch.m_id,
+                             aDispatch.m_attempt,
+                             result,
+                             broken ? 0U : 200U,
+                             std::nullopt,
+                             std::to_string(aCaller + 1) });
+       });
+     });
+}
+
+void
+World::ForwardTo(size_t aNode, const Dispatch& aDispatch, size_t aPeer, size_t aCaller)
+{
+  const uint64_t incarnation = m_nodes[aNode].m_incarnation;
+  const auto end = [this, aNode, incarnation, aDispatch](
+                     DispatchResult aResult, std::optional<Outcome> aOutcome, size_t aAnswerOf) {
+    At(Delay(), [this, aNode, incarnation, aDispatch, aResult, aOutcome, aAnswerOf] {
+      OnNode(aNode, incarnation, [this, aNode, aDispatch, aResult, aOutcome, aAnswerOf] {
+        m_nodes[aNode].m_answers[{ aDispatch.m_id, aDispatch.m_attempt }] = aAnswerOf;
+        Step(aNode,
+             DispatchEnded{ aDispatch.m_id,
+                            aDispatch.m_attempt,
+                            aResult,
+                            aOutcome == Outcome::Done ? 200U : 503U,
+                            aOutcome,
+                            std::to_string(aAnswerOf) });
+      });
+    });
+  };
+  if (!m_nodes[aPeer].m_core || m_nodes[aPeer].m_lingering ||
+      !m_nodes[aNode].m_requests.contains(aDispatch.m_id)) {
+    end(DispatchResult::Broken, std::nullopt, 0);
+    return;
+  }
+  RequestArrived arrived = m_nodes[aNode].m_requests[aDispatch.m_id];
+  OnNode(
+    aPeer, m_nodes[aPeer].m_incarnation, [this, aPeer, arrived, aCaller, end, aDispatch]() mutable {
+      Node& peer = m_nodes[aPeer];
+      arrived.m_id = peer.m_nextRequest++;
+      arrived.m_forwarded = true;
+      arrived.m_deadline = aDispatch.m_timeout;
+      peer.m_requests[arrived.m_id] = arrived;
+      peer.m_callerOf[arrived.m_id] = aCaller;
+      const RequestId id = arrived.m_id;
+      peer.m_waiting[id] = [this, aPeer, id, end](const AnswerRequest& aAnswer) {
+        end(DispatchResult::Answered,
+            aAnswer.m_outcome,
+            m_nodes[aPeer].m_answers[{ id, aAnswer.m_attempt }]);
+      };
+      Step(aPeer, arrived);
+    });
+}
+
+size_t
+World::Request(size_t aNode, const std::string& aRequest, const std::string& aKey)
+{
+  Node& node = m_nodes[aNode];
+  const size_t caller = m_callers.size();
+  CallerRecord record;
+  record.m_node = aNode;
+  record.m_incarnation = node.m_incarnation;
+  record.m_key = aKey;
+  record.m_at = m_now;
+  m_callers.push_back(record);
+  if (!node.m_core || node.m_lingering) {
+    m_callers[caller].m_nodeKilled = true;
+    return caller;
+  }
+  RequestArrived arrived;
+  arrived.m_id = node.m_nextRequest++;
+  arrived.m_service = "desk";
+  arrived.m_request = aRequest;
+  arrived.m_key = aKey;
+  arrived.m_bodyHash = HashBytes(aKey);
+  arrived.m_bodyBytes = 100;
+  node.m_requests[arrived.m_id] = arrived;
+  node.m_callerOf[arrived.m_id] = caller;
+  const RequestId id = arrived.m_id;
+  node.m_waiting[id] = [this, aNode, caller, id](const AnswerRequest& aAnswer) {
+    CallerRecord& told = m_callers[caller];
+    told.m_answered = true;
+    told.m_outcome = aAnswer.m_outcome;
+    if (aAnswer.m_outcome == Outcome::NotRun && told.m_ran > 0) {
+      Violate(Promise::NotRunIsTrue, "a caller was told that a request did not run, but it did");
+    }
+    if (aAnswer.m_outcome != Outcome::Done) {
+      return;
+    }
+    told.m_answerOf = aAnswer.m_recordedStatus != 0
+                        ? std::strtoull(aAnswer.m_recordedBody.c_str(), nullptr, 10)
+                        : m_nodes[aNode].m_answers[{ id, aAnswer.m_attempt }];
+    const bool own = told.m_answerOf == caller + 1;
+    const bool sameKey = told.m_answerOf > 0 && !told.m_key.empty() &&
+                         m_callers[told.m_answerOf - 1].m_key == told.m_key;
+    if (!own && !sameKey) {
+      Violate(Promise::WholeAnswer, "a caller received the answer to another request");
+    }
+  };
+  OnNode(aNode, node.m_incarnation, [this, aNode, arrived] { Step(aNode, arrived); });
+  return caller;
+}
+
+void
+World::Command(size_t aNode, CommandBody aBody, std::function<void(const ReplyCommand&)> aReply)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  const CommandId id = m_nextCommand++;
+  node.m_commands[id] = std::move(aReply);
+  OnNode(aNode, node.m_incarnation, [this, aNode, id, body = std::move(aBody)] {
+    Step(aNode, CommandArrived{ id, body });
+  });
+}
+
+void
+World::Publish(size_t aNode, const std::string& aToml)
+{
+  if (!m_nodes[aNode].m_core) {
+    return;
+  }
+  const Replica& replica = m_nodes[aNode].m_core->State().m_replica;
+  const tl::expected<Document, Errors> wanted = ParseDocument(aToml, "fuzz");
+  PublishCommand command;
+  command.m_publish.m_base = replica.ConfigVersion();
+  command.m_publish.m_changes = Difference(replica.Objects(), *wanted);
+  Command(aNode, command, [this](const ReplyCommand& aReply) {
+    m_publishAccepted += aReply.m_error ? 0 : 1;
+    m_publishConflicts += aReply.m_error && aReply.m_error->m_kind == ErrorKind::Conflict ? 1 : 0;
+  });
+}
+
+void
+World::PublishDrain(size_t aNode, size_t aWorker, bool aDrain)
+{
+  std::string toml = BaseConfig();
+  if (aDrain) {
+    toml += "[drain.one]\nworker = \"" + m_workers[aWorker].m_address + "\"\n";
+  }
+  Publish(aNode, toml);
+}
+
+void
+World::SubmitJob(size_t aNode,
+                 const std::string& aKey,
+                 const std::string& aKind,
+                 uint32_t aTasks,
+                 bool aUrgent)
+{
+  SubmitCommand command;
+  command.m_job.m_key = aKey;
+  command.m_job.m_kind = aKind;
+  command.m_job.m_team = aTasks % 2 == 0 ? "one" : "two";
+  command.m_job.m_tasks = aTasks;
+  command.m_job.m_urgent = aUrgent;
+  Command(aNode, command, [this](const ReplyCommand& aReply) {
+    if (!aReply.m_error) {
+      const JobId id = aReply.m_body["id"].get<JobId>();
+      if (std::find(m_jobs.begin(), m_jobs.end(), id) == m_jobs.end()) {
+        m_jobs.push_back(id);
+      }
+    }
+  });
+}
+
+void
+World::CancelJob(size_t aNode, size_t aJob)
+{
+  if (!m_jobs.empty()) {
+    Command(aNode, CancelCommand{ m_jobs[aJob % m_jobs.size()] }, [](const ReplyCommand&) {});
+  }
+}
+
+/// Compares what the worker ran with what is promised. Called after each change at the worker.
+void
+World::CheckWorker(size_t aWorker)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  const Resources room = worker.m_model.Size() - Resources{ 4'000, 8'000, 0 };
+  if (!worker.m_model.Reserved().FitsIn(room)) {
+    Violate(Promise::Capacity, "more is reserved on " + worker.m_address + " than it holds");
+  }
+  const std::vector<RunRecord>& history = worker.m_model.History();
+  for (; worker.m_checked < history.size(); ++worker.m_checked) {
+    const RunRecord& record = history[worker.m_checked];
+    if (record.m_from == record.m_to) {
+      continue; // stopped before it was seen
+    }
+    if (m_now - kLeavingGrace > worker.m_leavingSince) {
+      Violate(Promise::Leaving, "a task started on " + worker.m_address + ", which is leaving");
+    }
+    std::vector<std::pair<size_t, size_t>>& runs = m_runsOf[record.m_run.m_task];
+    const std::string name =
+      std::to_string(record.m_run.m_task.m_job) + "/" + std::to_string(record.m_run.m_task.m_index);
+    for (const auto& [otherWorker, otherRecord] : runs) {
+      FakeWorker& elsewhere = m_workers[otherWorker];
+      elsewhere.m_model.Advance(m_now);
+      const RunRecord& other = elsewhere.m_model.History()[otherRecord];
+      if (other.m_to > record.m_from) {
+        Violate(Promise::OnePlace,
+                "task " + name + " attempt " + std::to_string(record.m_run.m_attempt) +
+                  " started on " + worker.m_address + " while attempt " +
+                  std::to_string(other.m_run.m_attempt) + " ran on " + elsewhere.m_address);
+      }
+      // Only a worker that was lost may leave it unknown that the task had finished.
+      if (other.m_state == RunState::Finished && elsewhere.m_reboots + elsewhere.m_cuts == 0) {
+        Violate(Promise::ResumeOnce, "task " + name + " ran again after it had finished");
+      }
+    }
+    runs.emplace_back(aWorker, worker.m_checked);
+  }
+}
+
+void
+World::CheckConfigOf(size_t aNode)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  const Replica& replica = node.m_core->State().m_replica;
+  const uint64_t version = replica.ConfigVersion();
+  if (version < node.m_configSeen) {
+    Violate(Promise::ConfigForward, node.m_settings.m_id + " went back to an earlier version");
+  }
+  if (version == node.m_configSeen) {
+    return;
+  }
+  node.m_configSeen = version;
+  const std::string text = PrintDocument(replica.Objects());
+  const std::map<uint64_t, std::string>::iterator it = m_configs.emplace(version, text).first;
+  if (it->second != text) {
+    Violate(Promise::ConfigForward,
+            "version " + std::to_string(version) + " differs between instances");
+  }
+}
+
+void
+World::Heal()
+{
+  m_healed = true;
+  m_faults = Faults{};
+  m_cutPairs.clear();
+  m_zoneCut.assign(m_zoneCut.size(), false);
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    CutWorker(i, false);
+    SetWorkerFailsAll(i, false);
+    SetWorkerLeaving(i, false);
+  }
+  for (size_t i = 0; i < m_nodes.size(); ++i) {
+    m_nodes[i].m_logCut = false;
+    m_nodes[i].m_pausedUntil = std::min(m_nodes[i].m_pausedUntil, m_now);
+    Start(i);
+  }
+}
+
+bool
+World::IsSettled()
+{
+  for (const Node& node : m_nodes) {
+    if (!node.m_core || !node.m_core->State().m_ready || !node.m_waiting.empty() ||
+        node.m_core->State().m_writer.Waiting() > 0 || !node.m_core->State().LogFresh()) {
+      return false;
+    }
+    const JobTable& jobs = node.m_core->State().m_replica.Jobs();
+    if (std::any_of(m_jobs.begin(), m_jobs.end(), [&jobs](JobId aId) { return !jobs.Find(aId); })) {
+      return false;
+    }
+    for (const auto& [id, job] : node.m_core->State().m_replica.Jobs().All()) {
+      if (job.m_local && job.m_ended < job.m_tasks.size()) {
+        return false;
+      }
+    }
+  }
+  return std::all_of(m_workers.begin(), m_workers.end(), [this](FakeWorker& aWorker) {
+    aWorker.m_model.Advance(m_now);
+    return aWorker.m_model.Running() == 0;
+  });
+}
+
+std::string
+World::DescribeLeft() const
+{
+  std::ostringstream text;
+  for (const Node& node : m_nodes) {
+    text << node.m_settings.m_id << ": ";
+    if (!node.m_core) {
+      text << "down; ";
+      continue;
+    }
+    const Context& state = node.m_core->State();
+    text << (state.m_ready ? "" : "not ready (" + state.m_notReadyReason + ") ") << "waiting "
+         << node.m_waiting.size() << " entries " << state.m_writer.Waiting()
+         << (state.LogFresh() ? "" : " log stale");
+    for (const auto& [id, job] : state.m_replica.Jobs().All()) {
+      if (job.m_local && job.m_ended < job.m_tasks.size()) {
+        text << " job " << id << ' ' << egretturn::NameOf(job.Phase()) << ' ' << job.m_ended << '/'
+             << job.m_tasks.size();
+      }
+    }
+    text << "; ";
+  }
+  for (const FakeWorker& worker : m_workers) {
+    text << worker.m_address << " runs " << worker.m_model.Running() << "; ";
+  }
+  return text.str();
+}
+
+void
+World::CheckEnd()
+{
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    CheckWorker(i);
+  }
+  for (size_t i = 0; i < m_callers.size(); ++i) {
+    const CallerRecord& caller = m_callers[i];
+    if (!caller.m_answered && !caller.m_nodeKilled) {
+      Violate(Promise::Liveness, "caller " + std::to_string(i) + " was never answered");
+    }
+  }
+  for (const JobId id : m_jobs) {
+    for (const Node& node : m_nodes) {
+      const Job* job = node.m_core ? node.m_core->State().m_replica.Jobs().Find(id) : nullptr;
+      if (node.m_core && !job) {
+        Violate(Promise::Liveness,
+                node.m_settings.m_id + " does not know job " + std::to_string(id));
+      }
+    }
+  }
+  if (!IsSettled()) {
+    Violate(Promise::Liveness, "work is left after healing: " + DescribeLeft());
+  }
+}
+
+} // namespace egretturn::fuzz
