--- a/include/egretturn/Config/FieldReader.h
+++ b/include/egretturn/Config/FieldReader.h
@@ -22,7 +22,8 @@
   FieldReader(const toml::table& aTable, std::string aWhere, bool aLines, Errors& aErrors);
 
   /// The string at \p aKey; an error when it is absent and \p aDefault is not given.
-  std::string String(std::string_view aKey, std::optional<std::string> aDefault = std::nullopt);
+  std::string String(std::string_view aKey,
+                     const std::optional<std::string>& aDefault = std::nullopt);
 
   /// The integer at \p aKey within [\p aLow, \p aHigh].
   int64_t Integer(std::string_view aKey,
--- a/include/egretturn/Core/Racks.h
+++ b/include/egretturn/Core/Racks.h
@@ -30,6 +30,7 @@
   bool m_urgent = false;
   bool m_recorded = false; ///< Its start was read back.
   bool m_adopted = false;  ///< Started by an earlier owner.
+  bool m_over = false;     ///< The worker listed it as ended, so that it holds nothing any more.
   Instant m_startedAt{};
   Instant m_sentAt{};      ///< Of the last start or stop call.
   Instant m_confirmedAt{}; ///< When the worker accepted the start.
@@ -141,6 +142,9 @@
   /// Notes a new attempt on \p aWorker. The ledger must hold its reservation already.
   Run& AddRun(WorkerRun& aWorker, const TaskAttempt& aAttempt, const Job& aJob);
 
+  /// Frees what an attempt holds, once.
+  void FreeRoom(WorkerRun& aWorker, const TaskAttempt& aAttempt, Run& aRun);
+
   /// Removes an attempt and frees what it holds.
   void DropRun(WorkerRun& aWorker, const TaskAttempt& aAttempt);
 
@@ -163,6 +167,10 @@
   /// What to reserve for a task of \p aKind on \p aWorker.
   Resources Reservation(const std::string& aKind, const WorkerRun& aWorker) const;
 
+  /// Whether an attempt of \p aTask that an earlier owner started without the log was found, and
+  /// its record is on its way.
+  bool IsAdopting(const TaskId& aTask) const { return m_adopting.contains(aTask); }
+
   InterferenceModel& Interference() { return m_interference; }
   WorkerHealth& Health() { return m_health; }
   const std::map<std::string, KindFit>& Fits() const { return m_fits; }
@@ -214,6 +222,7 @@
   std::map<std::string, Instant> m_surplusSince; ///< Owned racks that another instance should own.
   std::map<uint64_t, PendingCall> m_calls;
   std::set<std::string> m_listedLeaving; ///< Addresses on the platform's list.
+  std::set<TaskId> m_adopting;
   uint64_t m_nextCall = 1;
   uint64_t m_changes = 1;
   Instant m_logLostAt{};
--- a/include/egretturn/Core/Tasks.h
+++ b/include/egretturn/Core/Tasks.h
@@ -52,6 +52,7 @@
     bool m_quotaBlocked = false;
   };
 
+  void SendUnrecorded();
   void ScheduleRack(RackRun& aRack);
   bool ConsiderTask(RackRun& aRack, const WaitingTask& aTask, bool aBorrowing, Scan& aScan);
   PlacementChoice Place(const RackRun& aRack,
--- a/include/egretturn/Http/Http.h
+++ b/include/egretturn/Http/Http.h
@@ -63,7 +63,6 @@
   struct Shared;
   void Accept();
 
-  boost::asio::io_context& m_io;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::shared_ptr<Shared> m_shared;
 };
--- a/include/egretturn/Workers/Protocol.h
+++ b/include/egretturn/Workers/Protocol.h
@@ -140,7 +140,8 @@
   RunState m_state = RunState::Running;
   std::string m_kind;
   std::string m_checkpoint;
-  Resources m_used; ///< Highest use so far.
+  Resources m_used;     ///< Highest use so far.
+  Resources m_reserved; ///< What its start call reserved.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -150,6 +151,7 @@
     aVisit("kind", aSelf.m_kind);
     aVisit("checkpoint", aSelf.m_checkpoint);
     aVisit("used", aSelf.m_used);
+    aVisit("reserved", aSelf.m_reserved);
   }
 };
 
--- a/lib/Config/Parse.cpp
+++ b/lib/Config/Parse.cpp
@@ -40,7 +40,7 @@
 }
 
 std::string
-FieldReader::String(std::string_view aKey, std::optional<std::string> aDefault)
+FieldReader::String(std::string_view aKey, const std::optional<std::string>& aDefault)
 {
   const toml::node* node = Find(aKey, !aDefault);
   if (!node) {
--- a/lib/Config/Validate.cpp
+++ b/lib/Config/Validate.cpp
@@ -58,10 +58,12 @@
              "rack " + pool.m_rack + " is also in zone " + rack->second,
              "give racks of different availability zones different names");
     }
+    const std::string place = "pool." + name + ".workers";
     for (const std::string& worker : pool.m_workers) {
-      const std::string place = "pool." + name + ".workers";
       CheckAddress(worker, place, aErrors);
-      const auto [it, fresh] = places.emplace(WorkerIdOf(worker), worker + " in pool." + name);
+      std::string here = worker;
+      here.append(" in pool.").append(name);
+      const auto [it, fresh] = places.emplace(WorkerIdOf(worker), std::move(here));
       if (!fresh) {
         Reject(aErrors,
                place,
--- a/lib/Core/Claims.cpp
+++ b/lib/Core/Claims.cpp
@@ -27,7 +27,9 @@
 RackController::TickClaims()
 {
   if (!m_context.LogFresh()) {
-    HandOverWithoutLog();
+    if (!m_context.m_leaving) {
+      HandOverWithoutLog(); // a leaving instance goes on until its requests are answered
+    }
     return;
   }
   m_logLostAt = Instant{};
@@ -232,6 +234,10 @@
     }
     return;
   }
+  if (const TaskStart* start = std::get_if<TaskStart>(&aApplied.m_entry)) {
+    m_adopting.erase(start->m_task);
+    return;
+  }
   const TaskEnd* end = std::get_if<TaskEnd>(&aApplied.m_entry);
   const TaskState* task = end ? m_context.m_replica.Jobs().FindTask(end->m_task) : nullptr;
   WorkerRun* worker = task ? FindWorker(task->m_worker) : nullptr;
--- a/lib/Core/Core.cpp
+++ b/lib/Core/Core.cpp
@@ -296,7 +296,7 @@
   const bool fits =
     member && (aRequest.m_stream != Stream::Zone || m_context.m_members.IsLocal(*member));
   if (!fits || !m_context.m_replica.CanExport(aRequest.m_stream) ||
-      m_context.m_replica.AppliedTo(aRequest.m_stream) <= aRequest.m_applied) {
+      m_context.m_replica.AppliedTo(aRequest.m_stream) < aRequest.m_applied) {
     return;
   }
   const StreamState state = m_context.m_replica.Export(aRequest.m_stream);
@@ -307,9 +307,15 @@
 void
 Core::OnStateReply(const StateReply& aReply)
 {
+  const Replica& replica = m_context.m_replica;
+  if (replica.CanExport(aReply.m_stream) && replica.AppliedTo(aReply.m_stream) == aReply.m_covers) {
+    m_following[static_cast<size_t>(aReply.m_stream)].m_caughtUp = true; // there is nothing more
+    return;
+  }
   StreamState state;
-  if (!IsBase64(aReply.m_state) || !UnpackCompact(FromBase64(aReply.m_state), state) ||
-      state.m_stream != aReply.m_stream || !m_context.m_replica.Restore(state)) {
+  const bool good = IsBase64(aReply.m_state) && UnpackCompact(FromBase64(aReply.m_state), state) &&
+                    state.m_stream == aReply.m_stream;
+  if (!good || !m_context.m_replica.Restore(state)) {
     return;
   }
   m_following[static_cast<size_t>(aReply.m_stream)].m_caughtUp = true;
--- a/lib/Core/Racks.cpp
+++ b/lib/Core/Racks.cpp
@@ -206,11 +206,21 @@
   if (it == aWorker.m_runs.end()) {
     return;
   }
-  aWorker.m_mix.Remove(it->second.m_kind, m_context.m_now);
-  aWorker.m_ledger.Release(aAttempt);
+  FreeRoom(aWorker, aAttempt, it->second);
   aWorker.m_runs.erase(it);
 }
 
+void
+RackController::FreeRoom(WorkerRun& aWorker, const TaskAttempt& aAttempt, Run& aRun)
+{
+  if (aRun.m_over) {
+    return;
+  }
+  aRun.m_over = true;
+  aWorker.m_mix.Remove(aRun.m_kind, m_context.m_now);
+  aWorker.m_ledger.Release(aAttempt);
+}
+
 void
 RackController::SendStart(const RackRun& aRack,
                           WorkerRun& aWorker,
@@ -414,7 +424,7 @@
     if (run.m_endToken != 0 || m_context.m_now - run.m_sentAt < kSendAgain) {
       continue;
     }
-    if (run.m_phase == RunPhase::Starting && run.m_recorded && !run.m_adopted) {
+    if (run.m_phase == RunPhase::Starting && run.m_sentAt != Instant{} && !run.m_adopted) {
       SendStart(aRack, aWorker, attempt, run);
     } else if (run.m_phase == RunPhase::Stopping) {
       run.m_sentAt = m_context.m_now;
@@ -559,7 +569,8 @@
     }
   }
   for (const TaskAttempt& attempt : missing) {
-    RecordEnd(aRack, aWorker, attempt, TaskEndReason::Lost, "");
+    // The stop makes the worker remember the attempt, so that a late copy of its start is refused.
+    StopRun(aRack, aWorker, attempt, TaskEndReason::Lost);
   }
   if (wasTaking != aWorker.TakesWork()) {
     ++m_changes;
@@ -579,6 +590,15 @@
   return aRun.m_phase == RunPhase::Stopping ? aRun.m_stopReason : TaskEndReason::Lapsed;
 }
 
+/// Whether the log shows that \p aAttempt of the task has ended or can never be recorded.
+static bool
+IsOver(const TaskState& aTask, Attempt aAttempt)
+{
+  const bool open = aTask.m_phase == TaskPhase::Waiting || aTask.m_phase == TaskPhase::Started;
+  const bool ended = aTask.m_attempt == aAttempt && aTask.m_phase != TaskPhase::Started;
+  return !open || ended || aTask.m_attempt > aAttempt;
+}
+
 void
 RackController::ReadListedRun(RackRun& aRack, WorkerRun& aWorker, const ListedRun& aListed)
 {
@@ -596,8 +616,12 @@
   std::map<TaskAttempt, Run>::iterator it = aWorker.m_runs.find(aListed.m_run);
   if (it == aWorker.m_runs.end()) {
     if (!current && !unrecorded) {
+      // What the log does not show to be over may be new to this instance, and is left alone.
+      if (!IsOver(*task, attempt)) {
+        return;
+      }
       if (aListed.m_state == RunState::Running) {
-        Call(aRack, aWorker, StopCall{ aListed.m_run }); // replaced, or its task has ended
+        Call(aRack, aWorker, StopCall{ aListed.m_run });
       } else {
         aWorker.m_forget.push_back(aListed.m_run);
       }
@@ -609,6 +633,7 @@
     added.m_recorded = current;
     if (unrecorded && !aRack.m_acting) {
       // Started by an earlier owner while the log was away.
+      m_adopting.insert(aListed.m_run.m_task);
       m_context.m_writer.Append(
         Stream::Zone, TaskStart{ aListed.m_run.m_task, attempt, aWorker.m_id, aRack.m_epoch });
     }
@@ -620,6 +645,11 @@
     run.m_confirmedAt = m_context.m_now;
   }
   run.m_recorded = run.m_recorded || current;
+  if (aListed.m_state == RunState::Running) {
+    // An earlier owner may have reserved more, or less, than this one would.
+    aWorker.m_ledger.Release(aListed.m_run);
+    aWorker.m_ledger.Adopt(aListed.m_run, aListed.m_reserved);
+  }
   if (aListed.m_state == RunState::Running) {
     const bool unwanted = job.m_cancelled || !job.m_failReason.empty();
     if (unwanted) {
@@ -627,6 +657,7 @@
     }
     return;
   }
+  FreeRoom(aWorker, aListed.m_run, run);
   if (!current || run.m_endToken != 0) {
     return;
   }
--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -350,7 +350,8 @@
     }
     if (m_peerHeard[id] != member.m_last.m_sequence) {
       m_peerHeard[id] = member.m_last.m_sequence;
-      std::erase_if(m_sentToPeer, [&id](const auto& aRow) { return aRow.first.first == id; });
+      std::erase_if(m_sentToPeer,
+                    [&peer = id](const auto& aRow) { return aRow.first.first == peer; });
     }
     for (const ServiceRoom& room : member.m_last.m_services) {
       const std::map<std::pair<std::string, std::string>, uint32_t>::const_iterator sent =
--- a/lib/Core/Tasks.cpp
+++ b/lib/Core/Tasks.cpp
@@ -12,6 +12,7 @@
 static constexpr Duration kMoveAfter = std::chrono::milliseconds(500);
 static constexpr Duration kPreemptAgain = std::chrono::seconds(2);
 static constexpr Duration kMovedReset = std::chrono::seconds(1);
+static constexpr Duration kIdleAfter = std::chrono::seconds(30); // without a request
 static constexpr double kSlackPerSecond = 0.05; // of slowdown, for each second that a task waits
 static constexpr double kUrgentSlack = 100;
 static constexpr size_t kHopelessWorkers = 3; // distinct healthy workers on which a task failed
@@ -92,6 +93,9 @@
     return;
   }
   CountUsage();
+  if (!m_context.LogFresh()) {
+    SendUnrecorded();
+  }
   for (auto& [name, rack] : m_racks.Racks()) {
     if (RackController::IsSettled(rack) && !rack.m_acting) {
       ScheduleRack(rack);
@@ -100,6 +104,23 @@
   React();
 }
 
+/// Restartable work whose records are held up by the log goes on without them.
+void
+TaskController::SendUnrecorded()
+{
+  for (auto& [token, pending] : m_pending) {
+    const Job* job = m_context.m_replica.Jobs().Find(pending.m_attempt.m_task.m_job);
+    RackRun* rack = m_racks.Find(pending.m_rack);
+    WorkerRun* worker = rack ? m_racks.FindWorker(pending.m_worker) : nullptr;
+    if (pending.m_sent || !job || !job->m_spec.m_restartable || !worker ||
+        !worker->m_runs.contains(pending.m_attempt)) {
+      continue;
+    }
+    pending.m_sent = true;
+    m_racks.SendStart(*rack, *worker, pending.m_attempt, worker->m_runs[pending.m_attempt]);
+  }
+}
+
 void
 TaskController::ScheduleRack(RackRun& aRack)
 {
@@ -112,6 +133,9 @@
     }
     size_t scanned = 0;
     for (const WaitingTask& task : m_context.m_replica.Jobs().Waiting(aRack.m_rack)) {
+      if (m_busy.contains(task.m_task) || m_racks.IsAdopting(task.m_task)) {
+        continue;
+      }
       if (++scanned > kScanPerTick || started >= kStartsPerTick) {
         break;
       }
@@ -126,7 +150,7 @@
   const JobTable& jobs = m_context.m_replica.Jobs();
   const Job& job = *jobs.Find(aTask.m_task.m_job);
   const std::string& kind = job.m_spec.m_kind;
-  if (m_busy.contains(aTask.m_task) || (aScan.m_blockedKinds.contains(kind) && !aTask.m_urgent)) {
+  if (aScan.m_blockedKinds.contains(kind) && !aTask.m_urgent) {
     return false;
   }
   if (!m_context.LogFresh() && !job.m_spec.m_restartable) {
@@ -173,13 +197,14 @@
     if (std::find(pools.begin(), pools.end(), aWorker.m_pool) == pools.end()) {
       continue;
     }
-    ServiceLoad load{ name, 0 };
     const RouterMap::const_iterator router = m_routers.find(name);
     const Target* target = router == m_routers.end() ? nullptr : router->second.Find(aWorker.m_id);
-    if (target) {
-      load.m_band =
-        InterferenceModel::BandOf(static_cast<double>(target->m_outstanding) / service.m_slots);
+    if (!target || m_context.m_now - target->m_sampledAt > kIdleAfter) {
+      continue; // nobody asks the service there, so that nothing slows it down
     }
+    ServiceLoad load{ name, 0 };
+    load.m_band =
+      InterferenceModel::BandOf(static_cast<double>(target->m_outstanding) / service.m_slots);
     loads.push_back(std::move(load));
   }
   return loads;
@@ -246,12 +271,8 @@
     return;
   }
   Run& run = m_racks.AddRun(aWorker, attempt, aJob);
-  PendingStart pending{ aRack.m_rack, aWorker.m_id, attempt, false };
-  if (!m_context.LogFresh()) {
-    pending.m_sent = true;
-    m_racks.SendStart(aRack, aWorker, attempt, run);
-  }
-  m_pending[*token] = pending;
+  const PendingStart pending{ aRack.m_rack, aWorker.m_id, attempt, false };
+  m_pending[*token] = pending; // sent when it is read back, or by SendUnrecorded()
   m_busy.insert(aTask);
   m_notes.erase(aTask);
   m_usage[run.m_team] += aSize.m_milliCores;
--- a/lib/Daemon/DataPlane.cpp
+++ b/lib/Daemon/DataPlane.cpp
@@ -59,12 +59,12 @@
   , m_board(aBoard)
   , m_server(aLoop.Io(),
              aSettings.m_limits,
-             [this](HttpRequest aRequest, std::shared_ptr<HttpReply> aReply) {
+             [this](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
                OnCaller(std::move(aRequest), aReply, false);
              })
   , m_peerServer(aLoop.Io(),
                  PeerLimits(aSettings.m_limits),
-                 [this](HttpRequest aRequest, std::shared_ptr<HttpReply> aReply) {
+                 [this](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
                    OnCaller(std::move(aRequest), aReply, true);
                  })
   , m_client(aLoop.Io(), aSettings.m_limits.m_answerBytes)
--- a/lib/Daemon/Shell.cpp
+++ b/lib/Daemon/Shell.cpp
@@ -54,7 +54,7 @@
 Expected<void>
 Shell::Run()
 {
-  const Expected<void> listening = m_dataPlane.Listen();
+  Expected<void> listening = m_dataPlane.Listen();
   if (!listening) {
     return listening;
   }
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -168,8 +168,7 @@
 HttpServer::HttpServer(boost::asio::io_context& aIo,
                        const HttpLimits& aLimits,
                        HttpHandler aHandler)
-  : m_io(aIo)
-  , m_acceptor(aIo)
+  : m_acceptor(aIo)
   , m_shared(std::make_shared<Shared>())
 {
   m_shared->m_limits = aLimits;
--- a/lib/Journal/Reader.cpp
+++ b/lib/Journal/Reader.cpp
@@ -83,7 +83,7 @@
     if (gathering.m_parts.size() < part->m_parts) {
       continue;
     }
-    whole.emplace();
+    whole = Snapshot{};
     whole->m_covers = part->m_covers;
     for (const auto& [index, bytes] : gathering.m_parts) {
       whole->m_bytes += bytes;
--- a/lib/Standin/WorkerModel.cpp
+++ b/lib/Standin/WorkerModel.cpp
@@ -185,7 +185,8 @@
                                       entry.m_state,
                                       entry.m_kind,
                                       entry.m_checkpoint,
-                                      truth.m_peak });
+                                      truth.m_peak,
+                                      entry.m_size });
     reply.m_usedMilliCores += entry.m_state == RunState::Running ? truth.m_peak.m_milliCores : 0;
   }
   return reply;
--- /dev/null
+++ b/tools/egretturn-load/Main.cpp
@@ -0,0 +1,194 @@
+// Load tool: sends requests over a number of connections and prints what became of them.
+#include "egretturn/Http/Http.h"
+#include "egretturn/Support/Fields.h"
+#include "egretturn/Support/Latency.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <docopt/docopt.h>
+#include <iostream>
+
+static constexpr const char* kUsage =
+  R"(egretturn-load: sends requests and prints what became of them
+
+Usage:
+  egretturn-load --target=ADDRESSES [options]
+  egretturn-load (-h | --help)
+
+Options:
+  --target=ADDRESSES  Instances, separated by commas; connections are spread over them.
+  --path=PATH         What to ask for [default: /v1/services/retrofit-desk/quote].
+  --connections=N     Requests in flight [default: 1].
+  --seconds=S         How long [default: 5].
+  --body-bytes=N      Size of the body [default: 200].
+  --rate=N            Requests a second in all; 0 for as many as can be [default: 0].
+  --key=PREFIX        Send each request with a key of its own that starts with PREFIX.
+  -h --help           Show this text.
+)";
+
+namespace {
+
+using namespace egretturn;
+namespace http = boost::beast::http;
+
+static constexpr Duration kTimeout = std::chrono::seconds(30);
+static constexpr size_t kMaxAnswer = 16 * 1024 * 1024;
+
+struct LoadOptions
+{
+  std::vector<std::string> m_targets;
+  std::string m_path;
+  size_t m_connections = 1;
+  Duration m_length{};
+  std::string m_body;
+  double m_rate = 0;
+  std::string m_key;
+};
+
+Instant
+Now()
+{
+  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+/// Keeps a fixed number of requests in flight until its time is over.
+class Load
+{
+public:
+  Load(boost::asio::io_context& aIo, LoadOptions aOptions)
+    : m_io(aIo)
+    , m_options(std::move(aOptions))
+    , m_client(aIo, kMaxAnswer)
+    , m_until(Now() + m_options.m_length)
+    , m_startedAt(Now())
+  {
+  }
+
+  void Start()
+  {
+    for (size_t i = 0; i < m_options.m_connections; ++i) {
+      SendNext(i);
+    }
+  }
+
+  void Print() const
+  {
+    const double seconds = std::chrono::duration<double>(Now() - m_startedAt).count();
+    const auto us = [this](double aQuantile) { return m_latency.Quantile(aQuantile).count(); };
+    std::cout << Json{
+      { "done", m_done },
+      { "not_run", m_notRun },
+      { "unknown", m_unknown },
+      { "not_connected", m_notSent },
+      { "cut_off", m_cutOff },
+      { "errors", m_errors },
+      { "per_second", static_cast<double>(m_done) / seconds },
+      { "p50_us", us(0.5) },
+      { "p90_us", us(0.9) },
+      { "p99_us", us(0.99) },
+      { "p999_us", us(0.999) }
+    }.dump() << '\n';
+  }
+
+private:
+  void SendNext(size_t aConnection)
+  {
+    if (Now() >= m_until) {
+      return;
+    }
+    const std::string& target = m_options.m_targets[aConnection % m_options.m_targets.size()];
+    HttpRequest request = MakeRequest(http::verb::post, m_options.m_path, m_options.m_body);
+    if (!m_options.m_key.empty()) {
+      request.set("Idempotency-Key", m_options.m_key + "-" + std::to_string(m_sent));
+    }
+    ++m_sent;
+    const Instant sentAt = Now();
+    m_client.Send(target,
+                  std::move(request),
+                  kTimeout,
+                  [this, aConnection, sentAt](const ClientAnswer& aAnswer) {
+                    Count(aAnswer, Now() - sentAt);
+                    Pace(aConnection, sentAt);
+                  });
+  }
+
+  void Pace(size_t aConnection, Instant aSentAt)
+  {
+    if (m_options.m_rate <= 0) {
+      boost::asio::post(m_io, [this, aConnection] { SendNext(aConnection); });
+      return;
+    }
+    const double gapUs = 1e6 * static_cast<double>(m_options.m_connections) / m_options.m_rate;
+    const Instant next = aSentAt + Duration(static_cast<int64_t>(gapUs));
+    const std::shared_ptr<boost::asio::steady_timer> timer =
+      std::make_shared<boost::asio::steady_timer>(m_io, next);
+    timer->async_wait(
+      [this, aConnection, timer](const boost::system::error_code&) { SendNext(aConnection); });
+  }
+
+  void Count(const ClientAnswer& aAnswer, Duration aLatency)
+  {
+    if (aAnswer.m_result == ClientResult::NotSent) {
+      ++m_notSent;
+      return;
+    }
+    if (aAnswer.m_result != ClientResult::Answered) {
+      ++m_cutOff;
+      return;
+    }
+    const boost::beast::string_view outcome = aAnswer.m_response["Egretturn-Outcome"];
+    if (outcome == "not-run") {
+      ++m_notRun;
+    } else if (outcome == "unknown") {
+      ++m_unknown;
+    } else if (aAnswer.m_response.result() != http::status::ok) {
+      ++m_errors;
+    } else {
+      ++m_done;
+      m_latency.Record(aLatency);
+    }
+  }
+
+  boost::asio::io_context& m_io;
+  LoadOptions m_options;
+  HttpClient m_client;
+  Instant m_until;
+  Instant m_startedAt;
+  uint64_t m_sent = 0;
+  uint64_t m_done = 0;
+  uint64_t m_notRun = 0;
+  uint64_t m_unknown = 0;
+  uint64_t m_notSent = 0;
+  uint64_t m_cutOff = 0;
+  uint64_t m_errors = 0;
+  LatencyHistogram m_latency;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::map<std::string, docopt::value> arguments =
+    docopt::docopt(kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true);
+  const auto number = [&arguments](const char* aName) {
+    return std::stod(arguments[aName].asString());
+  };
+  LoadOptions options;
+  std::istringstream targets(arguments["--target"].asString());
+  for (std::string target; std::getline(targets, target, ',');) {
+    options.m_targets.push_back(target);
+  }
+  options.m_path = arguments["--path"].asString();
+  options.m_connections = static_cast<size_t>(number("--connections"));
+  options.m_length = Duration(static_cast<int64_t>(number("--seconds") * 1e6));
+  options.m_body = std::string(static_cast<size_t>(number("--body-bytes")), 'x');
+  options.m_rate = number("--rate");
+  options.m_key = arguments["--key"] ? arguments["--key"].asString() : "";
+  boost::asio::io_context io(1);
+  Load load(io, std::move(options));
+  load.Start();
+  io.run();
+  load.Print();
+  return 0;
+}
--- a/tools/egretturn-standin/Platform.cpp
+++ b/tools/egretturn-standin/Platform.cpp
@@ -29,11 +29,12 @@
 }
 
 PlatformServer::PlatformServer(boost::asio::io_context& aIo)
-  : m_io(aIo)
-  , m_timer(aIo)
-  , m_server(aIo, LogLimits(), [this](HttpRequest aRequest, std::shared_ptr<HttpReply> aReply) {
-    OnRequest(aRequest, aReply);
-  })
+  : m_timer(aIo)
+  , m_server(aIo,
+             LogLimits(),
+             [this](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+               OnRequest(aRequest, aReply);
+             })
 {
 }
 
--- a/tools/egretturn-standin/Platform.h
+++ b/tools/egretturn-standin/Platform.h
@@ -59,7 +59,6 @@
   void ServeWaiters();
   void Tick();
 
-  boost::asio::io_context& m_io;
   boost::asio::steady_timer m_timer;
   HttpServer m_server;
   LogModel m_log;
--- a/tools/egretturn-standin/Targets.cpp
+++ b/tools/egretturn-standin/Targets.cpp
@@ -29,7 +29,7 @@
   , m_model(aSize, HashBytes(aAddress))
   , m_server(aIo,
              HttpLimits{},
-             [this](HttpRequest aRequest, std::shared_ptr<HttpReply> aReply) {
+             [this](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
                OnRequest(std::move(aRequest), aReply);
              })
   , m_random(HashBytes(aAddress))
--- a/unittests/Fuzz/FuzzMain.cpp
+++ b/unittests/Fuzz/FuzzMain.cpp
@@ -51,16 +51,18 @@
 main(int aCount, char** aArguments)
 {
   if (aCount < 3) {
-    std::cerr << "usage: fuzz SECONDS FIRST-SEED [COUNT]\n";
+    std::cerr << "usage: fuzz SECONDS FIRST-SEED [COUNT | --first]\n";
     return 2;
   }
   const std::chrono::seconds length(std::atol(aArguments[1]));
   const uint64_t first = std::strtoull(aArguments[2], nullptr, 10);
-  const uint64_t count = aCount > 3 ? std::strtoull(aArguments[3], nullptr, 10) : UINT64_MAX;
+  const bool untilFirst = aCount > 3 && std::string(aArguments[3]) == "--first";
+  const uint64_t count =
+    aCount > 3 && !untilFirst ? std::strtoull(aArguments[3], nullptr, 10) : UINT64_MAX;
   const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + length;
   uint64_t done = 0;
   uint64_t failed = 0;
-  while (done < count && std::chrono::steady_clock::now() < until) {
+  while (done < count && (failed == 0 || !untilFirst) && std::chrono::steady_clock::now() < until) {
     failed += RunSeed(first + done) ? 0 : 1;
     ++done;
   }
--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -16,7 +16,7 @@
 template<>
 struct Arbitrary<Step>
 {
-  static Gen<Step> arbitrary()
+  static Gen<Step> arbitrary() // NOLINT(readability-identifier-naming): the library asks for it
   {
     const Gen<Operation> operation =
       gen::map(gen::inRange<size_t>(0, kOperations),
--- a/unittests/Fuzz/World.cpp
+++ b/unittests/Fuzz/World.cpp
@@ -26,6 +26,7 @@
 
 static constexpr Duration kLeavingGrace = seconds(3); // "a few seconds" of the brief
 static constexpr Duration kLinger = milliseconds(500);
+static constexpr Duration kArriving = milliseconds(200); // a request that came just before the end
 static constexpr size_t kNoCaller = SIZE_MAX;
 
 std::string_view
@@ -217,6 +218,12 @@
       }
       continue;
     }
+    const CallWorker* call = std::get_if<CallWorker>(&action);
+    if (call && node.m_pauseAtCall > Duration::zero() &&
+        !std::holds_alternative<ListCall>(call->m_body.m_body)) {
+      Pause(aNode, node.m_pauseAtCall);
+      node.m_pauseAtCall = Duration::zero();
+    }
     // A thread hands the action on a little later; a pause may come between.
     At(Duration(static_cast<int64_t>(m_random.Below(200))),
        [this, aNode, incarnation, carried = std::move(action)] {
@@ -282,6 +289,12 @@
   }
 }
 
+void
+World::PauseAtNextCall(size_t aNode, Duration aTime)
+{
+  m_nodes[aNode].m_pauseAtCall = aTime;
+}
+
 void
 World::Shutdown(size_t aNode)
 {
@@ -417,7 +430,12 @@
                  }
                },
                [](const WriteLog&) {},
-               [&](const ExitProcess&) { Linger(aNode, node.m_incarnation); },
+               [&](const ExitProcess&) {
+                 // After the answers of the same step, which are on their way.
+                 At(milliseconds(1), [this, aNode, incarnation = node.m_incarnation] {
+                   Linger(aNode, incarnation);
+                 });
+               },
              },
              aAction);
 }
@@ -426,7 +444,16 @@
 void
 World::Linger(size_t aNode, uint64_t aIncarnation)
 {
-  m_nodes[aNode].m_lingering = true;
+  Node& node = m_nodes[aNode];
+  if (!node.m_lingering) {
+    for (const auto& [id, told] : node.m_waiting) {
+      const Instant since = std::max(node.m_arrivedAt[id], node.m_pausedUntil);
+      if (m_now - since > kArriving) {
+        Violate(Promise::GracefulStop, "an instance ended its work with a request unanswered");
+      }
+    }
+  }
+  node.m_lingering = true;
   At(kLinger, [this, aNode, aIncarnation] {
     OnNode(aNode, aIncarnation, [this, aNode, aIncarnation] {
       if (!m_nodes[aNode].m_waiting.empty()) {
@@ -651,6 +678,7 @@
       arrived.m_deadline = aDispatch.m_timeout;
       peer.m_requests[arrived.m_id] = arrived;
       peer.m_callerOf[arrived.m_id] = aCaller;
+      peer.m_arrivedAt[arrived.m_id] = m_now;
       const RequestId id = arrived.m_id;
       peer.m_waiting[id] = [this, aPeer, id, end](const AnswerRequest& aAnswer) {
         end(DispatchResult::Answered,
@@ -685,6 +713,7 @@
   arrived.m_bodyBytes = 100;
   node.m_requests[arrived.m_id] = arrived;
   node.m_callerOf[arrived.m_id] = caller;
+  node.m_arrivedAt[arrived.m_id] = m_now;
   const RequestId id = arrived.m_id;
   node.m_waiting[id] = [this, aNode, caller, id](const AnswerRequest& aAnswer) {
     CallerRecord& told = m_callers[caller];
@@ -735,7 +764,10 @@
   PublishCommand command;
   command.m_publish.m_base = replica.ConfigVersion();
   command.m_publish.m_changes = Difference(replica.Objects(), *wanted);
-  Command(aNode, command, [this](const ReplyCommand& aReply) {
+  Command(aNode, command, [this, base = command.m_publish.m_base](const ReplyCommand& aReply) {
+    if (!aReply.m_error && !m_acceptedBases.insert(base).second) {
+      Violate(Promise::ConfigForward, "two publishes against one base were accepted");
+    }
     m_publishAccepted += aReply.m_error ? 0 : 1;
     m_publishConflicts += aReply.m_error && aReply.m_error->m_kind == ErrorKind::Conflict ? 1 : 0;
   });
@@ -860,7 +892,6 @@
   }
   for (size_t i = 0; i < m_nodes.size(); ++i) {
     m_nodes[i].m_logCut = false;
-    m_nodes[i].m_pausedUntil = std::min(m_nodes[i].m_pausedUntil, m_now);
     Start(i);
   }
 }
--- a/unittests/Fuzz/World.h
+++ b/unittests/Fuzz/World.h
@@ -106,6 +106,8 @@
   void Kill(size_t aNode);
   void Start(size_t aNode);
   void Pause(size_t aNode, Duration aTime);
+  void PauseAtNextCall(size_t aNode,
+                       Duration aTime); ///< Between a decision for a worker and its send.
   void Shutdown(size_t aNode);
   void CutZone(size_t aZone, bool aCut); ///< From the platform and the other zones.
   void CutNodeFromLog(size_t aNode, bool aCut);
@@ -160,12 +162,14 @@
     bool m_lingering = false; ///< Exits once its requests are answered.
     bool m_logCut = false;
     Instant m_pausedUntil{};
+    Duration m_pauseAtCall{};
     uint64_t m_configSeen = 0;
     uint64_t m_logReadBytes = 0;
     RequestId m_nextRequest = 1;
     std::map<RequestId, std::function<void(const AnswerRequest&)>> m_waiting;
     std::map<RequestId, RequestArrived> m_requests;
     std::map<RequestId, size_t> m_callerOf;
+    std::map<RequestId, Instant> m_arrivedAt;
     std::map<std::pair<RequestId, uint32_t>, size_t> m_answers; ///< Caller plus one of each answer.
     std::map<CommandId, std::function<void(const ReplyCommand&)>> m_commands;
   };
@@ -241,6 +245,7 @@
   std::vector<JobId> m_jobs;
   std::map<TaskId, std::vector<std::pair<size_t, size_t>>> m_runsOf; ///< Worker and record.
   std::map<uint64_t, std::string> m_configs; ///< Text of each version, as first seen.
+  std::set<uint64_t> m_acceptedBases;
   size_t m_publishAccepted = 0;
   size_t m_publishConflicts = 0;
   uint64_t m_peerBytes = 0;
