--- a/include/egretturn/Core/Core.h
+++ b/include/egretturn/Core/Core.h
@@ -53,6 +53,7 @@
   void WriteBatches();
   void SendHeartbeats();
   void AskPeersForState();
+  void OnStateJump();
   void WriteSnapshots();
   void WriteSnapshot(Stream aStream);
   void CheckReady();
--- a/include/egretturn/Core/Racks.h
+++ b/include/egretturn/Core/Racks.h
@@ -98,6 +98,7 @@
   bool m_acting = false; ///< Handed over by a peer while the log is away; nothing can be recorded.
   bool m_releasing = false;
   Instant m_from{}; ///< End of WaitingOut, then start of Listing.
+  Instant m_adoptedAt{};
   std::map<WorkerId, WorkerRun> m_workers;
 };
 
@@ -116,6 +117,9 @@
   void OnHandOver(const InstanceId& aFrom, const HandOver& aHandOver);
   void OnInstanceList(const InstanceListArrived& aList);
 
+  /// Records were skipped by a restored state: their tokens will never be seen.
+  void OnStateJump();
+
   /// The configuration or a restored state changed under the racks.
   void Refresh();
 
--- a/include/egretturn/Core/Tasks.h
+++ b/include/egretturn/Core/Tasks.h
@@ -32,6 +32,9 @@
   void Tick();
   void OnApplied(const Applied& aApplied, EntryToken aToken);
 
+  /// Records were skipped by a restored state: their tokens will never be seen.
+  void OnStateJump();
+
   /// Why \p aTask waits here, or null if nothing is noted.
   const WaitNote* FindNote(const TaskId& aTask) const;
 
@@ -52,6 +55,7 @@
     bool m_quotaBlocked = false;
   };
 
+  void Resolve(const PendingStart& aPending, bool aCounts);
   void SendUnrecorded();
   void ScheduleRack(RackRun& aRack);
   bool ConsiderTask(RackRun& aRack, const WaitingTask& aTask, bool aBorrowing, Scan& aScan);
--- a/lib/Core/Core.cpp
+++ b/lib/Core/Core.cpp
@@ -146,7 +146,11 @@
     following.m_nextAt = m_context.m_now + m_context.Times().m_logRead;
   }
   const Offset covers = m_context.m_replica.SnapshotCovers(aRead.m_stream);
+  const bool wasBehind = m_context.m_replica.Behind(aRead.m_stream);
   Apply(m_context.m_replica.Feed(aRead.m_stream, aRead.m_chunk));
+  if (wasBehind && !m_context.m_replica.Behind(aRead.m_stream)) {
+    OnStateJump();
+  }
   if (m_context.m_replica.SnapshotCovers(aRead.m_stream) != covers) {
     following.m_snapshotAt = m_context.m_now;
     following.m_snapshotFrom = m_context.m_replica.SnapshotCovers(aRead.m_stream);
@@ -308,6 +312,10 @@
 Core::OnStateReply(const StateReply& aReply)
 {
   const Replica& replica = m_context.m_replica;
+  if (m_following[static_cast<size_t>(aReply.m_stream)].m_caughtUp &&
+      !replica.Behind(aReply.m_stream)) {
+    return; // late; to jump ahead would skip the fate of this instance's own records
+  }
   if (replica.CanExport(aReply.m_stream) && replica.AppliedTo(aReply.m_stream) == aReply.m_covers) {
     m_following[static_cast<size_t>(aReply.m_stream)].m_caughtUp = true; // there is nothing more
     return;
@@ -324,6 +332,16 @@
                   .Add("covers", aReply.m_covers)
                   .Add("bytes", static_cast<uint64_t>(aReply.m_state.size())));
   CheckConfig();
+  OnStateJump();
+}
+
+/// A restored state has skipped records, among them perhaps this instance's own: what waited for
+/// them is decided again from the state.
+void
+Core::OnStateJump()
+{
+  m_racks.OnStateJump();
+  m_tasks.OnStateJump();
   m_racks.Refresh();
 }
 
--- a/lib/Core/Racks.cpp
+++ b/lib/Core/Racks.cpp
@@ -10,6 +10,7 @@
 static constexpr Duration kListTimeout = std::chrono::milliseconds(500);
 static constexpr Duration kCallKept = std::chrono::seconds(10); // its answer may come so late
 static constexpr Duration kSendAgain = std::chrono::milliseconds(700);
+static constexpr Duration kAdoptInterval = std::chrono::seconds(1);
 static constexpr int kRenewalsPerLease = 4;
 static constexpr double kClockDrift = 1.1; // a worker's clock may run slower by a tenth
 
@@ -108,7 +109,14 @@
     const TaskState& task = *jobs.FindTask(id);
     const std::map<WorkerId, WorkerRun>::iterator it = aRack.m_workers.find(task.m_worker);
     const TaskAttempt attempt{ id, task.m_attempt };
-    if (it == aRack.m_workers.end() || it->second.m_runs.contains(attempt)) {
+    if (it == aRack.m_workers.end()) {
+      continue;
+    }
+    const std::map<TaskAttempt, Run>::iterator known = it->second.m_runs.find(attempt);
+    if (known != it->second.m_runs.end()) {
+      known->second.m_adopted = known->second.m_adopted ||
+                                (!known->second.m_recorded && known->second.m_sentAt == Instant{});
+      known->second.m_recorded = true;
       continue;
     }
     const Job& job = *jobs.Find(id.m_job);
@@ -316,6 +324,28 @@
   ++m_changes;
 }
 
+void
+RackController::OnStateJump()
+{
+  m_claims.clear();
+  m_adopting.clear();
+  const OwnershipTable& table = m_context.m_replica.Racks();
+  std::vector<std::string> lost;
+  for (auto& [name, rack] : m_racks) {
+    if (!rack.m_acting && !table.Allows(name, rack.m_epoch, m_context.m_self)) {
+      lost.push_back(name);
+    }
+    for (auto& [id, worker] : rack.m_workers) {
+      for (auto& [attempt, run] : worker.m_runs) {
+        run.m_endToken = 0; // recorded again at the next list, if it still counts
+      }
+    }
+  }
+  for (const std::string& name : lost) {
+    Drop(name, "superseded");
+  }
+}
+
 void
 RackController::OnInstanceList(const InstanceListArrived& aList)
 {
@@ -355,6 +385,10 @@
       worker.m_extendedAt = m_context.m_now;
     }
   }
+  if (m_context.m_now - aRack.m_adoptedAt >= kAdoptInterval) {
+    aRack.m_adoptedAt = m_context.m_now;
+    AdoptRecorded(aRack);
+  }
   bool settled = true;
   for (auto& [id, worker] : aRack.m_workers) {
     TickWorker(aRack, worker);
@@ -424,7 +458,8 @@
     if (run.m_endToken != 0 || m_context.m_now - run.m_sentAt < kSendAgain) {
       continue;
     }
-    if (run.m_phase == RunPhase::Starting && run.m_sentAt != Instant{} && !run.m_adopted) {
+    if (run.m_phase == RunPhase::Starting && !run.m_adopted &&
+        (run.m_recorded || run.m_sentAt != Instant{})) {
       SendStart(aRack, aWorker, attempt, run);
     } else if (run.m_phase == RunPhase::Stopping) {
       run.m_sentAt = m_context.m_now;
--- a/lib/Core/Tasks.cpp
+++ b/lib/Core/Tasks.cpp
@@ -474,20 +474,42 @@
   }
   const PendingStart pending = it->second;
   m_pending.erase(it);
-  m_busy.erase(pending.m_attempt.m_task);
-  RackRun* rack = m_racks.Find(pending.m_rack);
-  WorkerRun* worker = rack ? m_racks.FindWorker(pending.m_worker) : nullptr;
-  if (!worker || !worker->m_runs.contains(pending.m_attempt)) {
+  Resolve(pending, aApplied.m_counts);
+}
+
+/// The record of a start was read back: it is sent, or given up.
+void
+TaskController::Resolve(const PendingStart& aPending, bool aCounts)
+{
+  m_busy.erase(aPending.m_attempt.m_task);
+  RackRun* rack = m_racks.Find(aPending.m_rack);
+  WorkerRun* worker = rack ? m_racks.FindWorker(aPending.m_worker) : nullptr;
+  if (!worker || !worker->m_runs.contains(aPending.m_attempt)) {
     return;
   }
-  if (!aApplied.m_counts) {
-    m_racks.DropRun(*worker, pending.m_attempt); // the list stops it if it was sent
+  if (!aCounts) {
+    m_racks.DropRun(*worker, aPending.m_attempt); // the list stops it if it was sent
     return;
   }
-  Run& run = worker->m_runs[pending.m_attempt];
+  Run& run = worker->m_runs[aPending.m_attempt];
   run.m_recorded = true;
-  if (!pending.m_sent) {
-    m_racks.SendStart(*rack, *worker, pending.m_attempt, run);
+  if (!aPending.m_sent) {
+    m_racks.SendStart(*rack, *worker, aPending.m_attempt, run);
+  }
+}
+
+void
+TaskController::OnStateJump()
+{
+  const std::map<EntryToken, PendingStart> pending = std::move(m_pending);
+  m_pending.clear();
+  m_moves.clear();
+  m_busy.clear();
+  for (const auto& [token, start] : pending) {
+    const TaskState* task = m_context.m_replica.Jobs().FindTask(start.m_attempt.m_task);
+    Resolve(start,
+            task && task->m_phase == TaskPhase::Started &&
+              task->m_attempt == start.m_attempt.m_attempt && task->m_worker == start.m_worker);
   }
 }
 
--- a/unittests/Fuzz/World.cpp
+++ b/unittests/Fuzz/World.cpp
@@ -938,6 +938,26 @@
       if (job.m_local && job.m_ended < job.m_tasks.size()) {
         text << " job " << id << ' ' << egretturn::NameOf(job.Phase()) << ' ' << job.m_ended << '/'
              << job.m_tasks.size();
+        for (uint32_t i = 0; i < job.m_tasks.size(); ++i) {
+          const TaskState& task = job.m_tasks[i];
+          if (task.m_phase == TaskPhase::Waiting || task.m_phase == TaskPhase::Started) {
+            const std::string& rack = state.m_replica.Jobs().RackOf(TaskId{ id, i });
+            const RackOwner* owner = state.m_replica.Racks().Find(rack);
+            text << " [" << i << ' ' << egretturn::NameOf(task.m_phase) << " attempt "
+                 << task.m_attempt << ' ' << rack << " of "
+                 << (owner ? owner->m_owner.m_id : "nobody") << ']';
+          }
+        }
+      }
+    }
+    for (const auto& [name, rack] : node.m_core->Racks().Racks()) {
+      for (const auto& [id, worker] : rack.m_workers) {
+        for (const auto& [attempt, run] : worker.m_runs) {
+          text << " {" << worker.m_address << ' ' << attempt.m_task.m_index << " phase "
+               << static_cast<int>(run.m_phase) << (run.m_recorded ? " recorded" : "")
+               << (run.m_adopted ? " adopted" : "") << (run.m_endToken != 0 ? " ending" : "")
+               << (worker.TakesWork() ? "" : " unusable") << '}';
+        }
       }
     }
     text << "; ";
--- /dev/null
+++ b/unittests/Jobs/JobTableTest.cpp
@@ -0,0 +1,80 @@
+#include "egretturn/Jobs/JobTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+
+static JobSubmit
+Spec(const std::string& aKey, uint32_t aTasks)
+{
+  JobSubmit spec;
+  spec.m_key = aKey;
+  spec.m_kind = "plan";
+  spec.m_team = "t";
+  spec.m_tasks = aTasks;
+  spec.m_zone = "z";
+  spec.m_racks = { "r0", "r1" };
+  return spec;
+}
+
+static const TaskId kTask{ 1, 0 };
+
+TEST_CASE("the first submission with a key counts", "[jobs]")
+{
+  JobTable jobs("z");
+  CHECK(jobs.Apply(1, Spec("k", 2)).m_first);
+  const Submission again = jobs.Apply(2, Spec("k", 2));
+  CHECK_FALSE(again.m_first);
+  CHECK(again.m_sameSpec);
+  CHECK(again.m_id == 1);
+  CHECK_FALSE(jobs.Apply(3, Spec("k", 5)).m_sameSpec);
+}
+
+TEST_CASE("an attempt starts only after the one before has ended", "[jobs]")
+{
+  JobTable jobs("z");
+  jobs.Apply(1, Spec("k", 1));
+  CHECK_FALSE(jobs.Apply(TaskStart{ kTask, 2, 9, 1 }));
+  CHECK(jobs.Apply(TaskStart{ kTask, 1, 9, 1 }));
+  CHECK_FALSE(jobs.Apply(TaskStart{ kTask, 2, 8, 1 }));
+  CHECK_FALSE(jobs.Apply(TaskEnd{ kTask, 2, 1, TaskEndReason::Lapsed, "" }));
+  CHECK(jobs.Apply(TaskEnd{ kTask, 1, 1, TaskEndReason::Evicted, "half" }));
+  CHECK(jobs.FindTask(kTask)->m_checkpoint == "half");
+  CHECK(jobs.Apply(TaskStart{ kTask, 2, 8, 1 }));
+  CHECK(jobs.Apply(TaskEnd{ kTask, 2, 1, TaskEndReason::Finished, "" }));
+  CHECK_FALSE(jobs.Apply(TaskEnd{ kTask, 2, 1, TaskEndReason::Finished, "" }));
+  CHECK(jobs.Find(1)->Phase() == JobPhase::Finished);
+}
+
+TEST_CASE("a cancellation that races with completion has one answer", "[jobs]")
+{
+  JobTable first("z");
+  first.Apply(1, Spec("k", 1));
+  first.Apply(TaskStart{ kTask, 1, 9, 1 });
+  CHECK(first.Apply(JobCancel{ 1 }));
+  CHECK(first.Apply(TaskEnd{ kTask, 1, 1, TaskEndReason::Finished, "" }));
+  CHECK(first.Find(1)->Phase() == JobPhase::Finished);
+  JobTable second("z");
+  second.Apply(1, Spec("k", 1));
+  second.Apply(TaskStart{ kTask, 1, 9, 1 });
+  second.Apply(TaskEnd{ kTask, 1, 1, TaskEndReason::Finished, "" });
+  CHECK_FALSE(second.Apply(JobCancel{ 1 }));
+  CHECK(second.Find(1)->Phase() == JobPhase::Finished);
+}
+
+TEST_CASE("a snapshot gives the same state", "[jobs]")
+{
+  JobTable jobs("z");
+  jobs.Apply(1, Spec("k", 4));
+  jobs.Apply(TaskStart{ kTask, 1, 9, 1 });
+  jobs.Apply(TaskMove{ TaskId{ 1, 1 }, 1, "r0" });
+  jobs.Apply(TaskStart{ TaskId{ 1, 2 }, 1, 9, 1 });
+  jobs.Apply(TaskEnd{ TaskId{ 1, 2 }, 1, 1, TaskEndReason::Finished, "" });
+  JobTable copy("z");
+  copy.RestoreSpecs(jobs.Specs());
+  copy.RestoreTasks(jobs.RackNames(), jobs.Tasks());
+  CHECK(copy.Started("r0") == jobs.Started("r0"));
+  CHECK(copy.Waiting("r0").size() == jobs.Waiting("r0").size());
+  CHECK(copy.Waiting("r1").size() == jobs.Waiting("r1").size());
+  CHECK(copy.Find(1)->m_finished == 1);
+}
--- /dev/null
+++ b/unittests/Support/SupportTest.cpp
@@ -0,0 +1,48 @@
+#include "egretturn/Support/Base64.h"
+#include "egretturn/Support/BoundedRing.h"
+#include "egretturn/Support/Latency.h"
+#include "egretturn/Support/Log.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+
+TEST_CASE("base64 gives back every length", "[support]")
+{
+  std::string bytes;
+  for (int i = 0; i < 70; ++i) {
+    const std::string text = ToBase64(bytes);
+    REQUIRE(IsBase64(text));
+    CHECK(FromBase64(text) == bytes);
+    bytes.push_back(static_cast<char>(i * 37));
+  }
+  CHECK_FALSE(IsBase64("a b"));
+}
+
+TEST_CASE("a full ring refuses, except for what must not be lost", "[support]")
+{
+  BoundedRing<int> ring(2);
+  CHECK(ring.TryPush(1));
+  CHECK(ring.TryPush(2));
+  CHECK_FALSE(ring.TryPush(3));
+  CHECK(ring.PushReserved(4));
+  CHECK(ring.PopAll(Duration::zero()) == std::vector<int>{ 1, 2, 4 });
+  ring.Close();
+  CHECK_FALSE(ring.PushReserved(5));
+}
+
+TEST_CASE("latency quantiles are within the width of a bin", "[support]")
+{
+  LatencyHistogram histogram;
+  for (int ms = 1; ms <= 1000; ++ms) {
+    histogram.Record(std::chrono::milliseconds(ms));
+  }
+  CHECK(ToMillis(histogram.Quantile(0.5)) == Approx(500).epsilon(0.09));
+  CHECK(ToMillis(histogram.Quantile(0.99)) == Approx(990).epsilon(0.09));
+}
+
+TEST_CASE("log values with spaces and quotes stay one value", "[support]")
+{
+  CHECK(LogLine(LogLevel::Info, "e").Add("k", "a \"b\"\n").Add("n", 5).Text() ==
+        "event=e k=\"a \\\"b\\\" \" n=5");
+}
