Measure the policy against baselines; keep noisy work and requests apart

Two causes: a kind that fitted nowhere hid the kinds behind it in the rack's queue, and noisy kinds had no place to go. Change: blocked kinds are passed over without using up the scan; while the services need fewer workers, some workers of each rack are left to noisy work and requests go there only when no other has a slot; latency bins of 2.6%.

--- /dev/null
+++ b/benchmarks/Forwarder.cpp
@@ -0,0 +1,34 @@
+// A bare forwarder: a server and a client without decisions, the limit for the daemon's data plane.
+#include "egretturn/Http/Http.h"
+
+#include <iostream>
+
+using namespace egretturn;
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount < 3) {
+    std::cerr << "usage: bare-forwarder LISTEN TARGET\n";
+    return 2;
+  }
+  const std::string target = aArguments[2];
+  boost::asio::io_context io(1);
+  HttpClient client(io, 8 * 1024 * 1024);
+  HttpServer server(
+    io, HttpLimits{}, [&](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
+      client.Send(
+        target, std::move(aRequest), std::chrono::seconds(30), [aReply](ClientAnswer aAnswer) {
+          const bool answered = aAnswer.m_result == ClientResult::Answered;
+          aReply->Send(answered ? std::move(aAnswer.m_response)
+                                : MakeResponse(502, "text/plain", "no answer\n"));
+        });
+    });
+  const Expected<void> listening = server.Listen(aArguments[1]);
+  if (!listening) {
+    std::cerr << listening.error().Text() << '\n';
+    return 1;
+  }
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/benchmarks/PolicyBench.cpp
@@ -0,0 +1,170 @@
+// Prints the users' measures for each scenario: this policy, the baselines and the bounds.
+#include "PolicyWorld.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <future>
+
+using namespace egretturn;
+using namespace egretturn::bench;
+
+static constexpr uint64_t kTuningSeeds[] = { 11, 12 };
+static constexpr uint64_t kReportSeeds[] = { 9001, 9002 };
+static constexpr Duration kLength = std::chrono::seconds(240);
+static constexpr size_t kParallel = 6;
+
+struct Variant
+{
+  const char* m_name;
+  DecisionOptions m_options;
+  bool m_batch;
+};
+
+static std::vector<Scenario>
+Scenarios()
+{
+  std::vector<Scenario> all(10);
+  all[0].m_name = "noisy waves";
+  all[0].m_waves = true;
+  all[1].m_name = "black holes";
+  all[1].m_blackHoles = 3;
+  all[2].m_name = "sizes 10x wrong";
+  all[2].m_sizeError = 10;
+  all[3].m_name = "load shift";
+  all[3].m_loadShift = true;
+  all[4].m_name = "rack lost";
+  all[4].m_rackLost = true;
+  all[5].m_name = "log down";
+  all[5].m_logDown = true;
+  all[6].m_name = "cancel wave";
+  all[6].m_cancelWave = true;
+  all[7].m_name = "hopeless jobs";
+  all[7].m_hopeless = true;
+  all[8].m_name = "sizes 10x low";
+  all[8].m_sizeError = 0.1;
+  all[9].m_name = "steady";
+  return all;
+}
+
+static std::vector<Variant>
+Variants()
+{
+  DecisionOptions random;
+  random.m_routing = RoutingRule::Random;
+  random.m_placement = PlacementMode::Random;
+  random.m_react = false;
+  DecisionOptions declared;
+  declared.m_learnSizes = false;
+  DecisionOptions noModel;
+  noModel.m_placement = PlacementMode::NoInterference;
+  noModel.m_react = false;
+  DecisionOptions least;
+  least.m_routing = RoutingRule::LeastOutstanding;
+  return { { "this version", DecisionOptions{}, true },
+           { "random", random, true },
+           { "declared sizes", declared, true },
+           { "no interference", noModel, true },
+           { "least outst.", least, true },
+           { "service alone", DecisionOptions{}, false } };
+}
+
+/// The sums over the seeds.
+struct Row
+{
+  double m_p50 = 0;
+  double m_p99 = 0;
+  double m_p999 = 0;
+  double m_late = 0;
+  double m_notRun = 0;
+  double m_batch = 0;
+  double m_evictions = 0;
+  uint64_t m_lateByFailing = 0;
+};
+
+static Row
+RunVariant(const Site& aSite,
+           Scenario aScenario,
+           const Variant& aVariant,
+           const std::vector<uint64_t>& aSeeds)
+{
+  aScenario.m_batch = aVariant.m_batch;
+  Row row;
+  for (const uint64_t seed : aSeeds) {
+    const Measured one = RunScenario(aSite, aScenario, aVariant.m_options, seed, kLength);
+    const double share = 1.0 / static_cast<double>(aSeeds.size());
+    const double asked = static_cast<double>(std::max<uint64_t>(one.m_asked, 1));
+    const auto ms = [&one](double aQuantile) {
+      return static_cast<double>(one.m_latency.Quantile(aQuantile).count()) / 1000;
+    };
+    row.m_p50 += share * ms(0.5);
+    row.m_p99 += share * ms(0.99);
+    row.m_p999 += share * ms(0.999);
+    row.m_late += share * 100 * static_cast<double>(one.m_late) / asked;
+    row.m_notRun += share * 100 * static_cast<double>(one.m_notRun) / asked;
+    row.m_batch += share * static_cast<double>(one.m_finished) / one.m_bound;
+    row.m_evictions += share * 1000 * static_cast<double>(one.m_evictions) /
+                       static_cast<double>(std::max<uint64_t>(one.m_starts, 1));
+    row.m_lateByFailing += one.m_lateByFailing;
+  }
+  return row;
+}
+
+static void
+PrintSite(const Site& aSite, const std::vector<uint64_t>& aSeeds, const std::string& aOnly)
+{
+  std::printf("\n%s: %zu workers, tail weight %.1f\n",
+              aSite.m_name.c_str(),
+              aSite.m_workers,
+              aSite.m_tailWeight);
+  std::printf("%-16s %-16s %8s %8s %8s %7s %8s %7s %8s %6s\n",
+              "scenario",
+              "policy",
+              "p50 ms",
+              "p99 ms",
+              "p99.9",
+              "late %",
+              "not run%",
+              "batch",
+              "evict/k",
+              "lateBH");
+  for (const Scenario& scenario : Scenarios()) {
+    if (!aOnly.empty() && scenario.m_name != aOnly) {
+      continue;
+    }
+    std::vector<std::future<Row>> rows;
+    const std::vector<Variant> variants = Variants();
+    for (const Variant& variant : variants) {
+      rows.push_back(std::async(std::launch::async, RunVariant, aSite, scenario, variant, aSeeds));
+    }
+    for (size_t i = 0; i < variants.size(); ++i) {
+      const Row row = rows[i].get();
+      std::printf("%-16s %-16s %8.1f %8.1f %8.1f %7.3f %8.3f %7.3f %8.1f %6zu\n",
+                  scenario.m_name.c_str(),
+                  variants[i].m_name,
+                  row.m_p50,
+                  row.m_p99,
+                  row.m_p999,
+                  row.m_late,
+                  row.m_notRun,
+                  row.m_batch,
+                  row.m_evictions,
+                  static_cast<size_t>(row.m_lateByFailing));
+    }
+    std::fflush(stdout);
+  }
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  static_assert(kParallel >= 6, "one thread a variant");
+  const bool tuning = aCount > 1 && std::string(aArguments[1]) == "--tuning";
+  const std::string only = aCount > 2 ? aArguments[2] : "";
+  const std::vector<uint64_t> seeds =
+    tuning ? std::vector<uint64_t>(std::begin(kTuningSeeds), std::end(kTuningSeeds))
+           : std::vector<uint64_t>(std::begin(kReportSeeds), std::end(kReportSeeds));
+  std::printf("seeds for %s\n", tuning ? "tuning" : "reporting");
+  PrintSite(Site{ "huon", 50, 8, Resources{ 16'000, 60'000, 0 }, 0.9 }, seeds, only);
+  PrintSite(Site{ "prairie", 65, 11, Resources{ 32'000, 125'000, 0 }, 0.2 }, seeds, only);
+  return 0;
+}
--- a/include/egretturn/Core/Context.h
+++ b/include/egretturn/Core/Context.h
@@ -5,6 +5,8 @@
 #include "egretturn/Core/Events.h"
 #include "egretturn/Core/Replica.h"
 #include "egretturn/Membership/Members.h"
+#include "egretturn/Placement/Placer.h"
+#include "egretturn/Routing/Router.h"
 #include "egretturn/Support/Random.h"
 
 #include <string>
@@ -13,6 +15,15 @@
 
 namespace egretturn {
 
+/// How decisions are made. Other than the defaults are baselines for measurements.
+struct DecisionOptions
+{
+  RoutingRule m_routing = RoutingRule::TwoChoices;
+  PlacementMode m_placement = PlacementMode::Full;
+  bool m_learnSizes = true; ///< Reserve by observed peaks instead of declared sizes.
+  bool m_react = true;      ///< Throttle and evict against interference.
+};
+
 /// Shared state of one core. Not thread-safe; used by the decision thread only.
 struct Context
 {
@@ -28,6 +39,7 @@
   Instant m_startedAt{};
   Instant m_zoneReadAt{};   ///< Start of the last read that reached the end of the zone stream.
   Instant m_intakeReadAt{}; ///< The same for the intake stream.
+  DecisionOptions m_options;
   bool m_leaving = false;
   bool m_ready = false;
   std::string m_notReadyReason = "starting";
--- a/include/egretturn/Core/Core.h
+++ b/include/egretturn/Core/Core.h
@@ -17,7 +17,10 @@
 {
 public:
   /// \p aSelf carries an incarnation that no earlier run of this id has used.
-  Core(const Settings& aSettings, InstanceId aSelf, uint64_t aSeed);
+  Core(const Settings& aSettings,
+       InstanceId aSelf,
+       uint64_t aSeed,
+       const DecisionOptions& aOptions = DecisionOptions{});
   Core(const Core&) = delete;
   Core& operator=(const Core&) = delete;
 
--- a/include/egretturn/Core/Racks.h
+++ b/include/egretturn/Core/Racks.h
@@ -73,6 +73,7 @@
   uint64_t m_listCall = 0; ///< In flight; zero for none.
   Instant m_renewedAt{};
   ReactionLevel m_reaction = ReactionLevel::None;
+  bool m_spare = false; ///< Left to noisy batch work while the services need fewer workers.
   uint32_t m_reactionVotes = 0;
   Instant m_reactedAt{};
 
--- a/include/egretturn/Core/Tasks.h
+++ b/include/egretturn/Core/Tasks.h
@@ -27,7 +27,7 @@
 class TaskController
 {
 public:
-  TaskController(Context& aContext, RackController& aRacks, const RouterMap& aRouters);
+  TaskController(Context& aContext, RackController& aRacks, RouterMap& aRouters);
 
   void Tick();
   void OnApplied(const Applied& aApplied, EntryToken aToken);
@@ -84,6 +84,8 @@
   std::vector<ServiceLoad> LoadsOn(const WorkerRun& aWorker) const;
 
   void React();
+  void ChooseSpare(RackRun& aRack);
+  double NoiseOf(const WorkerRun& aWorker) const;
   void ReactOn(RackRun& aRack, WorkerRun& aWorker, double aSlowdown, const SlowdownLimits& aLimits);
   double ObserveWorker(const WorkerRun& aWorker);
   double BaselineUs(const std::string& aService, const Router& aRouter);
@@ -92,7 +94,7 @@
 
   Context& m_context;
   RackController& m_racks;
-  const RouterMap& m_routers;
+  RouterMap& m_routers;
   std::map<EntryToken, PendingStart> m_pending;
   std::set<TaskId> m_busy; ///< Tasks with a start or move on its way to the log.
   std::map<EntryToken, TaskId> m_moves;
@@ -103,6 +105,7 @@
   std::map<std::string, double> m_baselines;
   double m_ownedShare = 0; ///< Of all processors of the configuration.
   Instant m_movedReset{};
+  std::map<std::string, double> m_serviceLoad; ///< Of each rack, from 0 to 1; falls slowly.
   Instant m_reactedAt{};
 };
 
--- a/include/egretturn/Placement/Placer.h
+++ b/include/egretturn/Placement/Placer.h
@@ -26,6 +26,7 @@
   Resources m_free;
   const TaskMix* m_mix = nullptr; ///< What runs there now.
   std::vector<ServiceLoad> m_services;
+  bool m_spare = false; ///< Requests avoid it, so that noisy work may go there.
   bool m_usable = true; ///< Healthy, not leaving, not held back.
 };
 
--- a/include/egretturn/Routing/Router.h
+++ b/include/egretturn/Routing/Router.h
@@ -25,6 +25,7 @@
   double m_failureRate = 0; ///< Moving share of failures.
   uint32_t m_samples = 0;
   Instant m_sampledAt{};
+  bool m_spare = false; ///< Left to noisy batch work; asked only when no other has a slot.
   Instant m_ejectedUntil{};
   uint32_t m_ejections = 0;
 };
@@ -70,6 +71,9 @@
   /// Frees a slot of \p aWorker and learns from the answer. Unknown workers are ignored.
   void Done(WorkerId aWorker, Duration aLatency, bool aFailed, Instant aNow);
 
+  /// Marks whether \p aWorker is left to noisy batch work.
+  void SetSpare(WorkerId aWorker, bool aSpare);
+
   /// Frees a slot of \p aWorker without learning.
   void Free(WorkerId aWorker);
 
--- a/include/egretturn/Standin/WorkerModel.h
+++ b/include/egretturn/Standin/WorkerModel.h
@@ -73,6 +73,7 @@
     Instant m_endsAt{};
     Duration m_startedWith{};
     std::string m_checkpoint;
+    bool m_fails = false;     ///< It will fail instead of finishing.
     bool m_forgotten = false; ///< Not listed any more, but remembered.
     size_t m_record = 0;      ///< In the history.
   };
--- a/lib/Core/Core.cpp
+++ b/lib/Core/Core.cpp
@@ -21,13 +21,17 @@
                                                             Stream::Intake,
                                                             Stream::Zone };
 
-Core::Core(const Settings& aSettings, InstanceId aSelf, uint64_t aSeed)
+Core::Core(const Settings& aSettings,
+           InstanceId aSelf,
+           uint64_t aSeed,
+           const DecisionOptions& aOptions)
   : m_context(aSettings, std::move(aSelf), aSeed)
   , m_racks(m_context)
   , m_tasks(m_context, m_racks, m_routers)
   , m_requests(m_context, m_racks, m_routers)
   , m_operators(m_context, m_racks, m_tasks, m_requests)
 {
+  m_context.m_options = aOptions;
 }
 
 std::vector<Action>
--- a/lib/Core/Racks.cpp
+++ b/lib/Core/Racks.cpp
@@ -153,7 +153,9 @@
   }
   const Resources& declared = kind->second.m_size;
   const std::map<std::string, KindFit>::const_iterator fit = m_fits.find(aKind);
-  Resources size = fit == m_fits.end() ? declared : fit->second.Reservation(declared);
+  Resources size = fit == m_fits.end() || !m_context.m_options.m_learnSizes
+                     ? declared
+                     : fit->second.Reservation(declared);
   // A kind that has outgrown its declaration still has to fit in an empty worker.
   const Resources whole = aWorker.m_size - ServiceReserve(model, aWorker.m_pool);
   if (declared.FitsIn(whole)) {
--- a/lib/Core/Reactions.cpp
+++ b/lib/Core/Reactions.cpp
@@ -10,6 +10,9 @@
 static constexpr uint32_t kVotesToStep = 3;  // reports in a row before a harder step
 static constexpr uint32_t kVotesToRelax = 5; // reports in a row before a milder one
 static constexpr Duration kBetweenEvictions = std::chrono::seconds(15);
+static constexpr double kLoadOfServing = 0.8; // of the slots of workers that take requests
+static constexpr double kLoadFall = 0.02;     // of the measured load towards a lower one, a second
+static constexpr double kStaySpare = 0.1;     // noise that makes up for moving tasks
 static constexpr uint32_t kThrottledPercent = 50;
 static constexpr double kBaselineGain = 0.2;
 static constexpr uint32_t kMinSamples = 5; // of a target's latency
@@ -74,7 +77,7 @@
 void
 TaskController::React()
 {
-  if (m_context.m_now - m_reactedAt < kReactInterval) {
+  if (!m_context.m_options.m_react || m_context.m_now - m_reactedAt < kReactInterval) {
     return;
   }
   m_reactedAt = m_context.m_now;
@@ -84,6 +87,7 @@
   m_racks.Interference().Fade();
   const SlowdownLimits limits = LimitsFor(m_context.Config().m_policy.m_tailWeight);
   for (auto& [name, rack] : m_racks.Racks()) {
+    ChooseSpare(rack);
     for (auto& [id, worker] : rack.m_workers) {
       if (worker.m_listed && !worker.m_lapsed) {
         ReactOn(rack, worker, ObserveWorker(worker), limits);
@@ -92,6 +96,54 @@
   }
 }
 
+/// Slowdown that the tasks on \p aWorker are expected to cause.
+double
+TaskController::NoiseOf(const WorkerRun& aWorker) const
+{
+  double noise = 0;
+  for (const auto& [name, service] : m_context.Config().m_services) {
+    // By the band of a moderate load, whether or not requests come there now.
+    noise += m_racks.Interference().Predict(name, 1, aWorker.m_mix.Now()) - 1;
+  }
+  return noise;
+}
+
+/// While the services need fewer workers than there are, requests keep to some of them and noisy
+/// batch work to the others. The noisiest stay spare, so that few tasks have to move.
+void
+TaskController::ChooseSpare(RackRun& aRack)
+{
+  double outstanding = 0;
+  double slots = 0;
+  for (const auto& [name, service] : m_context.Config().m_services) {
+    const RouterMap::const_iterator router = m_routers.find(name);
+    for (const auto& [id, worker] : aRack.m_workers) {
+      const Target* target = router == m_routers.end() ? nullptr : router->second.Find(id);
+      outstanding += target ? target->m_outstanding : 0;
+      slots += target ? service.m_slots : 0;
+    }
+  }
+  double& load = m_serviceLoad[aRack.m_rack];
+  const double now = slots > 0 ? outstanding / slots : 0;
+  load = std::max(now, load + kLoadFall * (now - load));
+  const double room = std::max(0.0, 1 - load / kLoadOfServing);
+  const size_t count = static_cast<size_t>(room * static_cast<double>(aRack.m_workers.size()));
+  std::vector<std::pair<double, WorkerRun*>> byNoise;
+  for (auto& [id, worker] : aRack.m_workers) {
+    byNoise.emplace_back(NoiseOf(worker) + (worker.m_spare ? kStaySpare : 0), &worker);
+  }
+  std::sort(byNoise.begin(), byNoise.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first != aRight.first ? aLeft.first > aRight.first
+                                       : aLeft.second->m_id < aRight.second->m_id;
+  });
+  for (size_t i = 0; i < byNoise.size(); ++i) {
+    byNoise[i].second->m_spare = i < count;
+    for (auto& [name, router] : m_routers) {
+      router.SetSpare(byNoise[i].second->m_id, i < count);
+    }
+  }
+}
+
 /// The step that \p aSlowdown asks for.
 static ReactionLevel
 WantedLevel(double aSlowdown, const SlowdownLimits& aLimits)
@@ -111,8 +163,9 @@
                         double aSlowdown,
                         const SlowdownLimits& aLimits)
 {
-  const ReactionLevel wanted =
-    aWorker.m_runs.empty() ? ReactionLevel::None : WantedLevel(aSlowdown, aLimits);
+  const ReactionLevel wanted = aWorker.m_runs.empty() || aWorker.m_spare
+                                 ? ReactionLevel::None
+                                 : WantedLevel(aSlowdown, aLimits);
   if (wanted == aWorker.m_reaction && wanted != ReactionLevel::Evict) {
     aWorker.m_reactionVotes = 0;
     return;
--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -719,7 +719,7 @@
         }
       }
     }
-    Router& router = m_routers[name];
+    Router& router = m_routers.try_emplace(name, m_context.m_options.m_routing).first->second;
     router.Configure(service.m_slots, model.m_policy.m_tailWeight, model.m_policy.m_ejectShare);
     router.SetTargets(targets);
   }
--- a/lib/Core/Tasks.cpp
+++ b/lib/Core/Tasks.cpp
@@ -8,6 +8,7 @@
 namespace egretturn {
 
 static constexpr size_t kScanPerTick = 64;   // waiting tasks considered for a rack
+static constexpr size_t kSkipPerTick = 2000; // of kinds that fit nowhere now
 static constexpr size_t kStartsPerTick = 32; // of a rack; 32 every 20 ms is 1,600 a second
 static constexpr Duration kMoveAfter = std::chrono::milliseconds(500);
 static constexpr Duration kPreemptAgain = std::chrono::seconds(2);
@@ -17,7 +18,7 @@
 static constexpr double kUrgentSlack = 100;
 static constexpr size_t kHopelessWorkers = 3; // distinct healthy workers on which a task failed
 
-TaskController::TaskController(Context& aContext, RackController& aRacks, const RouterMap& aRouters)
+TaskController::TaskController(Context& aContext, RackController& aRacks, RouterMap& aRouters)
   : m_context(aContext)
   , m_racks(aRacks)
   , m_routers(aRouters)
@@ -132,8 +133,14 @@
       return; // what frees up next belongs to a team within its quota
     }
     size_t scanned = 0;
+    size_t skipped = 0;
     for (const WaitingTask& task : m_context.m_replica.Jobs().Waiting(aRack.m_rack)) {
-      if (m_busy.contains(task.m_task) || m_racks.IsAdopting(task.m_task)) {
+      const std::string& kind = m_context.m_replica.Jobs().Find(task.m_task.m_job)->m_spec.m_kind;
+      const bool blocked = !task.m_urgent && scan.m_blockedKinds.contains(kind);
+      if (blocked && ++skipped > kSkipPerTick) {
+        break;
+      }
+      if (blocked || m_busy.contains(task.m_task) || m_racks.IsAdopting(task.m_task)) {
         continue;
       }
       if (++scanned > kScanPerTick || started >= kStartsPerTick) {
@@ -150,9 +157,6 @@
   const JobTable& jobs = m_context.m_replica.Jobs();
   const Job& job = *jobs.Find(aTask.m_task.m_job);
   const std::string& kind = job.m_spec.m_kind;
-  if (aScan.m_blockedKinds.contains(kind) && !aTask.m_urgent) {
-    return false;
-  }
   if (!m_context.LogFresh() && !job.m_spec.m_restartable) {
     NoteWait(aTask.m_task, PlacementReason::NoRoom, "the log is unreachable");
     return false;
@@ -248,7 +252,8 @@
     }
     views.push_back(std::move(view));
   }
-  const Placer placer(m_racks.Interference(), PlacementMode::Full, model.m_policy.m_tailWeight);
+  const Placer placer(
+    m_racks.Interference(), m_context.m_options.m_placement, model.m_policy.m_tailWeight);
   return placer.Choose(aJob.m_spec.m_kind, aSize, views, m_context.m_random.Next(), aSlack);
 }
 
--- a/lib/Placement/Placer.cpp
+++ b/lib/Placement/Placer.cpp
@@ -14,10 +14,11 @@
   { PlacementReason::NeverFits, "never_fits" },
 } };
 
-static constexpr double kHoldAtTail = 1.04;   // limits at weight 1 ...
+static constexpr double kHoldAtTail = 1.08;   // limits at weight 1 ...
 static constexpr double kHoldAtBatch = 1.30;  // ... and at weight 0
 static constexpr double kThrottleStep = 0.12; // above the limit before
 static constexpr double kEvictStep = 0.35;
+static constexpr double kSpareCost = 2;          // against the other scores, which stay below it
 static constexpr uint32_t kUnknownPerWorker = 1; // tasks of a pair not seen yet, on one worker
 
 std::string_view
@@ -72,7 +73,9 @@
   const double processors = share(after.m_milliCores, aView.m_size.m_milliCores);
   const double memory = share(after.m_memoryMb, aView.m_size.m_memoryMb);
   const double packing = 0.5 * (processors + memory) + std::abs(processors - memory);
-  return (1 - m_tailWeight) * packing + (0.2 + m_tailWeight) * (aSlowdown - 1) * 4;
+  // Spare workers are for what may not go elsewhere.
+  const double spare = aView.m_spare ? kSpareCost : 0;
+  return spare + (1 - m_tailWeight) * packing + (0.2 + m_tailWeight) * (aSlowdown - 1) * 4;
 }
 
 PlacementChoice
@@ -100,7 +103,7 @@
       continue;
     }
     anyRoom = true;
-    const bool full = m_rule == PlacementMode::Full;
+    const bool full = m_rule == PlacementMode::Full && !view.m_spare;
     const double slowdown = full ? PredictedSlowdown(aKind, view, limit) : 1;
     if (full && slowdown > limit) {
       continue;
--- a/lib/Routing/Router.cpp
+++ b/lib/Routing/Router.cpp
@@ -74,18 +74,24 @@
 {
   for (int i = 0; i < kRandomPicks; ++i) {
     const size_t pick = aRandom.Below(m_targets.size());
-    if (Usable(m_targets[pick], aNow, aAvoid)) {
+    if (!m_targets[pick].m_spare && Usable(m_targets[pick], aNow, aAvoid)) {
       return pick;
     }
   }
+  // Few are free, or most of the free ones are spare: the first that is not, else any.
+  std::optional<size_t> spare;
   const size_t start = aRandom.Below(m_targets.size());
   for (size_t i = 0; i < m_targets.size(); ++i) {
     const size_t pick = (start + i) % m_targets.size();
-    if (Usable(m_targets[pick], aNow, aAvoid)) {
+    if (!Usable(m_targets[pick], aNow, aAvoid)) {
+      continue;
+    }
+    if (!m_targets[pick].m_spare) {
       return pick;
     }
+    spare = spare ? spare : pick;
   }
-  return std::nullopt;
+  return spare;
 }
 
 std::optional<RouteChoice>
@@ -112,7 +118,7 @@
     return choice;
   }
   const size_t second = aRandom.Below(m_targets.size());
-  if (second == *first || !Usable(m_targets[second], aNow, aAvoid)) {
+  if (second == *first || m_targets[second].m_spare || !Usable(m_targets[second], aNow, aAvoid)) {
     return choice;
   }
   choice.m_other = m_targets[second].m_worker;
@@ -133,6 +139,15 @@
   ++m_totalOutstanding;
 }
 
+void
+Router::SetSpare(WorkerId aWorker, bool aSpare)
+{
+  const std::unordered_map<WorkerId, size_t>::const_iterator it = m_index.find(aWorker);
+  if (it != m_index.end()) {
+    m_targets[it->second].m_spare = aSpare;
+  }
+}
+
 void
 Router::Free(WorkerId aWorker)
 {
--- a/lib/Standin/WorkerModel.cpp
+++ b/lib/Standin/WorkerModel.cpp
@@ -105,6 +105,7 @@
   entry.m_startedWith = done;
   entry.m_endsAt =
     m_failsAll ? aNow + kFailsAfter : aNow + std::max(truth.m_runTime - done, kFailsAfter);
+  entry.m_fails = m_failsAll;
   entry.m_record = m_history.size();
   m_history.push_back(RunRecord{ aCall.m_run, aNow, Instant::max(), RunState::Running, done });
   return WorkerAnswer::Ok;
@@ -149,7 +150,7 @@
       continue;
     }
     if (entry.m_endsAt <= std::min(aNow, entry.m_leaseUntil)) {
-      End(entry, m_failsAll ? RunState::Failed : RunState::Finished, entry.m_endsAt);
+      End(entry, entry.m_fails ? RunState::Failed : RunState::Finished, entry.m_endsAt);
     } else if (entry.m_leaseUntil <= aNow) {
       End(entry, RunState::Stopped, entry.m_leaseUntil);
     }
--- a/lib/Support/Latency.cpp
+++ b/lib/Support/Latency.cpp
@@ -6,7 +6,7 @@
 
 static constexpr double kLowestUs = 10;
 static constexpr double kHighestUs = 1e9;
-static constexpr unsigned kBins = 240; // 30 bins a decade
+static constexpr unsigned kBins = 720; // 90 bins a decade, 2.6% each
 
 LatencyHistogram::LatencyHistogram()
   : m_bins(std::make_tuple(Axis(kBins, kLowestUs, kHighestUs)))
