--- a/include/egretturn/Daemon/DutyLoop.h
+++ b/include/egretturn/Daemon/DutyLoop.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <thread>
+#include <vector>
 
 namespace egretturn {
 
@@ -29,8 +30,8 @@
   /// Starts the thread. \pre Called once.
   void Start(Handler aHandler);
 
-  /// Hands \p aAction to the thread. Returns false, with the action dropped, when the ring is full.
-  bool Submit(Action aAction);
+  /// Hands over all of \p aActions at once and clears it. Returns how many were dropped.
+  size_t SubmitAll(std::vector<Action>& aActions);
 
   /// Handles what was submitted, then ends the thread.
   void Stop();
--- a/include/egretturn/Daemon/Shell.h
+++ b/include/egretturn/Daemon/Shell.h
@@ -27,6 +27,7 @@
   void WatchSignals();
   void Carry(std::vector<Action> aActions);
   void CarryOne(Action aAction);
+  void HandOver();
   void PublishStatus();
   bool HasEnded() const;
 
@@ -47,6 +48,10 @@
   WorkerLink m_workerLink;
   PeerLink m_peerLink;
   boost::asio::signal_set m_signals;
+  std::vector<Action> m_dataBatch;
+  std::vector<Action> m_logBatch;
+  std::vector<Action> m_workerBatch;
+  std::vector<Action> m_peerBatch;
   uint64_t m_droppedActions = 0;
   Instant m_exitAt{};
 };
--- a/include/egretturn/Support/BoundedRing.h
+++ b/include/egretturn/Support/BoundedRing.h
@@ -3,6 +3,7 @@
 
 #include "egretturn/Support/Time.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <utility>
@@ -27,6 +28,22 @@
   /// refuses it.
   bool PushReserved(T aItem) { return Push(std::move(aItem), SIZE_MAX); }
 
+  /// Appends as many of \p aItems as there is room for, and clears it. Returns how many were
+  /// dropped.
+  size_t PushAll(std::vector<T>& aItems)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const size_t room = m_closed || m_items.size() >= m_capacity ? 0 : m_capacity - m_items.size();
+    const size_t taken = std::min(room, aItems.size());
+    const size_t dropped = aItems.size() - taken;
+    for (size_t i = 0; i < taken; ++i) {
+      m_items.push_back(std::move(aItems[i]));
+    }
+    aItems.clear();
+    m_ready.notify_all();
+    return dropped;
+  }
+
   /// Moves all items out, waiting up to \p aWait for the first. Empty on timeout or when closed.
   std::vector<T> PopAll(Duration aWait)
   {
--- a/lib/Daemon/DutyLoop.cpp
+++ b/lib/Daemon/DutyLoop.cpp
@@ -22,16 +22,17 @@
   m_thread = std::thread([this] { m_io.run(); });
 }
 
-bool
-DutyLoop::Submit(Action aAction)
+size_t
+DutyLoop::SubmitAll(std::vector<Action>& aActions)
 {
-  if (!m_ring.TryPush(std::move(aAction))) {
-    return false;
+  if (aActions.empty()) {
+    return 0;
   }
+  const size_t dropped = m_ring.PushAll(aActions);
   if (!m_scheduled.exchange(true)) {
     boost::asio::post(m_io, [this] { Drain(); });
   }
-  return true;
+  return dropped;
 }
 
 void
--- a/lib/Daemon/Shell.cpp
+++ b/lib/Daemon/Shell.cpp
@@ -85,6 +85,7 @@
       Carry(m_core.Step(TickEvent{}, now));
       tickAt = now + kTickInterval;
     }
+    HandOver();
     if (now >= statusAt) {
       PublishStatus();
       statusAt = now + kStatusInterval;
@@ -110,7 +111,7 @@
   }
 }
 
-/// The loop that carries out \p aAction.
+/// Puts \p aAction with those of its loop.
 void
 Shell::CarryOne(Action aAction)
 {
@@ -123,16 +124,27 @@
     boost::asio::post(m_dataLoop.Io(), [this] { m_dataPlane.StopAccepting(); });
     return;
   }
-  DutyLoop* loop = &m_dataLoop;
+  std::vector<Action>* batch = &m_dataBatch;
   if (std::holds_alternative<ReadLog>(aAction) || std::holds_alternative<AppendLog>(aAction)) {
-    loop = &m_logLoop;
+    batch = &m_logBatch;
   } else if (std::holds_alternative<CallWorker>(aAction)) {
-    loop = &m_workerLoop;
+    batch = &m_workerBatch;
   } else if (std::holds_alternative<SendPeer>(aAction)) {
-    loop = &m_peerLoop;
+    batch = &m_peerBatch;
   }
-  // A dropped call counts as one without an answer: it is repeated, or its request times out.
-  m_droppedActions += loop->Submit(std::move(aAction)) ? 0 : 1;
+  batch->push_back(std::move(aAction));
+}
+
+/// Hands over what a round of events has decided: one wake-up for each loop instead of one an
+/// action. A dropped call counts as one without an answer: it is repeated, or its request times
+/// out.
+void
+Shell::HandOver()
+{
+  m_droppedActions += m_dataLoop.SubmitAll(m_dataBatch);
+  m_droppedActions += m_logLoop.SubmitAll(m_logBatch);
+  m_droppedActions += m_workerLoop.SubmitAll(m_workerBatch);
+  m_droppedActions += m_peerLoop.SubmitAll(m_peerBatch);
 }
 
 static void
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -26,6 +26,8 @@
 
 static constexpr size_t kLogQueueLines = 65536; // about one second of decisions at full load
 
+static constexpr Duration kGather = std::chrono::milliseconds(20);
+
 namespace {
 
 /// The log thread with its ring; one for the process.
@@ -115,19 +117,32 @@
   return *this;
 }
 
+/// Appends \p aLine with its time, level and instance to \p aText.
+static void
+AppendLine(std::string& aText, const LogLine& aLine, const std::string& aInstance)
+{
+  const int64_t wallMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  aText.append(aText.empty() ? "ts=" : "\nts=").append(std::to_string(wallMs));
+  aText.append(" level=").append(NameOf(aLine.Level()));
+  aText.append(" instance=").append(aInstance).append(1, ' ').append(aLine.Text());
+}
+
 static void
 WriteLines(LogService* aService)
 {
   boost::log::sources::logger logger;
   while (sService.load() == aService || aService->m_ring.Size() > 0) {
-    std::vector<LogLine> lines = aService->m_ring.PopAll(std::chrono::milliseconds(200));
-    for (const LogLine& line : lines) {
-      const int64_t wallMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-                               std::chrono::system_clock::now().time_since_epoch())
-                               .count();
-      BOOST_LOG(logger) << "ts=" << wallMs << " level=" << NameOf(line.Level())
-                        << " instance=" << aService->m_instance << ' ' << line.Text();
+    // Lines are gathered, so that a busy instance pays one write for many of them.
+    std::string text;
+    for (const LogLine& line : aService->m_ring.PopAll(Duration::zero())) {
+      AppendLine(text, line, aService->m_instance);
+    }
+    if (!text.empty()) {
+      BOOST_LOG(logger) << text;
     }
+    std::this_thread::sleep_for(kGather);
   }
 }
 
--- a/unittests/Fuzz/FuzzMain.cpp
+++ b/unittests/Fuzz/FuzzMain.cpp
@@ -9,12 +9,15 @@
 
 static constexpr size_t kSteps = 50;
 
-/// Leaves out steps while the sequence still fails.
+static constexpr size_t kShrinkRuns = 150; // a failing run may wait out its whole healing time
+
+/// Leaves out steps while the sequence still fails, within a number of runs.
 static std::vector<Step>
 Shrink(uint64_t aSeed, std::vector<Step> aSteps)
 {
+  size_t runs = 0;
   for (size_t block = aSteps.size() / 2; block > 0; block /= 2) {
-    for (size_t at = 0; at + block <= aSteps.size();) {
+    for (size_t at = 0; at + block <= aSteps.size() && ++runs < kShrinkRuns;) {
       std::vector<Step> fewer = aSteps;
       const std::vector<Step>::iterator from = fewer.begin() + static_cast<long>(at);
       fewer.erase(from, from + static_cast<long>(block));
