Split the largest files by job

Change: lists of workers, keyed requests, forwarding, operations of the world and the oracle stand in files of their own; no logic changed.

--- /dev/null
+++ b/lib/Core/Forwarding.cpp
@@ -0,0 +1,96 @@
+// Requests that go to peers: in the same availability zone, or over a link within its budget.
+#include "egretturn/Core/Requests.h"
+#include "egretturn/Support/EnumTable.h"
+
+namespace egretturn {
+
+static constexpr double kLinkBurstSeconds = 1; // of a link's budget that may be saved up
+
+bool
+RequestController::WithinLinkBudget(const RequestState& aState, const Member& aPeer)
+{
+  if (aPeer.m_settings.m_region == m_context.m_settings.m_region) {
+    return true;
+  }
+  for (const auto& [name, rule] : m_context.Config().m_rules) {
+    if (rule.m_service != aState.m_request.m_service) {
+      continue;
+    }
+    const double rate = static_cast<double>(rule.m_linkBytesPerSecond);
+    const auto [it, added] = m_links.try_emplace(name, TokenBucket(rate, rate * kLinkBurstSeconds));
+    it->second.SetRate(rate, rate * kLinkBurstSeconds);
+    const double bytes = static_cast<double>(aState.m_request.m_bodyBytes) + 512; // with headers
+    if (it->second.Take(bytes, m_context.m_now)) {
+      m_counts.m_linkBytes += static_cast<uint64_t>(bytes);
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string
+RequestController::ChoosePeer(const RequestState& aState, bool aOwnZone)
+{
+  std::set<std::string> spill;
+  for (const auto& [name, rule] : m_context.Config().m_rules) {
+    if (rule.m_service == aState.m_request.m_service) {
+      spill.insert(rule.m_spillZones.begin(), rule.m_spillZones.end());
+    }
+  }
+  std::string best;
+  int64_t bestRoom = 0;
+  for (const auto& [id, member] : m_context.m_members.All()) {
+    const bool local = m_context.m_members.IsLocal(member);
+    const bool allowed = aOwnZone ? local : !local && spill.contains(member.m_settings.m_zone);
+    if (!allowed || !m_context.m_members.IsAlive(id, m_context.m_now) || !member.m_last.m_ready) {
+      continue;
+    }
+    if (m_peerHeard[id] != member.m_last.m_sequence) {
+      m_peerHeard[id] = member.m_last.m_sequence;
+      std::erase_if(m_sentToPeer,
+                    [&peer = id](const auto& aRow) { return aRow.first.first == peer; });
+    }
+    for (const ServiceRoom& room : member.m_last.m_services) {
+      const std::map<std::pair<std::string, std::string>, uint32_t>::const_iterator sent =
+        m_sentToPeer.find({ id, room.m_service });
+      const int64_t left =
+        int64_t{ room.m_freeSlots } - (sent == m_sentToPeer.end() ? 0 : sent->second);
+      // Other regions only when they have room to spare for their own callers.
+      const int64_t spare = local ? left : left / 2;
+      if (room.m_service == aState.m_request.m_service && spare > bestRoom) {
+        best = id;
+        bestRoom = spare;
+      }
+    }
+  }
+  return best;
+}
+
+bool
+RequestController::RouteToPeer(RequestState& aState)
+{
+  if (aState.m_request.m_forwarded) {
+    return false; // one hop only
+  }
+  for (const bool ownZone : { true, false }) {
+    const std::string peer = ChoosePeer(aState, ownZone);
+    const Member* member = peer.empty() ? nullptr : m_context.m_members.Find(peer);
+    if (!member || (!ownZone && !WithinLinkBudget(aState, *member))) {
+      continue;
+    }
+    ++m_sentToPeer[{ peer, aState.m_request.m_service }];
+    ++m_counts.m_forwards;
+    const RequestRun run{ ++aState.m_attempts, 0, peer, m_context.m_now };
+    m_context.Log(LogLine(LogLevel::Info, "route")
+                    .Add("request", aState.m_request.m_id)
+                    .Add("service", aState.m_request.m_service)
+                    .Add("attempt", run.m_attempt)
+                    .Add("peer", peer)
+                    .Add("reason", ownZone ? "peer_has_room" : "spill"));
+    SendTo(aState, run, member->m_settings.m_address);
+    return true;
+  }
+  return false;
+}
+
+} // namespace egretturn
--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -9,7 +9,6 @@
 static constexpr double kBudgetBurst = 20;
 static constexpr size_t kQueuePerSlot = 2; // queued requests per slot of the service
 static constexpr uint32_t kMaxAttempts = 4;
-static constexpr double kLinkBurstSeconds = 1; // of a link's budget that may be saved up
 static constexpr uint32_t kServerError = 500;
 // A keyed request may run on after its deadline for this long, so that its outcome gets recorded.
 static constexpr Duration kOrphanTime = std::chrono::seconds(30);
@@ -108,142 +107,6 @@
 }
 
 /// Writes the intent of a keyed request; the request goes on when it has been read back.
-void
-RequestController::GuardKey(RequestState& aState)
-{
-  const KeyState* known = m_context.m_replica.Keys().Find(aState.m_fullKey);
-  if (known && known->m_bodyHash != aState.m_request.m_bodyHash) {
-    NotRun(aState,
-           ErrorKind::Conflict,
-           "the idempotency key was used with another body",
-           "send a new request with a new key");
-    return;
-  }
-  if (known && known->m_done) {
-    AnswerRecorded(aState, *known);
-    return;
-  }
-  if (known) {
-    aState.m_phase = RequestPhase::AwaitingOther;
-    m_byKey[aState.m_fullKey].insert(aState.m_request.m_id);
-    return;
-  }
-  const bool fresh = m_context.LogFresh() && m_context.m_intakeReadAt != Instant{};
-  const std::optional<EntryToken> token =
-    fresh ? m_context.m_writer.Append(Stream::Intake,
-                                      KeyIntent{ aState.m_fullKey, aState.m_request.m_bodyHash })
-          : std::nullopt;
-  if (!token) {
-    NotRun(aState,
-           ErrorKind::Unavailable,
-           "the log that guards keyed requests cannot be reached",
-           "retry with the same key after 5 s");
-    return;
-  }
-  aState.m_phase = RequestPhase::AwaitingIntent;
-  m_intents[*token] = aState.m_request.m_id;
-}
-
-void
-RequestController::OnApplied(const Applied& aApplied, EntryToken aToken)
-{
-  if (const KeyIntent* intent = std::get_if<KeyIntent>(&aApplied.m_entry)) {
-    OnIntent(*intent, aApplied, aToken);
-  } else if (const KeyOutcome* outcome = std::get_if<KeyOutcome>(&aApplied.m_entry)) {
-    if (aApplied.m_counts) {
-      OnOutcome(*outcome);
-    }
-  }
-}
-
-void
-RequestController::OnIntent(const KeyIntent& aIntent, const Applied& aApplied, EntryToken aToken)
-{
-  if (aApplied.m_writer != m_context.m_self) {
-    return;
-  }
-  const std::map<EntryToken, RequestId>::iterator it = m_intents.find(aToken);
-  RequestState* state = it == m_intents.end() ? nullptr : Find(it->second);
-  if (it != m_intents.end()) {
-    m_intents.erase(it);
-  }
-  if (!state) {
-    if (aApplied.m_intent == IntentVerdict::Granted) {
-      // Its caller was told that it did not run; free the key.
-      m_context.m_writer.Append(Stream::Intake,
-                                KeyOutcome{ aIntent.m_key, KeyFate::NotRun, 0, "" });
-    }
-    return;
-  }
-  switch (aApplied.m_intent) {
-    case IntentVerdict::Granted:
-      state->m_phase = RequestPhase::Queued;
-      Route(*state);
-      return;
-    case IntentVerdict::Settled: {
-      const KeyState* key = m_context.m_replica.Keys().Find(aIntent.m_key);
-      if (key && key->m_done) {
-        AnswerRecorded(*state, *key);
-        return;
-      }
-      break;
-    }
-    case IntentVerdict::OtherBody:
-      NotRun(*state,
-             ErrorKind::Conflict,
-             "the idempotency key was used with another body",
-             "send a new request with a new key");
-      return;
-    case IntentVerdict::Pending:
-      break;
-  }
-  state->m_phase = RequestPhase::AwaitingOther;
-  m_byKey[aIntent.m_key].insert(state->m_request.m_id);
-}
-
-void
-RequestController::OnOutcome(const KeyOutcome& aOutcome)
-{
-  const std::unordered_map<std::string, std::set<RequestId>>::iterator it =
-    m_byKey.find(aOutcome.m_key);
-  if (it == m_byKey.end()) {
-    return;
-  }
-  const std::set<RequestId> waiting = std::move(it->second);
-  m_byKey.erase(it);
-  for (const RequestId id : waiting) {
-    RequestState* state = Find(id);
-    if (!state || state->m_phase != RequestPhase::AwaitingOther) {
-      continue;
-    }
-    const KeyState* key = m_context.m_replica.Keys().Find(aOutcome.m_key);
-    if (key && key->m_done) {
-      AnswerRecorded(*state, *key);
-    } else {
-      GuardKey(*state); // the holder did not run it; the first of the others may
-    }
-  }
-}
-
-void
-RequestController::AnswerRecorded(RequestState& aState, const KeyState& aKey)
-{
-  ++m_counts.m_done;
-  AnswerRequest answer;
-  answer.m_id = aState.m_request.m_id;
-  answer.m_outcome = Outcome::Done;
-  answer.m_recordedStatus = aKey.m_status;
-  answer.m_recordedBody = aKey.m_body;
-  m_context.Log(LogLine(LogLevel::Info, "route")
-                  .Add("request", aState.m_request.m_id)
-                  .Add("service", aState.m_request.m_service)
-                  .Add("outcome", NameOf(Outcome::Done))
-                  .Add("reason", "recorded"));
-  m_context.Do(std::move(answer));
-  m_deadlines.erase({ aState.m_deadline, aState.m_request.m_id });
-  m_requests.erase(aState.m_request.m_id);
-}
-
 void
 RequestController::Route(RequestState& aState)
 {
@@ -309,93 +172,6 @@
   m_context.Do(std::move(dispatch));
 }
 
-bool
-RequestController::WithinLinkBudget(const RequestState& aState, const Member& aPeer)
-{
-  if (aPeer.m_settings.m_region == m_context.m_settings.m_region) {
-    return true;
-  }
-  for (const auto& [name, rule] : m_context.Config().m_rules) {
-    if (rule.m_service != aState.m_request.m_service) {
-      continue;
-    }
-    const double rate = static_cast<double>(rule.m_linkBytesPerSecond);
-    const auto [it, added] = m_links.try_emplace(name, TokenBucket(rate, rate * kLinkBurstSeconds));
-    it->second.SetRate(rate, rate * kLinkBurstSeconds);
-    const double bytes = static_cast<double>(aState.m_request.m_bodyBytes) + 512; // with headers
-    if (it->second.Take(bytes, m_context.m_now)) {
-      m_counts.m_linkBytes += static_cast<uint64_t>(bytes);
-      return true;
-    }
-  }
-  return false;
-}
-
-std::string
-RequestController::ChoosePeer(const RequestState& aState, bool aOwnZone)
-{
-  std::set<std::string> spill;
-  for (const auto& [name, rule] : m_context.Config().m_rules) {
-    if (rule.m_service == aState.m_request.m_service) {
-      spill.insert(rule.m_spillZones.begin(), rule.m_spillZones.end());
-    }
-  }
-  std::string best;
-  int64_t bestRoom = 0;
-  for (const auto& [id, member] : m_context.m_members.All()) {
-    const bool local = m_context.m_members.IsLocal(member);
-    const bool allowed = aOwnZone ? local : !local && spill.contains(member.m_settings.m_zone);
-    if (!allowed || !m_context.m_members.IsAlive(id, m_context.m_now) || !member.m_last.m_ready) {
-      continue;
-    }
-    if (m_peerHeard[id] != member.m_last.m_sequence) {
-      m_peerHeard[id] = member.m_last.m_sequence;
-      std::erase_if(m_sentToPeer,
-                    [&peer = id](const auto& aRow) { return aRow.first.first == peer; });
-    }
-    for (const ServiceRoom& room : member.m_last.m_services) {
-      const std::map<std::pair<std::string, std::string>, uint32_t>::const_iterator sent =
-        m_sentToPeer.find({ id, room.m_service });
-      const int64_t left =
-        int64_t{ room.m_freeSlots } - (sent == m_sentToPeer.end() ? 0 : sent->second);
-      // Other regions only when they have room to spare for their own callers.
-      const int64_t spare = local ? left : left / 2;
-      if (room.m_service == aState.m_request.m_service && spare > bestRoom) {
-        best = id;
-        bestRoom = spare;
-      }
-    }
-  }
-  return best;
-}
-
-bool
-RequestController::RouteToPeer(RequestState& aState)
-{
-  if (aState.m_request.m_forwarded) {
-    return false; // one hop only
-  }
-  for (const bool ownZone : { true, false }) {
-    const std::string peer = ChoosePeer(aState, ownZone);
-    const Member* member = peer.empty() ? nullptr : m_context.m_members.Find(peer);
-    if (!member || (!ownZone && !WithinLinkBudget(aState, *member))) {
-      continue;
-    }
-    ++m_sentToPeer[{ peer, aState.m_request.m_service }];
-    ++m_counts.m_forwards;
-    const RequestRun run{ ++aState.m_attempts, 0, peer, m_context.m_now };
-    m_context.Log(LogLine(LogLevel::Info, "route")
-                    .Add("request", aState.m_request.m_id)
-                    .Add("service", aState.m_request.m_service)
-                    .Add("attempt", run.m_attempt)
-                    .Add("peer", peer)
-                    .Add("reason", ownZone ? "peer_has_room" : "spill"));
-    SendTo(aState, run, member->m_settings.m_address);
-    return true;
-  }
-  return false;
-}
-
 void
 RequestController::Queue(RequestState& aState)
 {
@@ -541,16 +317,6 @@
   }
 }
 
-void
-RequestController::RecordOutcome(const RequestState& aState,
-                                 KeyFate aFate,
-                                 uint32_t aStatus,
-                                 std::string aBody)
-{
-  m_context.m_writer.Append(Stream::Intake,
-                            KeyOutcome{ aState.m_fullKey, aFate, aStatus, std::move(aBody) });
-}
-
 void
 RequestController::AbandonRuns(RequestState& aState, uint32_t aExcept)
 {
--- /dev/null
+++ b/unittests/Fuzz/Operations.cpp
@@ -0,0 +1,248 @@
+// What operators, callers and failures do to the world.
+#include "World.h"
+
+#include <algorithm>
+
+namespace egretturn::fuzz {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void
+World::Kill(size_t aNode)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  for (CallerRecord& caller : m_callers) {
+    if (caller.m_node == aNode && caller.m_incarnation == node.m_incarnation &&
+        !caller.m_answered) {
+      caller.m_nodeKilled = true;
+    }
+  }
+  node.m_core.reset();
+  node.m_waiting.clear();
+  node.m_requests.clear();
+  node.m_callerOf.clear();
+  node.m_answers.clear();
+  node.m_commands.clear();
+}
+
+void
+World::Pause(size_t aNode, Duration aTime)
+{
+  if (m_nodes[aNode].m_core) {
+    m_nodes[aNode].m_pausedUntil = m_now + aTime;
+  }
+}
+
+void
+World::PauseAtNextCall(size_t aNode, Duration aTime)
+{
+  m_nodes[aNode].m_pauseAtCall = aTime;
+}
+
+void
+World::Shutdown(size_t aNode)
+{
+  OnNode(aNode, m_nodes[aNode].m_incarnation, [this, aNode] { Step(aNode, ShutdownAsked{}); });
+}
+
+void
+World::CutZone(size_t aZone, bool aCut)
+{
+  m_zoneCut[aZone] = aCut;
+}
+
+void
+World::CutNodeFromLog(size_t aNode, bool aCut)
+{
+  m_nodes[aNode].m_logCut = aCut;
+}
+
+void
+World::CutNodes(size_t aLeft, size_t aRight, bool aCut)
+{
+  const std::pair<size_t, size_t> pair = std::minmax(aLeft, aRight);
+  if (aCut) {
+    m_cutPairs.insert(pair);
+  } else {
+    m_cutPairs.erase(pair);
+  }
+}
+
+void
+World::CutWorker(size_t aWorker, bool aCut)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  worker.m_cuts += aCut && !worker.m_cut ? 1 : 0;
+  worker.m_cut = aCut;
+}
+
+void
+World::RebootWorker(size_t aWorker)
+{
+  ++m_workers[aWorker].m_reboots;
+  CheckWorker(aWorker);
+  m_workers[aWorker].m_model.Reboot(m_random.Next(), m_now);
+}
+
+void
+World::SetWorkerFailsAll(size_t aWorker, bool aFails)
+{
+  m_workers[aWorker].m_model.SetFailsAll(aFails);
+}
+
+void
+World::SetWorkerLeaving(size_t aWorker, bool aLeaving)
+{
+  FakeWorker& worker = m_workers[aWorker];
+  worker.m_leavingSince = aLeaving ? std::min(worker.m_leavingSince, m_now) : Instant::max();
+  worker.m_model.SetLeaving(aLeaving);
+}
+
+size_t
+World::Request(size_t aNode, const std::string& aRequest, const std::string& aKey)
+{
+  Node& node = m_nodes[aNode];
+  const size_t caller = m_callers.size();
+  CallerRecord record;
+  record.m_node = aNode;
+  record.m_incarnation = node.m_incarnation;
+  record.m_key = aKey;
+  record.m_at = m_now;
+  m_callers.push_back(record);
+  if (!node.m_core || node.m_lingering) {
+    m_callers[caller].m_nodeKilled = true;
+    return caller;
+  }
+  RequestArrived arrived;
+  arrived.m_id = node.m_nextRequest++;
+  arrived.m_service = "desk";
+  arrived.m_request = aRequest;
+  arrived.m_key = aKey;
+  arrived.m_bodyHash = HashBytes(aKey);
+  arrived.m_bodyBytes = 100;
+  node.m_requests[arrived.m_id] = arrived;
+  node.m_callerOf[arrived.m_id] = caller;
+  node.m_arrivedAt[arrived.m_id] = m_now;
+  const RequestId id = arrived.m_id;
+  node.m_waiting[id] = [this, aNode, caller, id](const AnswerRequest& aAnswer) {
+    CallerRecord& told = m_callers[caller];
+    told.m_answered = true;
+    told.m_outcome = aAnswer.m_outcome;
+    if (aAnswer.m_outcome == Outcome::NotRun && told.m_ran > 0) {
+      Violate(Promise::NotRunIsTrue, "a caller was told that a request did not run, but it did");
+    }
+    if (aAnswer.m_outcome != Outcome::Done) {
+      return;
+    }
+    told.m_answerOf = aAnswer.m_recordedStatus != 0
+                        ? std::strtoull(aAnswer.m_recordedBody.c_str(), nullptr, 10)
+                        : m_nodes[aNode].m_answers[{ id, aAnswer.m_attempt }];
+    const bool own = told.m_answerOf == caller + 1;
+    const bool sameKey = told.m_answerOf > 0 && !told.m_key.empty() &&
+                         m_callers[told.m_answerOf - 1].m_key == told.m_key;
+    if (!own && !sameKey) {
+      Violate(Promise::WholeAnswer, "a caller received the answer to another request");
+    }
+  };
+  OnNode(aNode, node.m_incarnation, [this, aNode, arrived] { Step(aNode, arrived); });
+  return caller;
+}
+
+void
+World::Command(size_t aNode, CommandBody aBody, std::function<void(const ReplyCommand&)> aReply)
+{
+  Node& node = m_nodes[aNode];
+  if (!node.m_core) {
+    return;
+  }
+  const CommandId id = m_nextCommand++;
+  node.m_commands[id] = std::move(aReply);
+  OnNode(aNode, node.m_incarnation, [this, aNode, id, body = std::move(aBody)] {
+    Step(aNode, CommandArrived{ id, body });
+  });
+}
+
+void
+World::Publish(size_t aNode, const std::string& aToml)
+{
+  if (!m_nodes[aNode].m_core) {
+    return;
+  }
+  const Replica& replica = m_nodes[aNode].m_core->State().m_replica;
+  const tl::expected<Document, Errors> wanted = ParseDocument(aToml, "fuzz");
+  PublishCommand command;
+  command.m_publish.m_base = replica.ConfigVersion();
+  command.m_publish.m_changes = Difference(replica.Objects(), *wanted);
+  Command(aNode, command, [this, base = command.m_publish.m_base](const ReplyCommand& aReply) {
+    if (!aReply.m_error && !m_acceptedBases.insert(base).second) {
+      Violate(Promise::ConfigForward, "two publishes against one base were accepted");
+    }
+    m_publishAccepted += aReply.m_error ? 0 : 1;
+    m_publishConflicts += aReply.m_error && aReply.m_error->m_kind == ErrorKind::Conflict ? 1 : 0;
+  });
+}
+
+void
+World::PublishDrain(size_t aNode, size_t aWorker, bool aDrain)
+{
+  std::string toml = BaseConfig();
+  if (aDrain) {
+    toml += "[drain.one]\nworker = \"" + m_workers[aWorker].m_address + "\"\n";
+  }
+  Publish(aNode, toml);
+}
+
+void
+World::SubmitJob(size_t aNode,
+                 const std::string& aKey,
+                 const std::string& aKind,
+                 uint32_t aTasks,
+                 bool aUrgent)
+{
+  SubmitCommand command;
+  command.m_job.m_key = aKey;
+  command.m_job.m_kind = aKind;
+  command.m_job.m_team = aTasks % 2 == 0 ? "one" : "two";
+  command.m_job.m_tasks = aTasks;
+  command.m_job.m_urgent = aUrgent;
+  Command(aNode, command, [this](const ReplyCommand& aReply) {
+    if (!aReply.m_error) {
+      const JobId id = aReply.m_body["id"].get<JobId>();
+      if (std::find(m_jobs.begin(), m_jobs.end(), id) == m_jobs.end()) {
+        m_jobs.push_back(id);
+      }
+    }
+  });
+}
+
+void
+World::CancelJob(size_t aNode, size_t aJob)
+{
+  if (!m_jobs.empty()) {
+    Command(aNode, CancelCommand{ m_jobs[aJob % m_jobs.size()] }, [](const ReplyCommand&) {});
+  }
+}
+
+void
+World::Heal()
+{
+  m_healed = true;
+  m_faults = Faults{};
+  m_cutPairs.clear();
+  m_zoneCut.assign(m_zoneCut.size(), false);
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    CutWorker(i, false);
+    SetWorkerFailsAll(i, false);
+    SetWorkerLeaving(i, false);
+  }
+  for (size_t i = 0; i < m_nodes.size(); ++i) {
+    m_nodes[i].m_logCut = false;
+    Start(i);
+  }
+}
+
+} // namespace egretturn::fuzz
--- a/unittests/Fuzz/World.h
+++ b/unittests/Fuzz/World.h
@@ -17,6 +17,8 @@
 
 namespace egretturn::fuzz {
 
+constexpr Duration kLeavingGrace = std::chrono::seconds(3); ///< "A few seconds" of the brief.
+
 /// The promises of the brief, by which violations are named.
 enum class Promise
 {
