--- a/benchmarks/PolicyBench.cpp
+++ b/benchmarks/PolicyBench.cpp
@@ -133,6 +133,7 @@
     }
     std::vector<std::future<Row>> rows;
     const std::vector<Variant> variants = Variants();
+    rows.reserve(variants.size());
     for (const Variant& variant : variants) {
       rows.push_back(std::async(std::launch::async, RunVariant, aSite, scenario, variant, aSeeds));
     }
--- a/benchmarks/PolicyWorld.cpp
+++ b/benchmarks/PolicyWorld.cpp
@@ -397,12 +397,10 @@
   {
     double milliCores = 0;
     double memory = 0;
-    double runTime = 0;
     for (const KindTruth& kind : kKinds) {
       const double seconds = std::chrono::duration<double>(kind.m_runTime).count();
       milliCores += static_cast<double>(kind.m_true.m_milliCores) * seconds / 3;
       memory += static_cast<double>(kind.m_true.m_memoryMb) * seconds / 3;
-      runTime += seconds / 3;
     }
     const double workers = static_cast<double>(m_site.m_workers);
     const double byCores =
