Do not ask a peer again that had no room after all

With the reasons printed: an instance without racks forwarded to the peer whose last heartbeat offered most room, which had since given its racks away; it answered not-run at once and, still offering most, was asked for all four attempts within milliseconds. Ruled out: load of the machine, since it came on an idle one as well. Change: a peer that answers not-run counts as full until its next heartbeat, so that the retry goes elsewhere or waits in the queue.

--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -9,6 +9,7 @@
 static constexpr double kBudgetBurst = 20;
 static constexpr size_t kQueuePerSlot = 2; // queued requests per slot of the service
 static constexpr uint32_t kMaxAttempts = 4;
+static constexpr uint32_t kNoRoom = UINT32_MAX / 2; // more than any peer offers
 static constexpr uint32_t kServerError = 500;
 // A keyed request may run on after its deadline for this long, so that its outcome gets recorded.
 static constexpr Duration kOrphanTime = std::chrono::seconds(30);
@@ -246,6 +247,10 @@
   const bool peerNotRun = aEnded.m_peerOutcome == Outcome::NotRun;
   const bool certainlyNotRun = aEnded.m_result == DispatchResult::NotSent ||
                                aEnded.m_result == DispatchResult::Refused || peerNotRun;
+  if (peerNotRun) {
+    // Its last heartbeat is out of date; it is asked again after the next one.
+    m_sentToPeer[{ run.m_peer, state->m_request.m_service }] = kNoRoom;
+  }
   state->m_mayHaveRun = state->m_mayHaveRun || !certainlyNotRun;
   const bool peerUnknown = aEnded.m_peerOutcome == Outcome::Unknown;
   const bool good = answered && !peerNotRun && !peerUnknown && (!failed || !state->m_idempotent);
--- a/unittests/Core/TrapsTest.cpp
+++ b/unittests/Core/TrapsTest.cpp
@@ -312,3 +312,34 @@
     CHECK(world.NodeCore(0)->State().m_replica.Jobs().Find(job)->Phase() != JobPhase::Waiting);
   }
 }
+
+TEST_CASE("a peer that has no room after all is not asked again and again", "[traps]")
+{
+  WorldShape shape;
+  shape.m_nodes = { 3 };
+  shape.m_racks = { 2 };
+  World world(kSeed, shape);
+  size_t without = SIZE_MAX;
+  for (size_t node = 0; node < 3; ++node) {
+    without = world.NodeCore(node)->Racks().Racks().empty() ? node : without;
+  }
+  REQUIRE(without != SIZE_MAX);
+  std::vector<size_t> callers;
+  world.SetWorkerLeaving(3, true); // so that the owner of the first rack offers most
+  world.Advance(seconds(2));
+  for (int round = 0; round < 12; ++round) { // each at another moment between heartbeats
+    world.SetWorkerLeaving(0, true);
+    world.SetWorkerLeaving(1, true);
+    for (int i = 0; i < 25; ++i) {
+      callers.push_back(world.Request(without, "ask", ""));
+      world.Advance(milliseconds(60)); // within the slots that the other peer offers
+    }
+    world.SetWorkerLeaving(0, false);
+    world.SetWorkerLeaving(1, false);
+    world.Advance(milliseconds(2000 + 37 * round));
+  }
+  for (const size_t caller : callers) {
+    CHECK(world.Caller(caller).m_outcome == Outcome::Done);
+  }
+  SettleAndCheck(world);
+}
