--- /dev/null
+++ b/include/egretturn/Scheduler/Actions.h
@@ -0,0 +1,164 @@
+// What the scheduler learns from workers, and what it asks its shell to do.
+#pragma once
+
+#include "egretturn/Scheduler/Records.h"
+#include "egretturn/Support/Time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace egretturn {
+
+using RunNumber = uint64_t; ///< Numbers the starts of one task; never used twice.
+using WorkerName = std::string;
+using RequestToken = uint64_t; ///< Joins a caller's request to its answer.
+
+/// What a worker says of itself in the directory.
+struct WorkerReport
+{
+  WorkerName m_id;
+  std::string m_service;
+  std::string m_address;
+  std::string m_zone;
+  std::string m_rack;
+  std::vector<std::string> m_labels;
+  Demand m_capacity;
+  int64_t m_incarnation = 0; ///< Unix time of its start; 0 if it does not say.
+  bool m_draining = false;
+  int64_t m_remainingMs = 0; ///< At least so long until a draining worker leaves.
+};
+
+/// A run that a worker holds.
+struct RunningRow
+{
+  TaskRef m_task;
+  RunNumber m_run = 0;
+  std::string m_checkpoint;
+  int m_percent = 0;
+  int64_t m_usage = 0; ///< Tail in ms for a serving task, else the used thousandths of a core.
+};
+
+enum class RunEnd : uint8_t
+{
+  Done,
+  Failed,
+  Stopped,
+  Lapsed, ///< The lease ran out.
+  Broken, ///< Another member of the gang ended.
+  Alone,  ///< The other members of the gang did not come.
+};
+
+/// Returns the stable lower-case name of \p aEnd.
+std::string_view NameOf(RunEnd aEnd);
+
+/// An end that a worker lists until it is acknowledged.
+struct EndedRow
+{
+  uint64_t m_number = 0; ///< Counts the ends of this incarnation.
+  TaskRef m_task;
+  RunNumber m_run = 0;
+  RunEnd m_end = RunEnd::Done;
+  std::string m_checkpoint;
+};
+
+/// A worker's answer to a look.
+struct WorkerView
+{
+  int64_t m_clockMs = 0;
+  int64_t m_incarnation = 0; ///< 0 if the worker does not say.
+  std::vector<RunningRow> m_running;
+  std::vector<EndedRow> m_ended;
+};
+
+/// How a worker answered an order or a look.
+enum class OrderResult : uint8_t
+{
+  Accepted,
+  Fenced,     ///< A higher epoch has been seen there.
+  Superseded, ///< The run is not higher than one that ended there.
+  TooLate,    ///< The lease that the order gives is over already.
+  NoRoom,
+  BadTicket,
+  Rejected,      ///< The order itself is wrong.
+  Unhealthy,     ///< Nothing was done.
+  OtherInstance, ///< Another incarnation answered.
+  NotSent,       ///< No connection: nothing was done.
+  Unanswered,    ///< It may have been done, or may be done later.
+};
+
+/// Returns the stable lower-case name of \p aResult.
+std::string_view NameOf(OrderResult aResult);
+
+struct StartTask
+{
+  WorkerName m_worker;
+  std::string m_address;
+  TaskRef m_task;
+  RunNumber m_run = 0;
+  std::string m_payload;
+  std::string m_checkpoint;
+  std::string m_ticket;
+  int64_t m_untilMs = 0; ///< End of the lease, on the worker's clock.
+};
+
+struct StopTask
+{
+  WorkerName m_worker;
+  std::string m_address;
+  TaskRef m_task;
+  RunNumber m_run = 0;
+};
+
+struct PaceTask
+{
+  WorkerName m_worker;
+  std::string m_address;
+  TaskRef m_task;
+  RunNumber m_run = 0;
+  int m_percent = 100;
+};
+
+/// Extends the worker's lease, acknowledges ends and asks what runs there.
+struct LookAtWorker
+{
+  WorkerName m_worker;
+  std::string m_address;
+  int64_t m_untilMs = 0;       ///< End of the lease on the worker's clock; 0 to leave it.
+  uint64_t m_acknowledged = 0; ///< Ends up to this number are durable.
+  Duration m_wait{};           ///< How long the worker may wait for an end before it answers.
+};
+
+/// Appends \c m_records in one piece.
+struct AppendRecords
+{
+  uint64_t m_batch = 0;
+  std::vector<KeyedRecord> m_records;
+};
+
+enum class SubmitResult
+{
+  Accepted, ///< Durable.
+  NotRun,   ///< Refused: it has not run and never will.
+  Unknown,  ///< May have been accepted.
+  NoSuchJob,
+};
+
+struct AnswerRequest
+{
+  RequestToken m_request = 0;
+  SubmitResult m_result = SubmitResult::Accepted;
+};
+
+/// A higher epoch exists: this instance must stop deciding.
+struct StepDown
+{
+  std::string m_reason;
+};
+
+using Action =
+  std::variant<StartTask, StopTask, PaceTask, LookAtWorker, AppendRecords, AnswerRequest, StepDown>;
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -0,0 +1,114 @@
+// The workers as the scheduler sees them: capacity in use, leases, clocks and conduct.
+#pragma once
+
+#include "egretturn/Scheduler/Actions.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace egretturn {
+
+enum class RunPhase : uint8_t
+{
+  Sent,       ///< The start is on its way.
+  Unanswered, ///< The start may have been carried out, or may yet be.
+  Running,
+  Stopping,
+};
+
+/// One run on a worker. It counts against the worker's capacity until its end is listed.
+struct WorkerRun
+{
+  RunNumber m_run = 0;
+  RunPhase m_phase = RunPhase::Sent;
+  Demand m_demand;
+  bool m_fills = false;
+  bool m_lasting = false;
+  bool m_stopAnswered = false; ///< The worker has confirmed the stop.
+  int m_percent = 0;
+  int m_pace = 100;
+  int64_t m_usage = 0;
+  int64_t m_targetMs = 0;
+  Instant m_phaseSince;   ///< When the phase began.
+  Instant m_progressedAt; ///< When the percentage last rose.
+};
+
+/// One worker. \c m_used and \c m_fillCpu follow from \c m_runs.
+struct Worker
+{
+  WorkerReport m_report;
+  bool m_listed = true;  ///< The directory has an entry for it.
+  bool m_looked = false; ///< It has answered under the present epoch.
+  std::unordered_map<TaskRef, WorkerRun, TaskRefHash> m_runs;
+  Demand m_used;            ///< Of runs that reserve; memory of all runs.
+  int64_t m_fillCpu = 0;    ///< Processor demand of runs that fill.
+  int64_t m_lastingCpu = 0; ///< The part of m_used that lasting tasks reserve.
+
+  int64_t m_clockMs = 0; ///< Its clock when it last answered.
+  Instant m_clockAt;
+  Instant m_leaseOverAt; ///< All runs have lapsed by then, unless the lease is extended.
+
+  bool m_lookInFlight = false;
+  Instant m_lookSentAt;
+  Instant m_lookDueAt;
+  uint32_t m_failedLooks = 0;      ///< In a row.
+  uint64_t m_endsSeen = 0;         ///< Highest number of an end that was processed.
+  uint64_t m_endsDurable = 0;      ///< Highest number whose effects are in the store.
+  uint64_t m_endsInBatch = 0;      ///< Highest number covered by the batch in flight.
+  uint64_t m_endsAcknowledged = 0; ///< Highest number that the worker may have forgotten.
+  uint64_t m_acknowledging = 0;    ///< What the look in flight acknowledges.
+
+  int m_fillPace = 100; ///< The percentage at which tasks that fill may work here.
+  Instant m_pacedAt;    ///< When m_fillPace last changed.
+
+  uint32_t m_badStreak = 0; ///< Failures in a row.
+  Instant m_avoidUntil;     ///< No starts before this.
+};
+
+/// Bounds of the lease protocol.
+struct LeaseLimits
+{
+  Duration m_longest = std::chrono::milliseconds(6000); ///< The worker shortens longer leases.
+  double m_clockSlowness = 0.02;                        ///< A worker's clock may be this slow.
+};
+
+/// All workers by id. Not thread-safe.
+class Fleet
+{
+public:
+  explicit Fleet(const LeaseLimits& aLimits);
+
+  /// Adds or updates the worker of \p aReport. Returns true if it is new.
+  bool Update(const WorkerReport& aReport, Instant aNow);
+
+  /// Marks the worker as gone from the directory.
+  void Unlist(const WorkerName& aId);
+
+  /// Forgets the worker. \pre It has no runs.
+  void Erase(const WorkerName& aId);
+
+  /// The worker, or nullptr.
+  Worker* Find(const WorkerName& aId);
+
+  std::vector<std::unique_ptr<Worker>>& All() { return m_workers; }
+
+  /// Puts a run on \p aWorker; its demand counts from now on. \pre No run of the task is there.
+  static WorkerRun& AddRun(Worker& aWorker, const TaskRef& aTask, const WorkerRun& aRun);
+
+  /// Takes the run of \p aTask off \p aWorker, if it is there.
+  static void RemoveRun(Worker& aWorker, const TaskRef& aTask);
+
+  /// The end of a lease granted at \p aNow, on the worker's clock. 0 if its clock is not known.
+  int64_t LeaseEnd(const Worker& aWorker, Instant aNow) const;
+
+  /// Notes that an order with a new lease is sent at \p aNow.
+  void ExtendLease(Worker& aWorker, Instant aNow) const;
+
+private:
+  LeaseLimits m_limits;
+  std::vector<std::unique_ptr<Worker>> m_workers;
+  std::unordered_map<WorkerName, Worker*> m_byId;
+};
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Scheduler/Records.h
@@ -0,0 +1,165 @@
+// What the scheduler keeps in the store: a record for each accepted job, one for its progress, and
+// the claim of the instance that decides.
+#pragma once
+
+#include "egretturn/JobGraph/Graph.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egretturn {
+
+/// What a route promises the jobs that come by it. Copied into the job when it is accepted.
+struct JobTerms
+{
+  std::string m_route;
+  std::string m_service; ///< Whose workers run the tasks.
+  uint32_t m_priority = 0;
+  uint32_t m_attempts = 1; ///< Failed runs after which a task has failed.
+  double m_stretch = 1.0;
+  int64_t m_targetMs = 0; ///< The latency objective is stretch x critical path + this.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("route", aSelf.m_route);
+    aVisit("service", aSelf.m_service);
+    aVisit("priority", aSelf.m_priority);
+    aVisit("attempts", aSelf.m_attempts);
+    aVisit("stretch", aSelf.m_stretch);
+    aVisit("target_ms", aSelf.m_targetMs);
+  }
+};
+
+/// A job as it was accepted.
+struct StoredJob
+{
+  GraphId m_id = 0;
+  JobTerms m_terms;
+  Graph m_graph;
+  int64_t m_acceptedMs = 0; ///< Unix time, for the order of recovered jobs only.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("id", aSelf.m_id);
+    aVisit("terms", aSelf.m_terms);
+    aVisit("graph", aSelf.m_graph);
+    aVisit("accepted_ms", aSelf.m_acceptedMs);
+  }
+};
+
+/// Progress of one task that has failed or saved a checkpoint.
+struct StoredTask
+{
+  uint16_t m_step = 0;
+  uint16_t m_index = 0;
+  std::vector<uint64_t> m_failedRuns; ///< Runs that count as attempts, each once.
+  std::string m_checkpoint;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("step", aSelf.m_step);
+    aVisit("index", aSelf.m_index);
+    aVisit("failed_runs", aSelf.m_failedRuns);
+    aVisit("checkpoint", aSelf.m_checkpoint);
+  }
+};
+
+/// Progress of one occurrence of a job.
+struct StoredOccurrence
+{
+  uint32_t m_number = 0;
+  std::vector<std::vector<uint16_t>> m_done; ///< Done tasks by step; empty when all are done.
+  std::vector<StoredTask> m_tasks;
+  bool m_complete = false;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("number", aSelf.m_number);
+    aVisit("done", aSelf.m_done);
+    aVisit("tasks", aSelf.m_tasks);
+    aVisit("complete", aSelf.m_complete);
+  }
+};
+
+enum class JobState : uint8_t
+{
+  Queued,
+  Running,
+  Done,
+  Failed,
+  Cancelled,
+};
+
+/// Returns the stable lower-case name of \p aState.
+std::string_view NameOf(JobState aState);
+
+/// Whether a job in \p aState needs no more work.
+constexpr bool
+IsEnded(JobState aState)
+{
+  return aState == JobState::Done || aState == JobState::Failed || aState == JobState::Cancelled;
+}
+
+struct StoredProgress
+{
+  JobState m_state = JobState::Queued;
+  std::vector<StoredOccurrence> m_occurrences;
+  int64_t m_endedMs = 0; ///< Unix time at which the job ended.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("state", aSelf.m_state);
+    aVisit("occurrences", aSelf.m_occurrences);
+    aVisit("ended_ms", aSelf.m_endedMs);
+  }
+};
+
+/// Which instance decides. The epoch rises with each claim and is the fencing token of its orders.
+struct StoredClaim
+{
+  uint64_t m_epoch = 0;
+  std::string m_instance;
+  std::string m_address;      ///< For calls between instances.
+  uint64_t m_incarnation = 0; ///< Differs in each run of the instance's process.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("epoch", aSelf.m_epoch);
+    aVisit("instance", aSelf.m_instance);
+    aVisit("address", aSelf.m_address);
+    aVisit("incarnation", aSelf.m_incarnation);
+  }
+};
+
+/// One record: the newest value of a key counts; an empty value drops the key.
+struct KeyedRecord
+{
+  std::string m_key;
+  std::string m_value;
+};
+
+/// Keys of the records. Thread-safe.
+std::string JobKey(GraphId aId);
+std::string ProgressKey(GraphId aId);
+constexpr std::string_view kClaimKey = "claim";
+
+enum class RecordKind
+{
+  Claim,
+  Job,
+  Progress,
+  Unknown,
+};
+
+/// Tells from its key what a record holds, and of which job. Thread-safe.
+RecordKind ClassifyKey(std::string_view aKey, GraphId& aId);
+
+} // namespace egretturn
--- /dev/null
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -0,0 +1,205 @@
+// The decisions of one epoch: accepts jobs, starts their tasks on workers, and keeps what must last
+// in the store. A step function without sockets, threads or clocks of its own.
+#pragma once
+
+#include "egretturn/Scheduler/JobBook.h"
+#include "egretturn/Scheduler/Packing.h"
+
+#include <set>
+#include <unordered_set>
+
+namespace egretturn {
+
+struct SchedulerLimits
+{
+  LeaseLimits m_lease;
+  size_t m_jobs = 20000;                            ///< Jobs held at a time.
+  Duration m_keepEnded = std::chrono::seconds(120); ///< How long an ended job's state is shown.
+  Duration m_gangWait = std::chrono::seconds(3);
+  size_t m_batchBytes = 1024 * 1024; ///< Of one append.
+};
+
+/// What a caller submits.
+struct Submission
+{
+  GraphId m_id = 0;
+  JobTerms m_terms;
+  Graph m_graph;
+};
+
+/// Counters for metrics.
+struct SchedulerCounters
+{
+  uint64_t m_accepted = 0;
+  uint64_t m_refused = 0;
+  uint64_t m_starts = 0;
+  uint64_t m_endsDone = 0;
+  uint64_t m_endsFailed = 0;
+  uint64_t m_endsOther = 0;
+  uint64_t m_stops = 0;
+  uint64_t m_paces = 0;
+  uint64_t m_looks = 0;
+  uint64_t m_batches = 0;
+};
+
+/// Not thread-safe. Each event method may add actions; fetch them with TakeActions().
+class Scheduler
+{
+public:
+  Scheduler(const SchedulerLimits& aLimits, uint64_t aEpoch, Instant aNow);
+
+  // Recovery, before any other event.
+
+  /// Adds a job found in the store.
+  void RestoreJob(StoredJob aJob, Instant aNow, int64_t aWallMs);
+
+  /// Applies the progress of a job that was restored before.
+  void RestoreProgress(GraphId aId, const StoredProgress& aProgress);
+
+  // Callers.
+
+  /// Accepts or refuses \p aSubmission; the answer follows as an AnswerRequest.
+  /// \pre The graph is valid.
+  void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
+
+  /// Cancels a job; the answer follows when that is durable.
+  void Cancel(RequestToken aRequest, GraphId aId, Instant aNow, int64_t aWallMs);
+
+  /// The state that callers are told, or nothing for an unknown job.
+  std::optional<JobState> StateOf(GraphId aId);
+
+  /// Accepted jobs of \p aRoute for which no task has started.
+  uint64_t CountPending(const std::string& aRoute);
+
+  // Workers.
+
+  /// Takes an entry of the directory.
+  void UpdateWorker(const WorkerReport& aReport, Instant aNow);
+
+  /// The directory no longer lists the worker.
+  void UnlistWorker(const WorkerName& aId, Instant aNow);
+
+  /// The directory has been read whole once.
+  void DirectoryComplete();
+
+  void OnLook(const WorkerName& aId, const WorkerView& aView, Instant aNow);
+  void OnLookFailed(const WorkerName& aId, OrderResult aResult, Instant aNow);
+  void OnStart(const WorkerName& aId,
+               const TaskRef& aTask,
+               RunNumber aRun,
+               OrderResult aResult,
+               Instant aNow);
+  void OnStop(const WorkerName& aId,
+              const TaskRef& aTask,
+              RunNumber aRun,
+              OrderResult aResult,
+              Instant aNow);
+
+  // The store.
+
+  /// The batch numbered \p aBatch is durable.
+  void OnAppended(uint64_t aBatch, Instant aNow);
+
+  /// While the store does not take appends, new jobs are refused at once.
+  void SetStoreAvailable(bool aAvailable) { m_storeAvailable = aAvailable; }
+
+  // Time.
+
+  /// Does what is due. Call when NextWake() is reached.
+  void Tick(Instant aNow, int64_t aWallMs);
+
+  /// When Tick() is due next.
+  Instant NextWake(Instant aNow) const;
+
+  std::vector<Action> TakeActions();
+  const SchedulerCounters& Counters() const { return m_counters; }
+  Fleet& Workers() { return m_fleet; }
+  size_t JobCount() { return m_book.All().size(); }
+  bool IsRecovered() const { return m_recovered; }
+
+private:
+  struct WaitingStep
+  {
+    Job* m_job;
+    OccurrenceRecord* m_occurrence;
+    uint16_t m_step;
+    int m_class; ///< 0 within its objective, 1 late, 2 without payoff.
+    Instant m_deadline;
+  };
+
+  /// A job as the batch in flight describes it.
+  struct BatchedJob
+  {
+    GraphId m_id;
+    JobState m_state;
+  };
+
+  // Ends.cpp
+  void HandleEnd(Worker& aWorker, const EndedRow& aRow, Instant aNow);
+  void ApplyEnd(Job& aJob, TaskRecord& aTask, const EndedRow& aRow, Worker& aWorker, Instant aNow);
+  void ApplyDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow);
+  void ApplyFailed(Job& aJob,
+                   TaskRecord& aTask,
+                   const TaskRef& aRef,
+                   RunNumber aRun,
+                   Worker& aWorker,
+                   Instant aNow);
+  void HandleRow(Worker& aWorker, const RunningRow& aRow, Instant aNow);
+  void AdoptRun(Worker& aWorker, const RunningRow& aRow, Instant aNow);
+  void DropVanished(Worker& aWorker, const WorkerView& aView, Instant aNow);
+  void LoseRun(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
+  void LoseAllRuns(Worker& aWorker, Instant aNow, const char* aCause);
+  void Reincarnate(Worker& aWorker, int64_t aIncarnation, Instant aNow);
+  void EndJob(Job& aJob, JobState aState, Instant aNow);
+  void NoteConduct(Worker& aWorker, bool aGood, Instant aNow);
+
+  // Starts.cpp
+  void PlaceWaiting(Instant aNow);
+  std::vector<WaitingStep> CollectWaiting(Instant aNow);
+  void PlaceStep(const WaitingStep& aWaiting, Instant aNow);
+  void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
+  void StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
+  void StopRun(Worker& aWorker, const TaskRef& aTask, Instant aNow);
+  void StopAllRuns(Job& aJob, Instant aNow);
+  void EvacuateWorker(Worker& aWorker, Instant aNow);
+  void AdjustPace(Worker& aWorker, Instant aNow);
+
+  // Scheduler.cpp
+  void MarkDirty(Job& aJob) { m_dirty.insert(aJob.m_stored.m_id); }
+  void WriteBatch(Instant aNow);
+  bool AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes);
+  void SendLooks(Instant aNow);
+  void SendLook(Worker& aWorker, Instant aNow);
+  void RetryStops(Instant aNow);
+  void CheckLeases(Instant aNow);
+  void CheckRecovery(Instant aNow);
+  void OpenOccurrences(int64_t aWallMs);
+  void ForgetEnded(int64_t aWallMs);
+  void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
+
+  SchedulerLimits m_limits;
+  uint64_t m_epoch;
+  Fleet m_fleet;
+  JobBook m_book;
+  std::vector<Action> m_actions;
+  std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
+  std::unordered_set<GraphId> m_scheduledJobs; ///< Have occurrences to come.
+  std::set<GraphId> m_dirty;                   ///< Changed since the last batch.
+  std::vector<std::string> m_dropKeys;         ///< Of jobs to forget.
+  std::vector<BatchedJob> m_batchJobs;         ///< In the batch in flight.
+  uint64_t m_batch = 0;
+  bool m_batchInFlight = false;
+  Instant m_nextBatchAt;
+  bool m_urgent = false; ///< A caller waits for the next batch.
+  bool m_storeAvailable = true;
+  bool m_directoryComplete = false;
+  bool m_recovered = false;
+  Instant m_createdAt;
+  int64_t m_wallMs = 0;
+  bool m_placeNeeded = false;
+  Instant m_nextPlaceAt;
+  Instant m_nextSweepAt;
+  SchedulerCounters m_counters;
+};
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/JobGraph/Graph.cpp
@@ -0,0 +1,181 @@
+#include "egretturn/JobGraph/Graph.h"
+
+#include "egretturn/Support/Random.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace egretturn {
+
+static constexpr size_t kIdDigits = 16;
+
+static tl::unexpected<Error>
+BadId()
+{
+  return Fail(
+    ErrorKind::BadInput, "a job id is not 16 hexadecimal digits", "send 16 digits of 0-9 and a-f");
+}
+
+Expected<GraphId>
+ParseGraphId(std::string_view aText)
+{
+  const bool lowercase = std::all_of(aText.begin(), aText.end(), [](char aDigit) {
+    return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
+  });
+  if (aText.size() != kIdDigits || !lowercase) {
+    return BadId();
+  }
+  GraphId id = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), id, 16);
+  return id;
+}
+
+std::string
+FormatGraphId(GraphId aId)
+{
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text(kIdDigits, '0');
+  for (size_t i = kIdDigits; i > 0; --i) {
+    text[i - 1] = kDigits[aId & 0xf];
+    aId >>= 4;
+  }
+  return text;
+}
+
+/// Collects the errors of one job.
+class GraphCheck
+{
+public:
+  void Require(bool aHolds, const std::string& aField, const char* aProblem, const char* aRemedy)
+  {
+    if (!aHolds) {
+      m_errors.push_back({ ErrorKind::BadInput, aField + " " + aProblem, aRemedy });
+    }
+  }
+
+  Errors Take() { return std::move(m_errors); }
+
+private:
+  Errors m_errors;
+};
+
+static void
+CheckStep(const GraphStep& aStep, size_t aIndex, GraphCheck& aCheck)
+{
+  const std::string field = "steps[" + std::to_string(aIndex) + "].";
+  aCheck.Require(aStep.m_count > 0 && aStep.m_count <= kMaxTasksPerStep,
+                 field + "count",
+                 "is out of range",
+                 "use 1 to 4096 tasks a step");
+  const Demand& demand = aStep.m_demand;
+  aCheck.Require(demand.m_cpuMilli >= 0 && demand.m_memoryMb >= 0 && demand.m_accelerators >= 0,
+                 field + "demand",
+                 "is negative",
+                 "use 0 or more of each resource");
+  aCheck.Require(aStep.m_estimateMs >= 0, field + "estimate_ms", "is negative", "use 0 or more");
+  for (uint32_t dependency : aStep.m_dependencies) {
+    aCheck.Require(dependency < aIndex,
+                   field + "dependencies",
+                   "name a step that is not an earlier one",
+                   "order the steps so that each depends on earlier ones only");
+  }
+  aCheck.Require(
+    !(aStep.m_gang && aStep.m_copies), field + "gang", "excludes copies", "choose one of the two");
+}
+
+Errors
+ValidateGraph(const Graph& aGraph)
+{
+  GraphCheck check;
+  check.Require(
+    aGraph.m_payload.size() <= kMaxPayloadBytes, "payload", "is too long", "send up to 4000 bytes");
+  check.Require(!aGraph.m_steps.empty() && aGraph.m_steps.size() <= kMaxSteps,
+                "steps",
+                "has a wrong length",
+                "give 1 to 64 steps");
+  check.Require(aGraph.m_occurrences <= kMaxOccurrences,
+                "occurrences",
+                "is too large",
+                "schedule up to 1000 occurrences");
+  check.Require(aGraph.m_intervalMs >= 0 && aGraph.m_firstDueMs >= 0,
+                "interval_ms",
+                "or first_due_ms is negative",
+                "use times of 0 or more");
+  for (size_t i = 0; i < aGraph.m_steps.size(); ++i) {
+    CheckStep(aGraph.m_steps[i], i, check);
+  }
+  return check.Take();
+}
+
+int64_t
+CriticalPathMs(const Graph& aGraph)
+{
+  std::vector<int64_t> endMs;
+  int64_t longest = 0;
+  for (const GraphStep& step : aGraph.m_steps) {
+    int64_t startMs = 0;
+    for (uint32_t dependency : step.m_dependencies) {
+      startMs = std::max(startMs, endMs[dependency]);
+    }
+    endMs.push_back(startMs + step.m_estimateMs);
+    longest = std::max(longest, endMs.back());
+  }
+  return longest;
+}
+
+std::string
+FormatTaskRef(const TaskRef& aTask)
+{
+  std::string text = FormatGraphId(aTask.m_job);
+  text.append(1, '.').append(std::to_string(aTask.m_occurrence));
+  text.append(1, '.').append(std::to_string(aTask.m_step));
+  text.append(1, '.').append(std::to_string(aTask.m_index));
+  return text;
+}
+
+/// Reads ".NUMBER" off the front of \p aText. False if there is none.
+template<typename T>
+static bool
+TakeNumber(std::string_view& aText, T& aNumber)
+{
+  if (aText.empty() || aText.front() != '.') {
+    return false;
+  }
+  const char* end = aText.data() + aText.size();
+  const std::from_chars_result result = std::from_chars(aText.data() + 1, end, aNumber);
+  if (result.ec != std::errc()) {
+    return false;
+  }
+  aText.remove_prefix(static_cast<size_t>(result.ptr - aText.data()));
+  return true;
+}
+
+Expected<TaskRef>
+ParseTaskRef(std::string_view aText)
+{
+  TaskRef task;
+  const Expected<GraphId> id = ParseGraphId(aText.substr(0, kIdDigits));
+  if (!id) {
+    return tl::unexpected<Error>(id.error());
+  }
+  task.m_job = *id;
+  aText.remove_prefix(kIdDigits);
+  const bool complete = TakeNumber(aText, task.m_occurrence) && TakeNumber(aText, task.m_step) &&
+                        TakeNumber(aText, task.m_index);
+  if (!complete || !aText.empty()) {
+    return Fail(ErrorKind::BadInput,
+                "a task name is not JOB.OCCURRENCE.STEP.INDEX",
+                "use the names under which tasks were started");
+  }
+  return task;
+}
+
+size_t
+TaskRefHash::operator()(const TaskRef& aTask) const
+{
+  const uint64_t place =
+    (uint64_t{ aTask.m_occurrence } << 32) | (uint64_t{ aTask.m_step } << 16) | aTask.m_index;
+  return Mix(aTask.m_job ^ Mix(place));
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Node/Claimer.cpp
@@ -0,0 +1,161 @@
+#include "egretturn/Node/Claimer.h"
+
+#include "egretturn/Journal/Codec.h"
+#include "egretturn/Support/Log.h"
+
+namespace egretturn {
+
+static constexpr uint32_t kMostTries = 20; // against a leader that goes on writing
+static constexpr Duration kRetry = std::chrono::milliseconds(100);
+
+Claimer::Claimer(boost::asio::io_context& aIo,
+                 StorePort& aStore,
+                 StoredClaim aIdentity,
+                 uint64_t aKnownEpoch,
+                 Callback aDone)
+  : m_timer(aIo)
+  , m_store(aStore)
+  , m_identity(std::move(aIdentity))
+  , m_knownEpoch(aKnownEpoch)
+  , m_done(std::move(aDone))
+{
+}
+
+void
+Claimer::Start()
+{
+  m_store.ReadNewest(Topic::Jobs, [self = shared_from_this()](Expected<TopicPage> aPage) {
+    if (!aPage) {
+      Log(LogLine(LogLevel::Warning, "claim_failed").Add("error", aPage.error().Text()));
+      self->Fail();
+      return;
+    }
+    self->Apply(*aPage);
+    self->m_end = aPage->m_end;
+    self->ReadOn();
+  });
+}
+
+void
+Claimer::Apply(const TopicPage& aPage)
+{
+  for (const KeyedRecord& record : aPage.m_records) {
+    if (record.m_key != kClaimKey) {
+      m_values[record.m_key] = record.m_value;
+      continue;
+    }
+    StoredClaim claim;
+    if (UnpackCompact(record.m_value, claim) && claim.m_epoch > m_newest.m_epoch) {
+      m_newest = claim;
+    }
+  }
+}
+
+void
+Claimer::ReadOn()
+{
+  // The pages read first are no snapshot; the records behind them make them one.
+  m_store.ReadTail(
+    Topic::Jobs, m_end, Duration::zero(), [self = shared_from_this()](Expected<TopicPage> aPage) {
+      if (!aPage) {
+        self->Fail();
+        return;
+      }
+      self->Apply(*aPage);
+      self->m_end += aPage->m_records.size();
+      if (self->m_end < aPage->m_end) {
+        self->ReadOn();
+      } else {
+        self->TryClaim();
+      }
+    });
+}
+
+void
+Claimer::TryClaim()
+{
+  if (m_newest.m_epoch == m_identity.m_epoch && m_identity.m_epoch > 0 &&
+      m_newest.m_incarnation == m_identity.m_incarnation) {
+    Succeed(); // an append without an answer had been carried out
+    return;
+  }
+  if (m_newest.m_epoch > m_knownEpoch || ++m_tries > kMostTries) {
+    Fail();
+    return;
+  }
+  m_identity.m_epoch = m_newest.m_epoch + 1;
+  m_store.AppendAt(Topic::Jobs,
+                   m_end,
+                   { { std::string(kClaimKey), PackCompact(m_identity) } },
+                   [self = shared_from_this()](AppendResult aResult) { self->OnAppend(aResult); });
+}
+
+void
+Claimer::OnAppend(const AppendResult& aResult)
+{
+  switch (aResult.m_kind) {
+    case AppendResult::Kind::Appended:
+      m_end = aResult.m_end;
+      Succeed();
+      return;
+    case AppendResult::Kind::Conflict:
+      ReadOn();
+      return;
+    case AppendResult::Kind::Unknown:
+      RetryLater();
+      return;
+    case AppendResult::Kind::NotDone:
+      Fail();
+      return;
+  }
+}
+
+void
+Claimer::RetryLater()
+{
+  m_timer.expires_after(kRetry);
+  m_timer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError) {
+      self->ReadOn();
+    }
+  });
+}
+
+void
+Claimer::Fail()
+{
+  Outcome outcome;
+  if (m_newest.m_epoch > m_knownEpoch) {
+    outcome.m_other = m_newest;
+  }
+  m_done(std::move(outcome));
+}
+
+void
+Claimer::Succeed()
+{
+  Outcome outcome;
+  outcome.m_own = m_identity;
+  outcome.m_state.m_end = m_end;
+  for (const auto& [key, value] : m_values) {
+    GraphId id = 0;
+    const RecordKind kind = ClassifyKey(key, id);
+    if (value.empty() || kind == RecordKind::Claim) {
+      continue;
+    }
+    StoredJob job;
+    StoredProgress progress;
+    if (kind == RecordKind::Job && UnpackCompact(value, job)) {
+      outcome.m_state.m_jobs.push_back(std::move(job));
+    } else if (kind == RecordKind::Progress && UnpackCompact(value, progress)) {
+      outcome.m_state.m_progress.emplace_back(id, std::move(progress));
+    } else {
+      Log(LogLine(LogLevel::Error, "record_unreadable")
+            .Add("key", key)
+            .Add("remedy", "check that no other program writes to the topic of jobs"));
+    }
+  }
+  m_done(std::move(outcome));
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Node/Succession.cpp
@@ -0,0 +1,104 @@
+#include "egretturn/Node/Succession.h"
+
+#include "egretturn/Support/Random.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+// Parts of the delay before a claim: the weakest machine waits longest, so does one far from the
+// store, and equal ones are spread.
+static constexpr double kWeightDelayMs = 150.0;
+static constexpr int kRoundTripFactor = 8;
+static constexpr uint64_t kSpreadMs = 120;
+static constexpr Duration kLongestRoundTripDelay = std::chrono::milliseconds(400);
+static constexpr Duration kRetryClaim = std::chrono::milliseconds(300);
+
+Succession::Succession(SuccessionSettings aSettings, Instant aNow)
+  : m_settings(std::move(aSettings))
+  , m_heardAt(aNow)
+  , m_storeOkAt(aNow)
+  , m_goneAt(aNow)
+  , m_notBefore(aNow)
+{
+}
+
+void
+Succession::OnClaim(const StoredClaim& aClaim, Instant aNow)
+{
+  if (m_leader && aClaim.m_epoch <= m_leader->m_epoch) {
+    return;
+  }
+  m_leader = aClaim;
+  m_heardAt = aNow;
+  m_storeOkAt = aNow;
+  m_goneAt.reset();
+}
+
+void
+Succession::OnStoreRead(Duration aRoundTrip, Instant aNow)
+{
+  if (m_storeRead) {
+    return;
+  }
+  m_storeRead = true;
+  const double idle = std::max(0.0, 1.0 - m_settings.m_weight);
+  const uint64_t spread = HashBytes(m_settings.m_instance) % kSpreadMs;
+  m_delay = std::chrono::milliseconds(static_cast<int64_t>(kWeightDelayMs * idle) +
+                                      static_cast<int64_t>(spread)) +
+            std::min<Duration>(aRoundTrip * kRoundTripFactor, kLongestRoundTripDelay);
+  if (!m_leader) {
+    m_goneAt = aNow;
+  }
+}
+
+void
+Succession::OnPing(bool aStoreAvailable, Instant aNow)
+{
+  m_heardAt = aNow;
+  m_goneAt.reset();
+  if (aStoreAvailable) {
+    m_storeOkAt = aNow;
+  }
+}
+
+void
+Succession::OnLeaderGone(Instant aNow)
+{
+  if (!m_goneAt) {
+    m_goneAt = aNow;
+  }
+}
+
+void
+Succession::OnClaimFailed(Instant aNow)
+{
+  m_notBefore = aNow + kRetryClaim + m_delay;
+}
+
+void
+Succession::OnHandOver(Instant aNow)
+{
+  m_goneAt = aNow - m_delay;
+}
+
+bool
+Succession::ShouldClaim(Instant aNow) const
+{
+  if (!m_storeRead || aNow < m_notBefore) {
+    return false;
+  }
+  if (m_goneAt) {
+    return aNow - *m_goneAt >= m_delay;
+  }
+  return aNow - m_heardAt >= m_settings.m_silence + m_delay ||
+         aNow - m_storeOkAt >= m_settings.m_storeless + m_delay;
+}
+
+bool
+Succession::HasLeader(Instant aNow) const
+{
+  return m_leader && !m_goneAt && aNow - m_heardAt < m_settings.m_silence;
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Scheduler/Ends.cpp
@@ -0,0 +1,480 @@
+// What workers report: ends, runs that go on, and runs that have vanished.
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include "egretturn/Support/Log.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr Duration kLookGap =
+  std::chrono::milliseconds(20); // gathers ends that come together
+static constexpr Duration kLookRetry = std::chrono::milliseconds(200);
+static constexpr Duration kLongestLookRetry = std::chrono::milliseconds(1000);
+static constexpr Duration kUndurableLook = std::chrono::milliseconds(400);
+static constexpr Duration kBrieflyAvoided = std::chrono::milliseconds(300);
+static constexpr uint32_t kBadStreak = 3; // failures in a row after which a worker is avoided
+static constexpr Duration kFirstAvoidance = std::chrono::seconds(1);
+static constexpr uint32_t kLongestAvoidance = 3; // doublings of the first one
+
+/// Logs what became of a run.
+static void
+LogRun(const char* aEvent,
+       const Worker& aWorker,
+       const TaskRef& aTask,
+       RunNumber aRun,
+       std::string_view aCause)
+{
+  if (LogEnabled(LogLevel::Info)) {
+    Log(LogLine(LogLevel::Info, aEvent)
+          .Add("job", FormatGraphId(aTask.m_job))
+          .Add("task", FormatTaskRef(aTask))
+          .Add("run", aRun)
+          .Add("worker", aWorker.m_report.m_id)
+          .Add("cause", aCause));
+  }
+}
+
+void
+Scheduler::NoteConduct(Worker& aWorker, bool aGood, Instant aNow)
+{
+  if (aGood) {
+    aWorker.m_badStreak = 0;
+    return;
+  }
+  ++aWorker.m_badStreak;
+  if (aWorker.m_badStreak < kBadStreak) {
+    return;
+  }
+  const uint32_t doublings = std::min(aWorker.m_badStreak - kBadStreak, kLongestAvoidance);
+  aWorker.m_avoidUntil = aNow + kFirstAvoidance * (1 << doublings);
+  Log(LogLine(LogLevel::Warning, "worker_avoided")
+        .Add("worker", aWorker.m_report.m_id)
+        .Add("failures", aWorker.m_badStreak)
+        .Add("for_ms", ToMillis(aWorker.m_avoidUntil - aNow)));
+}
+
+/// Takes the run off the task. Returns the step's record if the task now waits.
+static void
+DetachRun(Job& aJob, const TaskRef& aRef, TaskRecord& aTask, const Worker& aWorker, RunNumber aRun)
+{
+  const auto it = std::find_if(aTask.m_runs.begin(), aTask.m_runs.end(), [&](const LiveRun& aLive) {
+    return aLive.m_worker == &aWorker && aLive.m_run == aRun;
+  });
+  if (it == aTask.m_runs.end()) {
+    return;
+  }
+  aTask.m_runs.erase(it);
+  if (aTask.m_runs.empty() && !aTask.m_done) {
+    ++JobBook::FindOccurrence(aJob, aRef.m_occurrence)->m_steps[aRef.m_step].m_waiting;
+  }
+}
+
+void
+Scheduler::EndJob(Job& aJob, JobState aState, Instant aNow)
+{
+  aJob.m_state = aState;
+  aJob.m_endedMs = m_wallMs;
+  StopAllRuns(aJob, aNow);
+  aJob.m_occurrences.clear();
+  m_waitingJobs.erase(aJob.m_stored.m_id);
+  MarkDirty(aJob);
+  m_urgent = true;
+  Log(LogLine(LogLevel::Info, "job_ended")
+        .Add("job", FormatGraphId(aJob.m_stored.m_id))
+        .Add("state", NameOf(aState))
+        .Add("age_ms", ToMillis(aNow - aJob.m_submittedAt))
+        .Add("objective_ms", ToMillis(aJob.m_objective)));
+}
+
+void
+Scheduler::ApplyDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow)
+{
+  OccurrenceRecord& occurrence = *JobBook::FindOccurrence(aJob, aRef.m_occurrence);
+  StepRecord& step = occurrence.m_steps[aRef.m_step];
+  if (aTask.m_runs.empty()) {
+    --step.m_waiting;
+  }
+  aTask.m_done = true;
+  aTask.m_checkpoint.clear();
+  for (const LiveRun& other : aTask.m_runs) {
+    StopRun(*other.m_worker, aRef, aNow);
+  }
+  ++step.m_done;
+  m_placeNeeded = true;
+  MarkDirty(aJob);
+  const bool complete =
+    std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(), [](const StepRecord& aStep) {
+      return aStep.m_done == aStep.m_tasks.size();
+    });
+  if (!complete) {
+    return;
+  }
+  occurrence.m_complete = true;
+  occurrence.m_steps.clear();
+  m_urgent = true;
+  if (!aJob.HasOpenOccurrences()) {
+    EndJob(aJob, JobState::Done, aNow);
+  }
+}
+
+void
+Scheduler::ApplyFailed(Job& aJob,
+                       TaskRecord& aTask,
+                       const TaskRef& aRef,
+                       RunNumber aRun,
+                       Worker& aWorker,
+                       Instant aNow)
+{
+  aTask.m_avoid = &aWorker;
+  if (aJob.m_stored.m_graph.m_steps[aRef.m_step].m_lasting) {
+    return;
+  }
+  std::vector<RunNumber>& failed = aTask.m_failedRuns;
+  if (std::find(failed.begin(), failed.end(), aRun) == failed.end()) {
+    failed.push_back(aRun);
+    MarkDirty(aJob);
+  }
+  if (failed.size() >= aJob.m_stored.m_terms.m_attempts) {
+    EndJob(aJob, JobState::Failed, aNow);
+  }
+}
+
+void
+Scheduler::ApplyEnd(Job& aJob,
+                    TaskRecord& aTask,
+                    const EndedRow& aRow,
+                    Worker& aWorker,
+                    Instant aNow)
+{
+  const bool lasting = aJob.m_stored.m_graph.m_steps[aRow.m_task.m_step].m_lasting;
+  DetachRun(aJob, aRow.m_task, aTask, aWorker, aRow.m_run);
+  m_waitingJobs.insert(aJob.m_stored.m_id);
+  m_placeNeeded = true;
+  if (!aRow.m_checkpoint.empty() && !aTask.m_done) {
+    aTask.m_checkpoint = aRow.m_checkpoint;
+    MarkDirty(aJob);
+  }
+  if (aRow.m_end == RunEnd::Done && !aTask.m_done && !lasting) {
+    ApplyDone(aJob, aTask, aRow.m_task, aNow);
+  } else if (aRow.m_end == RunEnd::Failed && !aTask.m_done) {
+    ApplyFailed(aJob, aTask, aRow.m_task, aRow.m_run, aWorker, aNow);
+  }
+}
+
+void
+Scheduler::HandleEnd(Worker& aWorker, const EndedRow& aRow, Instant aNow)
+{
+  LogRun("run_ended", aWorker, aRow.m_task, aRow.m_run, NameOf(aRow.m_end));
+  const auto it = aWorker.m_runs.find(aRow.m_task);
+  if (it != aWorker.m_runs.end() && it->second.m_run == aRow.m_run) {
+    Fleet::RemoveRun(aWorker, aRow.m_task);
+    m_placeNeeded = true;
+  }
+  if (aRow.m_end == RunEnd::Done) {
+    ++m_counters.m_endsDone;
+    NoteConduct(aWorker, true, aNow);
+  } else if (aRow.m_end == RunEnd::Failed) {
+    ++m_counters.m_endsFailed;
+    NoteConduct(aWorker, false, aNow);
+  } else {
+    ++m_counters.m_endsOther;
+  }
+  Job* job = m_book.Find(aRow.m_task.m_job);
+  if (!job || IsEnded(job->m_state)) {
+    return;
+  }
+  TaskRecord* task = JobBook::FindTask(*job, aRow.m_task);
+  if (!task) {
+    return;
+  }
+  if (!job->m_stored.m_graph.m_steps[aRow.m_task.m_step].m_gang || aRow.m_end != RunEnd::Done) {
+    ApplyEnd(*job, *task, aRow, aWorker, aNow);
+    return;
+  }
+  // One done member stands for the whole gang.
+  EndedRow member = aRow;
+  const size_t members = job->m_stored.m_graph.m_steps[aRow.m_task.m_step].m_count;
+  for (size_t i = 0; i < members && !IsEnded(job->m_state); ++i) {
+    member.m_task.m_index = static_cast<uint16_t>(i);
+    TaskRecord* record = JobBook::FindTask(*job, member.m_task);
+    if (record && !record->m_done) {
+      ApplyEnd(*job, *record, member, aWorker, aNow);
+    }
+  }
+}
+
+void
+Scheduler::AdoptRun(Worker& aWorker, const RunningRow& aRow, Instant aNow)
+{
+  Job* job = m_book.Find(aRow.m_task.m_job);
+  if (job && !IsEnded(job->m_state)) {
+    m_book.OpenDue(*job, m_wallMs);
+  }
+  TaskRecord* task = job && !IsEnded(job->m_state) ? JobBook::FindTask(*job, aRow.m_task) : nullptr;
+  WorkerRun run;
+  run.m_run = aRow.m_run;
+  run.m_phase = RunPhase::Running;
+  run.m_phaseSince = aNow;
+  run.m_progressedAt = aNow;
+  if (job && aRow.m_task.m_step < job->m_stored.m_graph.m_steps.size()) {
+    const GraphStep& step = job->m_stored.m_graph.m_steps[aRow.m_task.m_step];
+    run.m_demand = step.m_demand;
+    run.m_fills = step.m_fills;
+    run.m_lasting = step.m_lasting;
+    run.m_targetMs = step.m_targetMs;
+  }
+  Fleet::AddRun(aWorker, aRow.m_task, run);
+  const bool wanted = task && !task->m_done && task->m_runs.empty();
+  LogRun(wanted ? "run_adopted" : "run_unwanted", aWorker, aRow.m_task, aRow.m_run, "listed");
+  if (!wanted) {
+    StopRun(aWorker, aRow.m_task, aNow);
+    return;
+  }
+  task->m_runs.push_back({ &aWorker, aRow.m_run });
+  --JobBook::FindOccurrence(*job, aRow.m_task.m_occurrence)->m_steps[aRow.m_task.m_step].m_waiting;
+  if (job->m_state == JobState::Queued) {
+    job->m_state = JobState::Running;
+  }
+}
+
+void
+Scheduler::HandleRow(Worker& aWorker, const RunningRow& aRow, Instant aNow)
+{
+  const auto it = aWorker.m_runs.find(aRow.m_task);
+  if (it == aWorker.m_runs.end()) {
+    AdoptRun(aWorker, aRow, aNow);
+    return;
+  }
+  WorkerRun& run = it->second;
+  if (run.m_run != aRow.m_run) {
+    return; // an older run of the task, whose end is about to be listed
+  }
+  if (run.m_phase == RunPhase::Sent || run.m_phase == RunPhase::Unanswered) {
+    run.m_phase = RunPhase::Running;
+    run.m_phaseSince = aNow;
+  }
+  if (aRow.m_percent > run.m_percent) {
+    run.m_progressedAt = aNow;
+  }
+  run.m_percent = aRow.m_percent;
+  run.m_usage = aRow.m_usage;
+  if (aRow.m_checkpoint.empty()) {
+    return;
+  }
+  Job* job = m_book.Find(aRow.m_task.m_job);
+  TaskRecord* task = job ? JobBook::FindTask(*job, aRow.m_task) : nullptr;
+  if (task && !task->m_done) {
+    task->m_checkpoint = aRow.m_checkpoint; // written with the next end or stop of the job
+  }
+}
+
+void
+Scheduler::LoseRun(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause)
+{
+  (void)aNow;
+  const RunNumber run = aWorker.m_runs.at(aTask).m_run;
+  LogRun("run_lost", aWorker, aTask, run, aCause);
+  Fleet::RemoveRun(aWorker, aTask);
+  m_placeNeeded = true;
+  Job* job = m_book.Find(aTask.m_job);
+  if (!job || IsEnded(job->m_state)) {
+    return;
+  }
+  if (TaskRecord* task = JobBook::FindTask(*job, aTask)) {
+    DetachRun(*job, aTask, *task, aWorker, run);
+    m_waitingJobs.insert(aTask.m_job);
+  }
+}
+
+void
+Scheduler::LoseAllRuns(Worker& aWorker, Instant aNow, const char* aCause)
+{
+  while (!aWorker.m_runs.empty()) {
+    const TaskRef task = aWorker.m_runs.begin()->first;
+    LoseRun(aWorker, task, aNow, aCause);
+  }
+}
+
+void
+Scheduler::Reincarnate(Worker& aWorker, int64_t aIncarnation, Instant aNow)
+{
+  Log(LogLine(LogLevel::Info, "worker_restarted")
+        .Add("worker", aWorker.m_report.m_id)
+        .Add("incarnation", aIncarnation)
+        .Add("runs", uint64_t{ aWorker.m_runs.size() }));
+  LoseAllRuns(aWorker, aNow, "worker_restarted");
+  aWorker.m_report.m_incarnation = aIncarnation;
+  aWorker.m_looked = false;
+  aWorker.m_endsSeen = 0;
+  aWorker.m_endsDurable = 0;
+  aWorker.m_endsInBatch = 0;
+  aWorker.m_endsAcknowledged = 0;
+  aWorker.m_acknowledging = 0;
+  aWorker.m_fillPace = 100;
+  aWorker.m_lookDueAt = aNow;
+}
+
+void
+Scheduler::DropVanished(Worker& aWorker, const WorkerView& aView, Instant aNow)
+{
+  std::unordered_set<TaskRef, TaskRefHash> listed;
+  for (const RunningRow& row : aView.m_running) {
+    listed.insert(row.m_task);
+  }
+  std::vector<TaskRef> vanished;
+  std::vector<TaskRef> toStop;
+  for (const auto& [task, run] : aWorker.m_runs) {
+    if (listed.count(task) > 0 || run.m_phaseSince >= aWorker.m_lookSentAt) {
+      continue;
+    }
+    if (run.m_phase == RunPhase::Unanswered) {
+      toStop.push_back(task); // a stop keeps a late start from being carried out
+    } else if (run.m_phase == RunPhase::Running || run.m_stopAnswered) {
+      vanished.push_back(task);
+    }
+  }
+  for (const TaskRef& task : toStop) {
+    StopRun(aWorker, task, aNow);
+  }
+  for (const TaskRef& task : vanished) {
+    LoseRun(aWorker, task, aNow, "not_listed");
+  }
+}
+
+void
+Scheduler::OnLook(const WorkerName& aId, const WorkerView& aView, Instant aNow)
+{
+  Worker* worker = m_fleet.Find(aId);
+  if (!worker) {
+    return;
+  }
+  worker->m_lookInFlight = false;
+  if (aView.m_incarnation != 0 && aView.m_incarnation < worker->m_report.m_incarnation) {
+    worker->m_lookDueAt = aNow; // answered by an earlier life
+    return;
+  }
+  if (aView.m_incarnation > worker->m_report.m_incarnation) {
+    if (worker->m_report.m_incarnation != 0) {
+      Reincarnate(*worker, aView.m_incarnation, aNow);
+    }
+    worker->m_report.m_incarnation = aView.m_incarnation;
+  }
+  worker->m_failedLooks = 0;
+  worker->m_looked = true;
+  worker->m_clockMs = aView.m_clockMs;
+  worker->m_clockAt = aNow;
+  worker->m_endsAcknowledged = std::max(worker->m_endsAcknowledged, worker->m_acknowledging);
+  for (const EndedRow& row : aView.m_ended) {
+    if (row.m_number > worker->m_endsSeen) {
+      HandleEnd(*worker, row, aNow);
+      worker->m_endsSeen = row.m_number;
+    }
+  }
+  for (const RunningRow& row : aView.m_running) {
+    HandleRow(*worker, row, aNow);
+  }
+  DropVanished(*worker, aView, aNow);
+  AdjustPace(*worker, aNow);
+  if (m_dirty.empty() && !m_batchInFlight) {
+    worker->m_endsDurable = worker->m_endsSeen; // nothing of these ends is left to write
+  }
+  const bool undurable = worker->m_endsSeen > worker->m_endsDurable;
+  worker->m_lookDueAt = aNow + (undurable ? kUndurableLook : kLookGap);
+  CheckRecovery(aNow);
+}
+
+void
+Scheduler::OnLookFailed(const WorkerName& aId, OrderResult aResult, Instant aNow)
+{
+  if (aResult == OrderResult::Fenced) {
+    Emit(StepDown{ "fenced by worker " + aId });
+    return;
+  }
+  Worker* worker = m_fleet.Find(aId);
+  if (!worker) {
+    return;
+  }
+  worker->m_lookInFlight = false;
+  if (++worker->m_failedLooks == 1) {
+    Log(LogLine(LogLevel::Warning, "worker_lost_contact")
+          .Add("worker", aId)
+          .Add("result", NameOf(aResult))
+          .Add("runs", uint64_t{ worker->m_runs.size() }));
+  }
+  worker->m_lookDueAt =
+    aNow + std::min<Duration>(kLookRetry * worker->m_failedLooks, kLongestLookRetry);
+}
+
+void
+Scheduler::OnStart(const WorkerName& aId,
+                   const TaskRef& aTask,
+                   RunNumber aRun,
+                   OrderResult aResult,
+                   Instant aNow)
+{
+  if (aResult == OrderResult::Fenced) {
+    Emit(StepDown{ "fenced by worker " + aId });
+    return;
+  }
+  Worker* worker = m_fleet.Find(aId);
+  if (!worker) {
+    return;
+  }
+  const auto it = worker->m_runs.find(aTask);
+  if (it == worker->m_runs.end() || it->second.m_run != aRun) {
+    return; // its end was listed before the answer came
+  }
+  WorkerRun& run = it->second;
+  if (run.m_phase == RunPhase::Stopping) {
+    return;
+  }
+  if (aResult == OrderResult::Accepted) {
+    run.m_phase = RunPhase::Running;
+    run.m_phaseSince = aNow;
+    worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow + kLookGap);
+    return;
+  }
+  LogRun("start_failed", *worker, aTask, aRun, NameOf(aResult));
+  worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
+  if (aResult == OrderResult::Unanswered) {
+    run.m_phase = RunPhase::Unanswered;
+    run.m_phaseSince = aNow;
+    NoteConduct(*worker, false, aNow);
+    return;
+  }
+  if (aResult == OrderResult::NoRoom || aResult == OrderResult::TooLate) {
+    worker->m_avoidUntil = std::max(worker->m_avoidUntil, aNow + kBrieflyAvoided);
+  } else if (aResult != OrderResult::Superseded) {
+    worker->m_avoidUntil = std::max(worker->m_avoidUntil, aNow + kBrieflyAvoided);
+    NoteConduct(*worker, false, aNow);
+  }
+  LoseRun(*worker, aTask, aNow, "not_started");
+}
+
+void
+Scheduler::OnStop(const WorkerName& aId,
+                  const TaskRef& aTask,
+                  RunNumber aRun,
+                  OrderResult aResult,
+                  Instant aNow)
+{
+  if (aResult == OrderResult::Fenced) {
+    Emit(StepDown{ "fenced by worker " + aId });
+    return;
+  }
+  Worker* worker = m_fleet.Find(aId);
+  const auto it = worker ? worker->m_runs.find(aTask)
+                         : std::unordered_map<TaskRef, WorkerRun, TaskRefHash>::iterator();
+  if (!worker || it == worker->m_runs.end() || it->second.m_run != aRun) {
+    return;
+  }
+  const bool settled = aResult == OrderResult::Accepted || aResult == OrderResult::Superseded;
+  if (settled) {
+    it->second.m_stopAnswered = true;
+    it->second.m_phaseSince = aNow;
+    worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow + kLookGap);
+  }
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Scheduler/Fleet.cpp
@@ -0,0 +1,157 @@
+#include "egretturn/Scheduler/Fleet.h"
+
+#include "egretturn/Support/EnumTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace egretturn {
+
+static constexpr Duration kLeaseMargin =
+  std::chrono::milliseconds(200); // for timers that fire late
+
+static constexpr EnumTable<RunEnd, 6> kEndNames{ {
+  { RunEnd::Done, "done" },
+  { RunEnd::Failed, "failed" },
+  { RunEnd::Stopped, "stopped" },
+  { RunEnd::Lapsed, "lapsed" },
+  { RunEnd::Broken, "broken" },
+  { RunEnd::Alone, "alone" },
+} };
+
+static constexpr EnumTable<OrderResult, 11> kResultNames{ {
+  { OrderResult::Accepted, "accepted" },
+  { OrderResult::Fenced, "fenced" },
+  { OrderResult::Superseded, "superseded" },
+  { OrderResult::TooLate, "too_late" },
+  { OrderResult::NoRoom, "no_room" },
+  { OrderResult::BadTicket, "bad_ticket" },
+  { OrderResult::Rejected, "rejected" },
+  { OrderResult::Unhealthy, "unhealthy" },
+  { OrderResult::OtherInstance, "other_instance" },
+  { OrderResult::NotSent, "not_sent" },
+  { OrderResult::Unanswered, "unanswered" },
+} };
+
+std::string_view
+NameOf(RunEnd aEnd)
+{
+  return NameIn(kEndNames, aEnd);
+}
+
+std::string_view
+NameOf(OrderResult aResult)
+{
+  return NameIn(kResultNames, aResult);
+}
+
+Fleet::Fleet(const LeaseLimits& aLimits)
+  : m_limits(aLimits)
+{
+}
+
+bool
+Fleet::Update(const WorkerReport& aReport, Instant aNow)
+{
+  if (Worker* known = Find(aReport.m_id)) {
+    known->m_report = aReport;
+    known->m_listed = true;
+    return false;
+  }
+  std::unique_ptr<Worker> worker = std::make_unique<Worker>();
+  worker->m_report = aReport;
+  worker->m_lookDueAt = aNow;
+  worker->m_leaseOverAt = aNow;
+  m_byId.emplace(aReport.m_id, worker.get());
+  m_workers.push_back(std::move(worker));
+  return true;
+}
+
+void
+Fleet::Unlist(const WorkerName& aId)
+{
+  if (Worker* worker = Find(aId)) {
+    worker->m_listed = false;
+  }
+}
+
+void
+Fleet::Erase(const WorkerName& aId)
+{
+  const auto it =
+    std::find_if(m_workers.begin(), m_workers.end(), [&](const std::unique_ptr<Worker>& aWorker) {
+      return aWorker->m_report.m_id == aId;
+    });
+  if (it == m_workers.end()) {
+    return;
+  }
+  assert((*it)->m_runs.empty() && "a worker with runs must not be forgotten");
+  m_byId.erase(aId);
+  m_workers.erase(it);
+}
+
+Worker*
+Fleet::Find(const WorkerName& aId)
+{
+  const auto it = m_byId.find(aId);
+  return it == m_byId.end() ? nullptr : it->second;
+}
+
+/// Adds the demand of \p aRun to what \p aWorker has in use, or takes it off for \p aSign -1.
+static void
+Count(Worker& aWorker, const WorkerRun& aRun, int64_t aSign)
+{
+  aWorker.m_used.m_memoryMb += aSign * aRun.m_demand.m_memoryMb;
+  aWorker.m_used.m_accelerators += aSign * aRun.m_demand.m_accelerators;
+  if (aRun.m_fills) {
+    aWorker.m_fillCpu += aSign * aRun.m_demand.m_cpuMilli;
+    return;
+  }
+  aWorker.m_used.m_cpuMilli += aSign * aRun.m_demand.m_cpuMilli;
+  if (aRun.m_lasting) {
+    aWorker.m_lastingCpu += aSign * aRun.m_demand.m_cpuMilli;
+  }
+}
+
+WorkerRun&
+Fleet::AddRun(Worker& aWorker, const TaskRef& aTask, const WorkerRun& aRun)
+{
+  const auto [it, added] = aWorker.m_runs.emplace(aTask, aRun);
+  assert(added && "a worker holds one run of a task");
+  (void)added;
+  Count(aWorker, aRun, 1);
+  return it->second;
+}
+
+void
+Fleet::RemoveRun(Worker& aWorker, const TaskRef& aTask)
+{
+  const auto it = aWorker.m_runs.find(aTask);
+  if (it == aWorker.m_runs.end()) {
+    return;
+  }
+  Count(aWorker, it->second, -1);
+  aWorker.m_runs.erase(it);
+}
+
+int64_t
+Fleet::LeaseEnd(const Worker& aWorker, Instant aNow) const
+{
+  if (!aWorker.m_looked) {
+    return 0;
+  }
+  // Its clock shows at least this much, so the lease is over by the time noted in ExtendLease().
+  const double sinceMs =
+    static_cast<double>(ToMillis(aNow - aWorker.m_clockAt)) * (1.0 - m_limits.m_clockSlowness);
+  return aWorker.m_clockMs + static_cast<int64_t>(sinceMs) + ToMillis(m_limits.m_longest);
+}
+
+void
+Fleet::ExtendLease(Worker& aWorker, Instant aNow) const
+{
+  const double longest = static_cast<double>(m_limits.m_longest.count());
+  const Duration length(static_cast<int64_t>(longest / (1.0 - m_limits.m_clockSlowness)));
+  aWorker.m_leaseOverAt = std::max(aWorker.m_leaseOverAt, aNow + length + kLeaseMargin);
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Scheduler/JobBook.cpp
@@ -0,0 +1,194 @@
+#include "egretturn/Scheduler/JobBook.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace egretturn {
+
+bool
+Job::IsLasting() const
+{
+  const std::vector<GraphStep>& steps = m_stored.m_graph.m_steps;
+  return std::any_of(
+    steps.begin(), steps.end(), [](const GraphStep& aStep) { return aStep.m_lasting; });
+}
+
+bool
+Job::HasOpenOccurrences() const
+{
+  const uint32_t total = std::max<uint32_t>(1, m_stored.m_graph.m_occurrences);
+  return m_nextOccurrence < total ||
+         std::any_of(m_occurrences.begin(),
+                     m_occurrences.end(),
+                     [](const OccurrenceRecord& aOccurrence) { return !aOccurrence.m_complete; });
+}
+
+Job*
+JobBook::Find(GraphId aId)
+{
+  const auto it = m_jobs.find(aId);
+  return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+Job&
+JobBook::Add(StoredJob aStored, Instant aNow)
+{
+  assert(m_jobs.count(aStored.m_id) == 0 && "the job is known already");
+  std::unique_ptr<Job> job = std::make_unique<Job>();
+  const JobTerms& terms = aStored.m_terms;
+  const double pathMs = terms.m_stretch * static_cast<double>(CriticalPathMs(aStored.m_graph));
+  job->m_objective = std::chrono::milliseconds(terms.m_targetMs + static_cast<int64_t>(pathMs));
+  job->m_submittedAt = aNow;
+  job->m_stored = std::move(aStored);
+  Job& added = *job;
+  m_jobs.emplace(added.m_stored.m_id, std::move(job));
+  return added;
+}
+
+static OccurrenceRecord&
+OpenOccurrence(Job& aJob, uint32_t aNumber)
+{
+  OccurrenceRecord& occurrence = aJob.m_occurrences.emplace_back();
+  occurrence.m_number = aNumber;
+  for (const GraphStep& step : aJob.m_stored.m_graph.m_steps) {
+    StepRecord& record = occurrence.m_steps.emplace_back();
+    record.m_tasks.resize(step.m_count);
+    record.m_waiting = step.m_count;
+  }
+  return occurrence;
+}
+
+bool
+JobBook::OpenDue(Job& aJob, int64_t aWallMs)
+{
+  const Graph& graph = aJob.m_stored.m_graph;
+  if (graph.m_occurrences == 0) {
+    if (aJob.m_nextOccurrence > 0) {
+      return false;
+    }
+    OpenOccurrence(aJob, aJob.m_nextOccurrence++);
+    return true;
+  }
+  bool opened = false;
+  while (aJob.m_nextOccurrence < graph.m_occurrences &&
+         graph.m_firstDueMs + aJob.m_nextOccurrence * graph.m_intervalMs <= aWallMs) {
+    OpenOccurrence(aJob, aJob.m_nextOccurrence++);
+    opened = true;
+  }
+  return opened;
+}
+
+OccurrenceRecord*
+JobBook::FindOccurrence(Job& aJob, uint32_t aNumber)
+{
+  for (OccurrenceRecord& occurrence : aJob.m_occurrences) {
+    if (occurrence.m_number == aNumber) {
+      return &occurrence;
+    }
+  }
+  return nullptr;
+}
+
+TaskRecord*
+JobBook::FindTask(Job& aJob, const TaskRef& aTask)
+{
+  OccurrenceRecord* occurrence = FindOccurrence(aJob, aTask.m_occurrence);
+  if (!occurrence || aTask.m_step >= occurrence->m_steps.size()) {
+    return nullptr;
+  }
+  StepRecord& step = occurrence->m_steps[aTask.m_step];
+  return aTask.m_index < step.m_tasks.size() ? &step.m_tasks[aTask.m_index] : nullptr;
+}
+
+bool
+JobBook::IsReady(const Job& aJob, const OccurrenceRecord& aOccurrence, size_t aStep)
+{
+  const std::vector<uint32_t>& dependencies = aJob.m_stored.m_graph.m_steps[aStep].m_dependencies;
+  return std::all_of(dependencies.begin(), dependencies.end(), [&](uint32_t aDependency) {
+    const StepRecord& step = aOccurrence.m_steps[aDependency];
+    return step.m_done == step.m_tasks.size();
+  });
+}
+
+static StoredOccurrence
+DescribeOccurrence(const OccurrenceRecord& aOccurrence)
+{
+  StoredOccurrence stored;
+  stored.m_number = aOccurrence.m_number;
+  stored.m_complete = aOccurrence.m_complete;
+  if (aOccurrence.m_complete) {
+    return stored;
+  }
+  for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
+    const std::vector<TaskRecord>& tasks = aOccurrence.m_steps[s].m_tasks;
+    std::vector<uint16_t>& done = stored.m_done.emplace_back();
+    for (size_t i = 0; i < tasks.size(); ++i) {
+      if (tasks[i].m_done) {
+        done.push_back(static_cast<uint16_t>(i));
+      } else if (!tasks[i].m_failedRuns.empty() || !tasks[i].m_checkpoint.empty()) {
+        stored.m_tasks.push_back({ static_cast<uint16_t>(s),
+                                   static_cast<uint16_t>(i),
+                                   tasks[i].m_failedRuns,
+                                   tasks[i].m_checkpoint });
+      }
+    }
+  }
+  return stored;
+}
+
+StoredProgress
+DescribeProgress(const Job& aJob)
+{
+  StoredProgress progress;
+  progress.m_state = aJob.m_state;
+  progress.m_endedMs = aJob.m_endedMs;
+  if (IsEnded(aJob.m_state)) {
+    return progress;
+  }
+  for (const OccurrenceRecord& occurrence : aJob.m_occurrences) {
+    progress.m_occurrences.push_back(DescribeOccurrence(occurrence));
+  }
+  return progress;
+}
+
+static void
+ApplyOccurrence(Job& aJob, const StoredOccurrence& aStored)
+{
+  OccurrenceRecord& occurrence = OpenOccurrence(aJob, aStored.m_number);
+  aJob.m_nextOccurrence = std::max(aJob.m_nextOccurrence, aStored.m_number + 1);
+  occurrence.m_complete = aStored.m_complete;
+  if (aStored.m_complete) {
+    occurrence.m_steps.clear();
+    return;
+  }
+  for (size_t s = 0; s < aStored.m_done.size() && s < occurrence.m_steps.size(); ++s) {
+    StepRecord& step = occurrence.m_steps[s];
+    for (uint16_t index : aStored.m_done[s]) {
+      if (index < step.m_tasks.size() && !step.m_tasks[index].m_done) {
+        step.m_tasks[index].m_done = true;
+        ++step.m_done;
+        --step.m_waiting;
+      }
+    }
+  }
+  for (const StoredTask& stored : aStored.m_tasks) {
+    const TaskRef ref{ aJob.m_stored.m_id, aStored.m_number, stored.m_step, stored.m_index };
+    if (TaskRecord* task = JobBook::FindTask(aJob, ref)) {
+      task->m_failedRuns = stored.m_failedRuns;
+      task->m_checkpoint = stored.m_checkpoint;
+    }
+  }
+}
+
+void
+ApplyProgress(Job& aJob, const StoredProgress& aProgress)
+{
+  aJob.m_state = aProgress.m_state;
+  aJob.m_durableState = aProgress.m_state;
+  aJob.m_endedMs = aProgress.m_endedMs;
+  for (const StoredOccurrence& stored : aProgress.m_occurrences) {
+    ApplyOccurrence(aJob, stored);
+  }
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Scheduler/Scheduler.cpp
@@ -0,0 +1,460 @@
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include "egretturn/Journal/Codec.h"
+#include "egretturn/Support/Log.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr Duration kUrgentBatchGap = std::chrono::milliseconds(10);
+static constexpr Duration kBatchGap = std::chrono::milliseconds(50);
+static constexpr Duration kSweep = std::chrono::milliseconds(100); // leases, stops, occurrences
+static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
+static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
+static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
+static constexpr Duration kIdleLook = std::chrono::hours(1); // a worker without runs is left alone
+
+Scheduler::Scheduler(const SchedulerLimits& aLimits, uint64_t aEpoch, Instant aNow)
+  : m_limits(aLimits)
+  , m_epoch(aEpoch)
+  , m_fleet(aLimits.m_lease)
+  , m_nextBatchAt(aNow)
+  , m_createdAt(aNow)
+  , m_nextPlaceAt(aNow)
+  , m_nextSweepAt(aNow)
+{
+}
+
+void
+Scheduler::RestoreJob(StoredJob aJob, Instant aNow, int64_t aWallMs)
+{
+  if (m_book.Find(aJob.m_id)) {
+    return;
+  }
+  const int64_t ageMs = std::max<int64_t>(0, aWallMs - aJob.m_acceptedMs);
+  Job& job = m_book.Add(std::move(aJob), aNow - std::chrono::milliseconds(ageMs));
+  job.m_durable = true;
+  job.m_jobWritten = true;
+  job.m_recovered = true;
+  m_waitingJobs.insert(job.m_stored.m_id);
+  m_scheduledJobs.insert(job.m_stored.m_id);
+  m_placeNeeded = true;
+}
+
+void
+Scheduler::RestoreProgress(GraphId aId, const StoredProgress& aProgress)
+{
+  Job* job = m_book.Find(aId);
+  if (!job) {
+    m_dropKeys.push_back(ProgressKey(aId));
+    return;
+  }
+  ApplyProgress(*job, aProgress);
+}
+
+void
+Scheduler::Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs)
+{
+  m_wallMs = aWallMs;
+  if (Job* known = m_book.Find(aSubmission.m_id)) {
+    if (known->m_durable) {
+      Emit(AnswerRequest{ aRequest, SubmitResult::Accepted });
+    } else {
+      known->m_submitters.push_back(aRequest);
+    }
+    return;
+  }
+  if (!m_storeAvailable || m_book.All().size() >= m_limits.m_jobs) {
+    ++m_counters.m_refused;
+    Log(LogLine(LogLevel::Info, "job_refused")
+          .Add("job", FormatGraphId(aSubmission.m_id))
+          .Add("reason", m_storeAvailable ? "too_many_jobs" : "store_unavailable"));
+    Emit(AnswerRequest{ aRequest, SubmitResult::NotRun });
+    return;
+  }
+  StoredJob stored;
+  stored.m_id = aSubmission.m_id;
+  stored.m_terms = std::move(aSubmission.m_terms);
+  stored.m_graph = std::move(aSubmission.m_graph);
+  stored.m_acceptedMs = aWallMs;
+  Job& job = m_book.Add(std::move(stored), aNow);
+  job.m_submitters.push_back(aRequest);
+  m_scheduledJobs.insert(job.m_stored.m_id);
+  MarkDirty(job);
+  m_urgent = true;
+}
+
+void
+Scheduler::Cancel(RequestToken aRequest, GraphId aId, Instant aNow, int64_t aWallMs)
+{
+  m_wallMs = aWallMs;
+  Job* job = m_book.Find(aId);
+  if (!job) {
+    Emit(AnswerRequest{ aRequest, SubmitResult::NoSuchJob });
+    return;
+  }
+  if (IsEnded(job->m_durableState)) {
+    Emit(AnswerRequest{ aRequest, SubmitResult::Accepted });
+    return;
+  }
+  job->m_cancellers.push_back(aRequest);
+  if (!IsEnded(job->m_state)) {
+    EndJob(*job, JobState::Cancelled, aNow);
+  }
+  m_urgent = true;
+}
+
+std::optional<JobState>
+Scheduler::StateOf(GraphId aId)
+{
+  const Job* job = m_book.Find(aId);
+  if (!job) {
+    return std::nullopt;
+  }
+  if (IsEnded(job->m_durableState)) {
+    return job->m_durableState;
+  }
+  return IsEnded(job->m_state) ? JobState::Running : job->m_state;
+}
+
+uint64_t
+Scheduler::CountPending(const std::string& aRoute)
+{
+  uint64_t pending = 0;
+  for (const auto& [id, job] : m_book.All()) {
+    const bool waits = job->m_state == JobState::Queued && job->m_durable;
+    pending += waits && job->m_stored.m_terms.m_route == aRoute ? 1 : 0;
+  }
+  return pending;
+}
+
+void
+Scheduler::UpdateWorker(const WorkerReport& aReport, Instant aNow)
+{
+  Worker* known = m_fleet.Find(aReport.m_id);
+  if (known) {
+    WorkerReport& report = known->m_report;
+    const bool reborn = aReport.m_incarnation != 0 && report.m_incarnation != 0 &&
+                        aReport.m_incarnation > report.m_incarnation;
+    if (aReport.m_incarnation < report.m_incarnation) {
+      return; // an entry of an earlier life
+    }
+    if (reborn) {
+      Reincarnate(*known, aReport.m_incarnation, aNow);
+    }
+  }
+  const bool startsDraining = aReport.m_draining && !(known && known->m_report.m_draining);
+  const bool added = m_fleet.Update(aReport, aNow);
+  Worker* worker = m_fleet.Find(aReport.m_id);
+  if (added && !m_recovered) {
+    m_fleet.ExtendLease(*worker, aNow); // by the deciding instance before this one
+  }
+  if (added || startsDraining) {
+    Log(LogLine(LogLevel::Info, added ? "worker_listed" : "worker_draining")
+          .Add("worker", aReport.m_id)
+          .Add("zone", aReport.m_zone)
+          .Add("draining", aReport.m_draining ? 1 : 0));
+  }
+  if (startsDraining) {
+    EvacuateWorker(*worker, aNow);
+  }
+  m_placeNeeded = true;
+}
+
+void
+Scheduler::UnlistWorker(const WorkerName& aId, Instant aNow)
+{
+  Worker* worker = m_fleet.Find(aId);
+  if (!worker) {
+    return;
+  }
+  Log(LogLine(LogLevel::Info, "worker_unlisted")
+        .Add("worker", aId)
+        .Add("runs", uint64_t{ worker->m_runs.size() }));
+  m_fleet.Unlist(aId);
+  worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
+}
+
+void
+Scheduler::DirectoryComplete()
+{
+  m_directoryComplete = true;
+}
+
+bool
+Scheduler::AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes)
+{
+  const GraphId id = aJob.m_stored.m_id;
+  KeyedRecord progress{ ProgressKey(id), PackCompact(DescribeProgress(aJob)) };
+  KeyedRecord job;
+  if (!aJob.m_jobWritten) {
+    job = { JobKey(id), PackCompact(aJob.m_stored) };
+  }
+  const size_t bytes =
+    progress.m_key.size() + progress.m_value.size() + job.m_key.size() + job.m_value.size();
+  if (aBytes + bytes > m_limits.m_batchBytes && aBytes > 0) {
+    return false;
+  }
+  aBytes += bytes;
+  if (!aJob.m_jobWritten) {
+    aJob.m_jobWritten = true;
+    aBatch.m_records.push_back(std::move(job));
+    if (aJob.m_state == JobState::Queued) {
+      return true; // nothing has happened to it yet
+    }
+  }
+  aBatch.m_records.push_back(std::move(progress));
+  return true;
+}
+
+void
+Scheduler::WriteBatch(Instant aNow)
+{
+  if (m_batchInFlight || (m_dirty.empty() && m_dropKeys.empty())) {
+    return;
+  }
+  const Instant due = m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap);
+  if (aNow < due) {
+    return;
+  }
+  AppendRecords batch;
+  batch.m_batch = ++m_batch;
+  size_t bytes = 0;
+  while (!m_dirty.empty()) {
+    Job* job = m_book.Find(*m_dirty.begin());
+    if (job && !AppendJobRecords(*job, batch, bytes)) {
+      break;
+    }
+    if (job) {
+      m_batchJobs.push_back({ job->m_stored.m_id, job->m_state });
+    }
+    m_dirty.erase(m_dirty.begin());
+  }
+  for (std::string& key : m_dropKeys) {
+    batch.m_records.push_back({ std::move(key), "" });
+  }
+  m_dropKeys.clear();
+  m_urgent = !m_dirty.empty();
+  if (batch.m_records.empty()) {
+    m_batchJobs.clear();
+    return;
+  }
+  // With all changes in this batch, the ends seen until now are durable once it is.
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    worker->m_endsInBatch = m_dirty.empty() ? worker->m_endsSeen : worker->m_endsDurable;
+  }
+  m_batchInFlight = true;
+  ++m_counters.m_batches;
+  Emit(std::move(batch));
+}
+
+void
+Scheduler::OnAppended(uint64_t aBatch, Instant aNow)
+{
+  if (aBatch != m_batch || !m_batchInFlight) {
+    return;
+  }
+  m_batchInFlight = false;
+  m_nextBatchAt = aNow + kUrgentBatchGap;
+  for (const BatchedJob& batched : m_batchJobs) {
+    Job* job = m_book.Find(batched.m_id);
+    if (!job) {
+      continue;
+    }
+    if (!job->m_durable) {
+      job->m_durable = true;
+      ++m_counters.m_accepted;
+      m_waitingJobs.insert(batched.m_id);
+      m_placeNeeded = true;
+      Log(LogLine(LogLevel::Info, "job_accepted")
+            .Add("job", FormatGraphId(batched.m_id))
+            .Add("route", job->m_stored.m_terms.m_route)
+            .Add("objective_ms", ToMillis(job->m_objective))
+            .Add("epoch", m_epoch));
+    }
+    job->m_durableState = batched.m_state;
+    for (RequestToken request : std::exchange(job->m_submitters, {})) {
+      Emit(AnswerRequest{ request, SubmitResult::Accepted });
+    }
+    if (IsEnded(batched.m_state)) {
+      for (RequestToken request : std::exchange(job->m_cancellers, {})) {
+        Emit(AnswerRequest{ request, SubmitResult::Accepted });
+      }
+    }
+  }
+  m_batchJobs.clear();
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (worker->m_endsInBatch > worker->m_endsDurable) {
+      worker->m_endsDurable = worker->m_endsInBatch;
+      worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
+    }
+  }
+}
+
+void
+Scheduler::SendLook(Worker& aWorker, Instant aNow)
+{
+  LookAtWorker look;
+  look.m_worker = aWorker.m_report.m_id;
+  look.m_address = aWorker.m_report.m_address;
+  look.m_acknowledged = aWorker.m_endsDurable;
+  aWorker.m_acknowledging = aWorker.m_endsDurable;
+  if (aWorker.m_failedLooks == 0 && !aWorker.m_runs.empty()) {
+    look.m_untilMs = m_fleet.LeaseEnd(aWorker, aNow);
+    m_fleet.ExtendLease(aWorker, aNow);
+  }
+  const bool settled =
+    aWorker.m_looked && aWorker.m_failedLooks == 0 && aWorker.m_endsSeen == aWorker.m_endsDurable;
+  if (settled && !aWorker.m_runs.empty()) {
+    look.m_wait = aWorker.m_fillPace < 100 ? kWatchfulLookWait : kLookWait;
+  }
+  aWorker.m_lookInFlight = true;
+  aWorker.m_lookSentAt = aNow;
+  ++m_counters.m_looks;
+  Emit(std::move(look));
+}
+
+void
+Scheduler::SendLooks(Instant aNow)
+{
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (worker->m_lookInFlight || worker->m_lookDueAt > aNow) {
+      continue;
+    }
+    const bool needed = !worker->m_runs.empty() || !worker->m_looked ||
+                        worker->m_endsDurable > worker->m_endsAcknowledged;
+    if (needed) {
+      SendLook(*worker, aNow);
+    } else {
+      worker->m_lookDueAt = aNow + kIdleLook;
+    }
+  }
+}
+
+void
+Scheduler::RetryStops(Instant aNow)
+{
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    for (auto& [task, run] : worker->m_runs) {
+      const bool overdue = run.m_phase == RunPhase::Stopping && !run.m_stopAnswered &&
+                           aNow - run.m_phaseSince >= kStopRetry;
+      if (overdue && worker->m_failedLooks == 0) {
+        run.m_phaseSince = aNow;
+        Emit(StopTask{ worker->m_report.m_id, worker->m_report.m_address, task, run.m_run });
+      }
+    }
+  }
+}
+
+void
+Scheduler::CheckLeases(Instant aNow)
+{
+  std::vector<WorkerName> gone;
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (!worker->m_runs.empty() && aNow >= worker->m_leaseOverAt) {
+      LoseAllRuns(*worker, aNow, "lease_over");
+    }
+    if (worker->m_runs.empty() && !worker->m_listed && aNow >= worker->m_leaseOverAt) {
+      gone.push_back(worker->m_report.m_id);
+    }
+  }
+  for (const WorkerName& id : gone) {
+    m_fleet.Erase(id);
+  }
+}
+
+void
+Scheduler::CheckRecovery(Instant aNow)
+{
+  if (m_recovered || !m_directoryComplete) {
+    return;
+  }
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (!worker->m_looked && aNow < worker->m_leaseOverAt) {
+      return;
+    }
+  }
+  m_recovered = true;
+  m_placeNeeded = true;
+  Log(LogLine(LogLevel::Info, "recovered")
+        .Add("epoch", m_epoch)
+        .Add("jobs", uint64_t{ m_book.All().size() })
+        .Add("workers", uint64_t{ m_fleet.All().size() })
+        .Add("ms", ToMillis(aNow - m_createdAt)));
+}
+
+void
+Scheduler::OpenOccurrences(int64_t aWallMs)
+{
+  for (auto it = m_scheduledJobs.begin(); it != m_scheduledJobs.end();) {
+    Job* job = m_book.Find(*it);
+    if (job && job->m_durable && !IsEnded(job->m_state) && m_book.OpenDue(*job, aWallMs)) {
+      m_waitingJobs.insert(*it);
+      m_placeNeeded = true;
+    }
+    const uint32_t total = job ? std::max<uint32_t>(1, job->m_stored.m_graph.m_occurrences) : 0;
+    const bool finished = !job || IsEnded(job->m_state) || job->m_nextOccurrence >= total;
+    it = finished ? m_scheduledJobs.erase(it) : std::next(it);
+  }
+}
+
+void
+Scheduler::ForgetEnded(int64_t aWallMs)
+{
+  const int64_t keepMs = ToMillis(m_limits.m_keepEnded);
+  for (auto it = m_book.All().begin(); it != m_book.All().end();) {
+    const Job& job = *it->second;
+    const bool old = IsEnded(job.m_durableState) && job.m_endedMs + keepMs < aWallMs;
+    if (!old) {
+      ++it;
+      continue;
+    }
+    m_dropKeys.push_back(JobKey(it->first));
+    m_dropKeys.push_back(ProgressKey(it->first));
+    it = m_book.All().erase(it);
+  }
+}
+
+void
+Scheduler::Tick(Instant aNow, int64_t aWallMs)
+{
+  m_wallMs = aWallMs;
+  OpenOccurrences(aWallMs);
+  if (aNow >= m_nextSweepAt) {
+    m_nextSweepAt = aNow + kSweep;
+    RetryStops(aNow);
+    CheckLeases(aNow);
+    CheckRecovery(aNow);
+    ForgetEnded(aWallMs);
+  }
+  PlaceWaiting(aNow);
+  SendLooks(aNow);
+  WriteBatch(aNow);
+}
+
+Instant
+Scheduler::NextWake(Instant aNow) const
+{
+  Instant wake = m_nextSweepAt;
+  if (m_placeNeeded) {
+    wake = std::min(wake, m_nextPlaceAt);
+  }
+  if (!m_batchInFlight && (!m_dirty.empty() || !m_dropKeys.empty())) {
+    wake = std::min(wake, m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap));
+  }
+  for (const std::unique_ptr<Worker>& worker : const_cast<Fleet&>(m_fleet).All()) {
+    if (!worker->m_lookInFlight) {
+      wake = std::min(wake, worker->m_lookDueAt);
+    }
+  }
+  return std::max(wake, aNow);
+}
+
+std::vector<Action>
+Scheduler::TakeActions()
+{
+  return std::exchange(m_actions, {});
+}
+
+} // namespace egretturn
--- /dev/null
+++ b/lib/Scheduler/Starts.cpp
@@ -0,0 +1,321 @@
+// Which waiting task starts where; stops, evacuation and pacing.
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include "egretturn/Support/Log.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+static constexpr Duration kPlaceGap = std::chrono::milliseconds(5);
+static constexpr RunNumber kRunsPerEpoch = 1 << 20; // starts of one task under one epoch
+static constexpr int kLateLimit = 3; // a job later than so many objectives earns nothing
+static constexpr Duration kReserveHeld = std::chrono::seconds(1);
+
+// Pacing of tasks that fill, by the ratio of a serving task's tail to its target.
+static constexpr double kPressedRatio = 1.0;
+static constexpr double kHardPressedRatio = 1.5;
+static constexpr double kRelaxedRatio = 0.7;
+static constexpr int kPaceFloor = 20; // percent; below this a task is paced to a halt
+static constexpr int kPaceStep = 25;  // percent
+static constexpr Duration kPaceDown = std::chrono::milliseconds(500);
+static constexpr Duration kPaceUp = std::chrono::milliseconds(1000);
+
+std::vector<Scheduler::WaitingStep>
+Scheduler::CollectWaiting(Instant aNow)
+{
+  std::vector<WaitingStep> waiting;
+  for (auto it = m_waitingJobs.begin(); it != m_waitingJobs.end();) {
+    Job* job = m_book.Find(*it);
+    bool any = false;
+    if (job && job->m_durable && !IsEnded(job->m_state)) {
+      const Instant deadline = job->m_submittedAt + job->m_objective;
+      const bool hopeless = aNow > job->m_submittedAt + kLateLimit * job->m_objective;
+      const int lateness = job->IsLasting() ? 0 : hopeless ? 2 : aNow > deadline ? 1 : 0;
+      for (OccurrenceRecord& occurrence : job->m_occurrences) {
+        for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+          if (occurrence.m_steps[s].m_waiting == 0) {
+            continue;
+          }
+          any = true;
+          const bool held = job->m_recovered && !m_recovered;
+          if (!held && JobBook::IsReady(*job, occurrence, s)) {
+            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), lateness, deadline });
+          }
+        }
+      }
+    }
+    it = any ? std::next(it) : m_waitingJobs.erase(it);
+  }
+  std::sort(
+    waiting.begin(), waiting.end(), [](const WaitingStep& aLeft, const WaitingStep& aRight) {
+      const uint32_t left = aLeft.m_job->m_stored.m_terms.m_priority;
+      const uint32_t right = aRight.m_job->m_stored.m_terms.m_priority;
+      return std::tuple(aLeft.m_class == 2, left, aLeft.m_class, aLeft.m_deadline) <
+             std::tuple(aRight.m_class == 2, right, aRight.m_class, aRight.m_deadline);
+    });
+  return waiting;
+}
+
+void
+Scheduler::PlaceWaiting(Instant aNow)
+{
+  if (!m_placeNeeded || aNow < m_nextPlaceAt) {
+    return;
+  }
+  m_placeNeeded = false;
+  m_nextPlaceAt = aNow + kPlaceGap;
+  std::vector<const GraphStep*> noRoom;
+  for (const WaitingStep& waiting : CollectWaiting(aNow)) {
+    const GraphStep& step = waiting.m_job->m_stored.m_graph.m_steps[waiting.m_step];
+    const bool hopeless = std::any_of(noRoom.begin(), noRoom.end(), [&](const GraphStep* aOther) {
+      return aOther->m_fills == step.m_fills && aOther->m_lasting == step.m_lasting &&
+             aOther->m_demand.m_cpuMilli <= step.m_demand.m_cpuMilli &&
+             aOther->m_demand.m_memoryMb <= step.m_demand.m_memoryMb &&
+             aOther->m_demand.m_accelerators <= step.m_demand.m_accelerators;
+    });
+    if (hopeless) {
+      continue;
+    }
+    PlaceStep(waiting, aNow);
+    const bool plain = step.m_maxPerWorker == 0 && step.m_label.empty();
+    if (plain && waiting.m_occurrence->m_steps[waiting.m_step].m_waiting > 0) {
+      noRoom.push_back(&step);
+    }
+  }
+}
+
+void
+Scheduler::PlaceStep(const WaitingStep& aWaiting, Instant aNow)
+{
+  const GraphStep& step = aWaiting.m_job->m_stored.m_graph.m_steps[aWaiting.m_step];
+  StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  std::vector<const Worker*> siblings;
+  for (const TaskRecord& task : record.m_tasks) {
+    for (const LiveRun& run : task.m_runs) {
+      siblings.push_back(run.m_worker);
+    }
+  }
+  PlacementRequest request;
+  request.m_step = &step;
+  request.m_service = &aWaiting.m_job->m_stored.m_terms.m_service;
+  request.m_siblings = &siblings;
+  request.m_mayUseReserve = aNow - aWaiting.m_job->m_submittedAt > kReserveHeld;
+  if (step.m_gang) {
+    PlaceGang(aWaiting, request, aNow);
+    return;
+  }
+  for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
+    const TaskRecord& task = record.m_tasks[i];
+    if (task.m_done || !task.m_runs.empty()) {
+      continue;
+    }
+    request.m_avoid = task.m_avoid;
+    Worker* worker = ChooseWorker(m_fleet, request, aNow);
+    if (!worker) {
+      return;
+    }
+    StartRun(aWaiting, i, *worker, aNow);
+    siblings.push_back(worker);
+  }
+}
+
+void
+Scheduler::PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow)
+{
+  StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  if (record.m_waiting < record.m_tasks.size()) {
+    return; // members of the last run are still being stopped
+  }
+  // Room is taken on trial, member by member, so that members on one worker add up.
+  std::vector<Worker*> chosen;
+  std::vector<const Worker*> siblings;
+  aRequest.m_siblings = &siblings;
+  while (chosen.size() < record.m_tasks.size()) {
+    Worker* worker = ChooseWorker(m_fleet, aRequest, aNow);
+    if (!worker) {
+      break;
+    }
+    const Demand& demand = aRequest.m_step->m_demand;
+    worker->m_used.m_cpuMilli += demand.m_cpuMilli;
+    worker->m_used.m_memoryMb += demand.m_memoryMb;
+    worker->m_used.m_accelerators += demand.m_accelerators;
+    chosen.push_back(worker);
+    siblings.push_back(worker);
+  }
+  for (Worker* worker : chosen) {
+    const Demand& demand = aRequest.m_step->m_demand;
+    worker->m_used.m_cpuMilli -= demand.m_cpuMilli;
+    worker->m_used.m_memoryMb -= demand.m_memoryMb;
+    worker->m_used.m_accelerators -= demand.m_accelerators;
+  }
+  if (chosen.size() < record.m_tasks.size()) {
+    return;
+  }
+  // All members carry the same run number and the same checkpoint.
+  uint32_t starts = 0;
+  std::string checkpoint;
+  for (const TaskRecord& task : record.m_tasks) {
+    starts = std::max(starts, task.m_starts);
+    checkpoint = task.m_checkpoint.empty() ? checkpoint : task.m_checkpoint;
+  }
+  for (size_t i = 0; i < chosen.size(); ++i) {
+    record.m_tasks[i].m_starts = starts;
+    record.m_tasks[i].m_checkpoint = checkpoint;
+    StartRun(aWaiting, i, *chosen[i], aNow);
+  }
+}
+
+void
+Scheduler::StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow)
+{
+  Job& job = *aWaiting.m_job;
+  const GraphStep& step = job.m_stored.m_graph.m_steps[aWaiting.m_step];
+  StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  TaskRecord& task = record.m_tasks[aIndex];
+  const TaskRef ref{ job.m_stored.m_id,
+                     aWaiting.m_occurrence->m_number,
+                     aWaiting.m_step,
+                     static_cast<uint16_t>(aIndex) };
+  if (aWorker.m_runs.count(ref) > 0) {
+    return; // a run of the task is still being stopped there
+  }
+  const RunNumber number = (m_epoch - 1) * kRunsPerEpoch + ++task.m_starts;
+  if (task.m_runs.empty()) {
+    --record.m_waiting;
+  }
+  task.m_runs.push_back({ &aWorker, number });
+  WorkerRun run;
+  run.m_run = number;
+  run.m_demand = step.m_demand;
+  run.m_fills = step.m_fills;
+  run.m_lasting = step.m_lasting;
+  run.m_targetMs = step.m_targetMs;
+  run.m_phaseSince = aNow;
+  run.m_progressedAt = aNow;
+  Fleet::AddRun(aWorker, ref, run);
+  StartTask start;
+  start.m_worker = aWorker.m_report.m_id;
+  start.m_address = aWorker.m_report.m_address;
+  start.m_task = ref;
+  start.m_run = number;
+  start.m_payload = job.m_stored.m_graph.m_payload;
+  start.m_checkpoint = task.m_checkpoint;
+  start.m_untilMs = m_fleet.LeaseEnd(aWorker, aNow);
+  m_fleet.ExtendLease(aWorker, aNow);
+  if (job.m_state == JobState::Queued) {
+    job.m_state = JobState::Running;
+  }
+  ++m_counters.m_starts;
+  if (LogEnabled(LogLevel::Info)) {
+    Log(LogLine(LogLevel::Info, "run_start")
+          .Add("job", FormatGraphId(ref.m_job))
+          .Add("task", FormatTaskRef(ref))
+          .Add("run", number)
+          .Add("worker", start.m_worker)
+          .Add("waited_ms", ToMillis(aNow - job.m_submittedAt))
+          .Add("used_cpu", aWorker.m_used.m_cpuMilli)
+          .Add("fill_cpu", aWorker.m_fillCpu));
+  }
+  Emit(std::move(start));
+}
+
+void
+Scheduler::StopRun(Worker& aWorker, const TaskRef& aTask, Instant aNow)
+{
+  const auto it = aWorker.m_runs.find(aTask);
+  if (it == aWorker.m_runs.end() || it->second.m_phase == RunPhase::Stopping) {
+    return;
+  }
+  it->second.m_phase = RunPhase::Stopping;
+  it->second.m_phaseSince = aNow;
+  it->second.m_stopAnswered = false;
+  ++m_counters.m_stops;
+  Emit(StopTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, aTask, it->second.m_run });
+}
+
+void
+Scheduler::StopAllRuns(Job& aJob, Instant aNow)
+{
+  for (OccurrenceRecord& occurrence : aJob.m_occurrences) {
+    for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      std::vector<TaskRecord>& tasks = occurrence.m_steps[s].m_tasks;
+      for (size_t i = 0; i < tasks.size(); ++i) {
+        const TaskRef ref{ aJob.m_stored.m_id,
+                           occurrence.m_number,
+                           static_cast<uint16_t>(s),
+                           static_cast<uint16_t>(i) };
+        for (const LiveRun& run : tasks[i].m_runs) {
+          StopRun(*run.m_worker, ref, aNow);
+        }
+      }
+    }
+  }
+}
+
+void
+Scheduler::EvacuateWorker(Worker& aWorker, Instant aNow)
+{
+  std::vector<TaskRef> movable;
+  for (const auto& [ref, run] : aWorker.m_runs) {
+    const Job* job = m_book.Find(ref.m_job);
+    if (!job) {
+      continue;
+    }
+    const GraphStep& step = job->m_stored.m_graph.m_steps[ref.m_step];
+    if (step.m_lasting || step.m_checkpoints) {
+      movable.push_back(ref);
+    }
+  }
+  for (const TaskRef& ref : movable) {
+    StopRun(aWorker, ref, aNow);
+  }
+}
+
+/// The pace for tasks that fill beside serving tasks whose worst tail is \p aRatio of its target.
+static int
+NextPace(int aPace, double aRatio, Duration aSinceChange)
+{
+  if (aRatio > kPressedRatio && aSinceChange >= kPaceDown) {
+    const int halved = aPace / 2 < kPaceFloor ? 0 : aPace / 2;
+    return aRatio > kHardPressedRatio ? 0 : halved;
+  }
+  if (aRatio < kRelaxedRatio && aSinceChange >= kPaceUp) {
+    return std::min(100, aPace + kPaceStep);
+  }
+  return aPace;
+}
+
+void
+Scheduler::AdjustPace(Worker& aWorker, Instant aNow)
+{
+  if (aWorker.m_fillCpu == 0) {
+    aWorker.m_fillPace = 100;
+    return;
+  }
+  double worst = 0;
+  for (const auto& [ref, run] : aWorker.m_runs) {
+    if (run.m_targetMs > 0 && run.m_phase == RunPhase::Running) {
+      worst =
+        std::max(worst, static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs));
+    }
+  }
+  const int pace = NextPace(aWorker.m_fillPace, worst, aNow - aWorker.m_pacedAt);
+  if (pace != aWorker.m_fillPace) {
+    aWorker.m_fillPace = pace;
+    aWorker.m_pacedAt = aNow;
+    Log(LogLine(LogLevel::Info, "worker_paced")
+          .Add("worker", aWorker.m_report.m_id)
+          .Add("percent", pace)
+          .Add("worst_ratio", worst));
+  }
+  for (auto& [ref, run] : aWorker.m_runs) {
+    if (run.m_fills && run.m_phase == RunPhase::Running && run.m_pace != pace) {
+      run.m_pace = pace;
+      ++m_counters.m_paces;
+      Emit(PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, pace });
+    }
+  }
+}
+
+} // namespace egretturn
