Learn which images press which, pack serving tasks together, move what presses

Change: PressureModel learns a weight for each pair; only images with a part in the pressure are paced, those that save progress move away, and placement avoids pairs that press. Lasting tasks are packed on the fullest worker, tasks that fill prefer workers without serving ones.

Conclusion: pairs, not workers, are the unit of interference.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "egretturn/Scheduler/Actions.h"
+#include "egretturn/Scheduler/Pressure.h"
 
 #include <memory>
 #include <optional>
@@ -27,6 +28,7 @@
   bool m_lasting = false;
   bool m_stopAnswered = false; ///< The worker has confirmed the stop.
   int m_percent = 0;
+  ImageId m_image = 0;
   int m_pace = 100;
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
@@ -34,6 +36,23 @@
   Instant m_progressedAt; ///< When the percentage last rose.
 };
 
+/// The runs of one image that fill on a worker. They share a pace.
+struct FillGroup
+{
+  ImageId m_image = 0;
+  int64_t m_cpu = 0; ///< Processor demand of the runs.
+  uint32_t m_runs = 0;
+  int m_pace = 100;
+  Instant m_pacedAt; ///< When m_pace last changed.
+};
+
+/// The runs of one serving image on a worker.
+struct ServingGroup
+{
+  ImageId m_image = 0;
+  uint32_t m_runs = 0;
+};
+
 /// One worker. \c m_used and \c m_fillCpu follow from \c m_runs.
 struct Worker
 {
@@ -59,8 +78,8 @@
   uint64_t m_endsAcknowledged = 0; ///< Highest number that the worker may have forgotten.
   uint64_t m_acknowledging = 0;    ///< What the look in flight acknowledges.
 
-  int m_fillPace = 100; ///< The percentage at which tasks that fill may work here.
-  Instant m_pacedAt;    ///< When m_fillPace last changed.
+  std::vector<FillGroup> m_filling;
+  std::vector<ServingGroup> m_serving;
 
   uint32_t m_badStreak = 0; ///< Failures in a row.
   Instant m_avoidUntil;     ///< No starts before this.
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -12,6 +12,8 @@
   const std::string* m_service = nullptr;
   const Worker* m_avoid = nullptr;                        ///< Taken only if nothing else fits.
   const std::vector<const Worker*>* m_siblings = nullptr; ///< Workers of the step's live runs.
+  const PressureModel* m_pressure = nullptr;
+  ImageId m_image = 0;
   bool m_mayUseReserve =
     false; ///< Lasting tasks leave a reserve for short ones unless this is set.
 };
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -163,6 +163,8 @@
   void StopAllRuns(Job& aJob, Instant aNow);
   void EvacuateWorker(Worker& aWorker, Instant aNow);
   void AdjustPace(Worker& aWorker, Instant aNow);
+  double WorstRatio(const Worker& aWorker, const FillGroup& aGroup, const std::vector<ImageLoad>& aLoads);
+  void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
 
   // Scheduler.cpp
   void MarkDirty(Job& aJob) { m_dirty.insert(aJob.m_stored.m_id); }
@@ -181,6 +183,7 @@
   uint64_t m_epoch;
   Fleet m_fleet;
   JobBook m_book;
+  PressureModel m_pressure;
   std::vector<Action> m_actions;
   std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
   std::unordered_set<GraphId> m_scheduledJobs; ///< Have occurrences to come.
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -223,6 +223,7 @@
     run.m_fills = step.m_fills;
     run.m_lasting = step.m_lasting;
     run.m_targetMs = step.m_targetMs;
+    run.m_image = m_pressure.Intern(step.m_image);
   }
   Fleet::AddRun(aWorker, aRow.m_task, run);
   const bool wanted = task && !task->m_done && task->m_runs.empty();
@@ -311,7 +312,6 @@
   aWorker.m_endsInBatch = 0;
   aWorker.m_endsAcknowledged = 0;
   aWorker.m_acknowledging = 0;
-  aWorker.m_fillPace = 100;
   aWorker.m_lookDueAt = aNow;
 }
 
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -97,6 +97,32 @@
   return it == m_byId.end() ? nullptr : it->second;
 }
 
+/// Counts \p aRun in the group of its image, or takes it off for \p aSign -1.
+template<typename Group>
+static Group&
+CountInGroup(std::vector<Group>& aGroups, const WorkerRun& aRun, int64_t aSign)
+{
+  auto it = std::find_if(aGroups.begin(), aGroups.end(), [&](const Group& aGroup) {
+    return aGroup.m_image == aRun.m_image;
+  });
+  if (it == aGroups.end()) {
+    it = aGroups.insert(aGroups.end(), Group{});
+    it->m_image = aRun.m_image;
+  }
+  it->m_runs += static_cast<uint32_t>(aSign);
+  return *it;
+}
+
+template<typename Group>
+static void
+DropEmpty(std::vector<Group>& aGroups)
+{
+  aGroups.erase(std::remove_if(aGroups.begin(),
+                               aGroups.end(),
+                               [](const Group& aGroup) { return aGroup.m_runs == 0; }),
+                aGroups.end());
+}
+
 /// Adds the demand of \p aRun to what \p aWorker has in use, or takes it off for \p aSign -1.
 static void
 Count(Worker& aWorker, const WorkerRun& aRun, int64_t aSign)
@@ -105,8 +131,14 @@
   aWorker.m_used.m_accelerators += aSign * aRun.m_demand.m_accelerators;
   if (aRun.m_fills) {
     aWorker.m_fillCpu += aSign * aRun.m_demand.m_cpuMilli;
+    CountInGroup(aWorker.m_filling, aRun, aSign).m_cpu += aSign * aRun.m_demand.m_cpuMilli;
+    DropEmpty(aWorker.m_filling);
     return;
   }
+  if (aRun.m_targetMs > 0) {
+    CountInGroup(aWorker.m_serving, aRun, aSign);
+    DropEmpty(aWorker.m_serving);
+  }
   aWorker.m_used.m_cpuMilli += aSign * aRun.m_demand.m_cpuMilli;
   if (aRun.m_lasting) {
     aWorker.m_lastingCpu += aSign * aRun.m_demand.m_cpuMilli;
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -8,13 +8,21 @@
 static constexpr double kLastingUse = 0.6;
 
 // The share of a worker's processors that lasting tasks leave to short ones.
-static constexpr double kShortTaskReserve = 0.1;
+static constexpr double kShortTaskReserve = 0.0;
 
 // A task that fills starts only where it gets at least this share of its demand.
 static constexpr double kLeastFillShare = 0.6;
 
+// Expected pressure on a serving task above which no neighbour that adds to it is placed.
+static constexpr double kMostPressure = 0.7;
+
+// A pair of images whose weight is below this is taken to be harmless.
+static constexpr double kHarmlessWeight = 0.3;
+
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
+static constexpr double kServingPenalty = 8000.0; // for a task that fills beside serving ones
+static constexpr double kSameImageBonus = 4000.0; // serving tasks of one image share a worker
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
 
@@ -35,13 +43,39 @@
          idle;
 }
 
+/// Whether one more task of \p aRequest would press a serving task on \p aWorker too hard.
+static bool
+WouldPress(const Worker& aWorker, const PlacementRequest& aRequest)
+{
+  if (!aRequest.m_pressure || aWorker.m_serving.empty()) {
+    return false;
+  }
+  const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) / capacity;
+  for (const ServingGroup& serving : aWorker.m_serving) {
+    const double weight = aRequest.m_pressure->Weight(serving.m_image, aRequest.m_image);
+    if (weight < kHarmlessWeight) {
+      continue;
+    }
+    double pressure = weight * share;
+    for (const FillGroup& group : aWorker.m_filling) {
+      pressure += aRequest.m_pressure->Weight(serving.m_image, group.m_image) *
+                  static_cast<double>(group.m_cpu) / capacity;
+    }
+    if (pressure > kMostPressure) {
+      return true;
+    }
+  }
+  return false;
+}
+
 static bool
 FitsProcessors(const Worker& aWorker, const PlacementRequest& aRequest)
 {
   const GraphStep& step = *aRequest.m_step;
   const int64_t demand = step.m_demand.m_cpuMilli;
   if (step.m_fills) {
-    return aWorker.m_fillPace == 100 &&
+    return !WouldPress(aWorker, aRequest) &&
            SpareForFill(aWorker) >= kLeastFillShare * static_cast<double>(demand);
   }
   int64_t capacity = aWorker.m_report.m_capacity.m_cpuMilli;
@@ -85,6 +119,16 @@
          (step.m_maxPerWorker == 0 || CountSiblings(aWorker, aRequest) < step.m_maxPerWorker);
 }
 
+/// Serving images on \p aWorker other than \p aImage.
+static double
+CountOtherImages(const Worker& aWorker, ImageId aImage)
+{
+  return static_cast<double>(std::count_if(
+    aWorker.m_serving.begin(), aWorker.m_serving.end(), [&](const ServingGroup& aGroup) {
+      return aGroup.m_image != aImage;
+    }));
+}
+
 static double
 Score(const Worker& aWorker, const PlacementRequest& aRequest)
 {
@@ -94,6 +138,15 @@
       ? SpareForFill(aWorker)
       : static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli - aWorker.m_used.m_cpuMilli) -
           kFillWeight * static_cast<double>(aWorker.m_fillCpu);
+  if (step.m_fills && aWorker.m_lastingCpu > 0) {
+    score -= kServingPenalty;
+  }
+  if (step.m_lasting) {
+    score = -score; // packed together, serving tasks leave whole workers to others
+  }
+  if (step.m_targetMs > 0) {
+    score -= kSameImageBonus * CountOtherImages(aWorker, aRequest.m_image);
+  }
   const std::string& rack = aWorker.m_report.m_rack;
   if (!step.m_dataRack.empty() && step.m_dataRack == rack) {
     score += kLocalityBonus;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -307,7 +307,7 @@
   const bool settled =
     aWorker.m_looked && aWorker.m_failedLooks == 0 && aWorker.m_endsSeen == aWorker.m_endsDurable;
   if (settled && !aWorker.m_runs.empty()) {
-    look.m_wait = aWorker.m_fillPace < 100 ? kWatchfulLookWait : kLookWait;
+    look.m_wait = !aWorker.m_filling.empty() && !aWorker.m_serving.empty() ? kWatchfulLookWait : kLookWait;
   }
   aWorker.m_lookInFlight = true;
   aWorker.m_lookSentAt = aNow;
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -12,14 +12,13 @@
 static constexpr int kLateLimit = 3; // a job later than so many objectives earns nothing
 static constexpr Duration kReserveHeld = std::chrono::seconds(1);
 
-// Pacing of tasks that fill, by the ratio of a serving task's tail to its target.
-static constexpr double kPressedRatio = 1.0;
-static constexpr double kHardPressedRatio = 1.5;
-static constexpr double kRelaxedRatio = 0.7;
-static constexpr int kPaceFloor = 20; // percent; below this a task is paced to a halt
-static constexpr int kPaceStep = 25;  // percent
-static constexpr Duration kPaceDown = std::chrono::milliseconds(500);
-static constexpr Duration kPaceUp = std::chrono::milliseconds(1000);
+static constexpr Duration kPaceEvery = std::chrono::milliseconds(450); // tails cover half a second
+
+// An image that causes less than this part of the pressure is not paced for it.
+static constexpr double kBlameShare = 0.25;
+
+// A task that saves its progress moves away when it is paced lower than this.
+static constexpr int kMoveBelowPace = 50;
 
 std::vector<Scheduler::WaitingStep>
 Scheduler::CollectWaiting(Instant aNow)
@@ -100,6 +99,8 @@
   request.m_step = &step;
   request.m_service = &aWaiting.m_job->m_stored.m_terms.m_service;
   request.m_siblings = &siblings;
+  request.m_pressure = &m_pressure;
+  request.m_image = m_pressure.Intern(step.m_image);
   request.m_mayUseReserve = aNow - aWaiting.m_job->m_submittedAt > kReserveHeld;
   if (step.m_gang) {
     PlaceGang(aWaiting, request, aNow);
@@ -191,6 +192,7 @@
   run.m_fills = step.m_fills;
   run.m_lasting = step.m_lasting;
   run.m_targetMs = step.m_targetMs;
+  run.m_image = m_pressure.Intern(step.m_image);
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
   Fleet::AddRun(aWorker, ref, run);
@@ -272,49 +274,108 @@
   }
 }
 
-/// The pace for tasks that fill beside serving tasks whose worst tail is \p aRatio of its target.
-static int
-NextPace(int aPace, double aRatio, Duration aSinceChange)
+/// What the images that fill use of the worker's processors.
+static std::vector<ImageLoad>
+DescribeLoads(const Worker& aWorker)
+{
+  std::vector<ImageLoad> loads;
+  for (const FillGroup& group : aWorker.m_filling) {
+    loads.push_back({ group.m_image, 0.0 });
+  }
+  const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  for (const auto& [ref, run] : aWorker.m_runs) {
+    if (!run.m_fills || run.m_phase != RunPhase::Running) {
+      continue;
+    }
+    for (ImageLoad& load : loads) {
+      if (load.m_image == run.m_image) {
+        load.m_share += static_cast<double>(run.m_usage) / capacity;
+      }
+    }
+  }
+  return loads;
+}
+
+/// The worst ratio of tail to target among the serving tasks that \p aGroup has a part in pressing.
+double
+Scheduler::WorstRatio(const Worker& aWorker,
+                      const FillGroup& aGroup,
+                      const std::vector<ImageLoad>& aLoads)
+{
+  double worst = 0;
+  for (const auto& [ref, run] : aWorker.m_runs) {
+    if (run.m_targetMs == 0 || run.m_phase != RunPhase::Running) {
+      continue;
+    }
+    const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
+    const double total = m_pressure.Predict(run.m_image, aLoads);
+    double own = 0;
+    for (const ImageLoad& load : aLoads) {
+      own = load.m_image == aGroup.m_image ? load.m_share : own;
+    }
+    own *= m_pressure.Weight(run.m_image, aGroup.m_image);
+    const bool blamed = total > 0 && own >= kBlameShare * total;
+    if (blamed || (aGroup.m_pace < 100 && m_pressure.Weight(run.m_image, aGroup.m_image) > 0)) {
+      worst = std::max(worst, ratio);
+    }
+  }
+  return worst;
+}
+
+void
+Scheduler::ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow)
 {
-  if (aRatio > kPressedRatio && aSinceChange >= kPaceDown) {
-    const int halved = aPace / 2 < kPaceFloor ? 0 : aPace / 2;
-    return aRatio > kHardPressedRatio ? 0 : halved;
+  std::vector<TaskRef> moving;
+  for (auto& [ref, run] : aWorker.m_runs) {
+    if (!run.m_fills || run.m_image != aGroup.m_image || run.m_phase != RunPhase::Running) {
+      continue;
+    }
+    const Job* job = m_book.Find(ref.m_job);
+    const bool saves = job && job->m_stored.m_graph.m_steps[ref.m_step].m_checkpoints;
+    if (saves && aGroup.m_pace < kMoveBelowPace) {
+      moving.push_back(ref);
+    }
+    if (run.m_pace != aGroup.m_pace) {
+      run.m_pace = aGroup.m_pace;
+      ++m_counters.m_paces;
+      Emit(PaceTask{
+        aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, run.m_pace });
+    }
   }
-  if (aRatio < kRelaxedRatio && aSinceChange >= kPaceUp) {
-    return std::min(100, aPace + kPaceStep);
+  for (const TaskRef& ref : moving) {
+    StopRun(aWorker, ref, aNow);
   }
-  return aPace;
 }
 
 void
 Scheduler::AdjustPace(Worker& aWorker, Instant aNow)
 {
-  if (aWorker.m_fillCpu == 0) {
-    aWorker.m_fillPace = 100;
+  if (aWorker.m_filling.empty() || aWorker.m_serving.empty()) {
     return;
   }
-  double worst = 0;
+  const std::vector<ImageLoad> loads = DescribeLoads(aWorker);
   for (const auto& [ref, run] : aWorker.m_runs) {
     if (run.m_targetMs > 0 && run.m_phase == RunPhase::Running) {
-      worst =
-        std::max(worst, static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs));
+      m_pressure.Learn(run.m_image,
+                       static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs),
+                       loads);
     }
   }
-  const int pace = NextPace(aWorker.m_fillPace, worst, aNow - aWorker.m_pacedAt);
-  if (pace != aWorker.m_fillPace) {
-    aWorker.m_fillPace = pace;
-    aWorker.m_pacedAt = aNow;
-    Log(LogLine(LogLevel::Info, "worker_paced")
-          .Add("worker", aWorker.m_report.m_id)
-          .Add("percent", pace)
-          .Add("worst_ratio", worst));
-  }
-  for (auto& [ref, run] : aWorker.m_runs) {
-    if (run.m_fills && run.m_phase == RunPhase::Running && run.m_pace != pace) {
-      run.m_pace = pace;
-      ++m_counters.m_paces;
-      Emit(PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, pace });
+  for (FillGroup& group : aWorker.m_filling) {
+    if (aNow - group.m_pacedAt >= kPaceEvery) {
+      const double worst = WorstRatio(aWorker, group, loads);
+      const int pace = worst > kTailGoal || group.m_pace < 100 ? NextPace(group.m_pace, worst) : 100;
+      if (pace != group.m_pace) {
+        group.m_pace = pace;
+        group.m_pacedAt = aNow;
+        Log(LogLine(LogLevel::Info, "worker_paced")
+              .Add("worker", aWorker.m_report.m_id)
+              .Add("image", uint64_t{ group.m_image })
+              .Add("percent", pace)
+              .Add("worst_ratio", worst));
+      }
     }
+    ApplyPace(aWorker, group, aNow);
   }
 }
 
