Match loads to the span of a reported tail; known images take the blame

Cause: a reported tail decays over about half a second after the pressure is gone, so images that came later were blamed (26 of 100 rows without any neighbour showed a tail over target), and the blame was spread over all.

Change: loads are smoothed over the same span, blame goes by weight and share, tails that are fine forgive slowly, weights fade by time.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -80,6 +80,8 @@
 
   std::vector<FillGroup> m_filling;
   std::vector<ServingGroup> m_serving;
+  std::vector<ImageLoad> m_loads; ///< Of images that fill, over the span of a reported tail.
+  Instant m_loadsAt;
 
   uint32_t m_badStreak = 0; ///< Failures in a row.
   Instant m_avoidUntil;     ///< No starts before this.
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -32,6 +32,9 @@
   /// Notes that a task of \p aServing had a tail of \p aRatio times its target beside \p aBeside.
   void Learn(ImageId aServing, double aRatio, const std::vector<ImageLoad>& aBeside);
 
+  /// Lets what was learned fade. Call often.
+  void Age(Instant aNow);
+
   /// The pressure of \p aBeside on \p aServing.
   double Predict(ImageId aServing, const std::vector<ImageLoad>& aBeside) const;
 
@@ -46,8 +49,14 @@
 
   std::unordered_map<std::string, ImageId> m_images;
   std::unordered_map<uint32_t, double> m_weights;
+  Instant m_agedAt;
 };
 
+/// Moves \p aSmoothed towards \p aLoads, \p aSince after the last call. Thread-safe.
+void SmoothLoads(std::vector<ImageLoad>& aSmoothed,
+                 const std::vector<ImageLoad>& aLoads,
+                 Duration aSince);
+
 /// The pace, in percent, that brings a tail of \p aRatio times its target near the goal.
 /// Thread-safe.
 int NextPace(int aPace, double aRatio);
--- a/lib/Scheduler/Pressure.cpp
+++ b/lib/Scheduler/Pressure.cpp
@@ -5,11 +5,21 @@
 
 namespace egretturn {
 
-static constexpr double kIdleTail = 0.45;   // share of its target that an undisturbed tail has
-static constexpr double kMostPressure = 3;  // a tail far above its target says no more
+static constexpr double kIdleTail = 0.45;  // share of its target that an undisturbed tail has
+static constexpr double kMostPressure = 3; // a tail far above its target says no more
 static constexpr double kLearningRate = 0.4;
-static constexpr double kForgettingRate = 0.04; // for tails that are better than expected
-static constexpr double kLeastNorm = 0.02;
+static constexpr double kForgettingRate = 0.03; // with each tail that is fine
+static constexpr double kBlamedRatio = 1.0;     // tails below this accuse nobody
+static constexpr double kTellingShare = 0.01;   // a smaller load says nothing about its image
+static constexpr double kSuspicion = 0.5;       // weight under which an unknown image is suspected
+static constexpr double kMostWeight = 60;
+
+// What was learned fades, so that a pair that is kept apart is tried again.
+static constexpr Duration kAgeEvery = std::chrono::seconds(1);
+static constexpr double kAgeFactor = 0.985;
+
+// Tails are reported over a span; loads are smoothed to match.
+static constexpr double kSmoothingMs = 350;
 
 static constexpr double kLeastFactor = 0.15; // of the pace, in one step
 static constexpr double kMostFactor = 1.6;
@@ -51,18 +61,60 @@
 void
 PressureModel::Learn(ImageId aServing, double aRatio, const std::vector<ImageLoad>& aBeside)
 {
-  double norm = kLeastNorm;
-  for (const ImageLoad& load : aBeside) {
-    norm += load.m_share * load.m_share;
-  }
   const double error = PressureOf(aRatio) - Predict(aServing, aBeside);
-  const double rate = error > 0 ? kLearningRate : kForgettingRate;
-  if (error > 0 && aRatio < kTailGoal) {
-    return; // a tail that is well within its target accuses nobody
+  const bool pressed = aRatio >= kBlamedRatio && error > 0;
+  const bool fine = aRatio < kTailGoal && error < 0;
+  if (!pressed && !fine) {
+    return;
   }
+  // An image that is known to press takes most of the blame; others are suspected by their share.
+  double suspicion = 0;
   for (const ImageLoad& load : aBeside) {
+    suspicion += (Weight(aServing, load.m_image) + kSuspicion) * load.m_share;
+  }
+  for (const ImageLoad& load : aBeside) {
+    if (load.m_share < kTellingShare) {
+      continue;
+    }
     double& weight = m_weights[Pair(aServing, load.m_image)];
-    weight = std::max(0.0, weight + rate * error * load.m_share / norm);
+    if (pressed) {
+      const double part = (weight + kSuspicion) * load.m_share / suspicion;
+      weight = std::min(kMostWeight, weight + kLearningRate * part * error / load.m_share);
+    } else {
+      weight -= kForgettingRate * weight;
+    }
+  }
+}
+
+void
+PressureModel::Age(Instant aNow)
+{
+  if (aNow - m_agedAt < kAgeEvery) {
+    return;
+  }
+  m_agedAt = aNow;
+  for (auto& [pair, weight] : m_weights) {
+    weight *= kAgeFactor;
+  }
+}
+
+void
+SmoothLoads(std::vector<ImageLoad>& aSmoothed,
+            const std::vector<ImageLoad>& aLoads,
+            Duration aSince)
+{
+  const double keep = std::exp(-static_cast<double>(ToMillis(aSince)) / kSmoothingMs);
+  for (ImageLoad& smoothed : aSmoothed) {
+    smoothed.m_share *= keep;
+  }
+  for (const ImageLoad& load : aLoads) {
+    auto it = std::find_if(aSmoothed.begin(), aSmoothed.end(), [&](const ImageLoad& aOther) {
+      return aOther.m_image == load.m_image;
+    });
+    if (it == aSmoothed.end()) {
+      it = aSmoothed.insert(aSmoothed.end(), { load.m_image, 0.0 });
+    }
+    it->m_share += (1.0 - keep) * load.m_share;
   }
 }
 
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -307,7 +307,8 @@
   const bool settled =
     aWorker.m_looked && aWorker.m_failedLooks == 0 && aWorker.m_endsSeen == aWorker.m_endsDurable;
   if (settled && !aWorker.m_runs.empty()) {
-    look.m_wait = !aWorker.m_filling.empty() && !aWorker.m_serving.empty() ? kWatchfulLookWait : kLookWait;
+    look.m_wait =
+      !aWorker.m_filling.empty() && !aWorker.m_serving.empty() ? kWatchfulLookWait : kLookWait;
   }
   aWorker.m_lookInFlight = true;
   aWorker.m_lookSentAt = aNow;
@@ -423,6 +424,7 @@
   OpenOccurrences(aWallMs);
   if (aNow >= m_nextSweepAt) {
     m_nextSweepAt = aNow + kSweep;
+    m_pressure.Age(aNow);
     RetryStops(aNow);
     CheckLeases(aNow);
     CheckRecovery(aNow);
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -338,8 +338,8 @@
     if (run.m_pace != aGroup.m_pace) {
       run.m_pace = aGroup.m_pace;
       ++m_counters.m_paces;
-      Emit(PaceTask{
-        aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, run.m_pace });
+      Emit(
+        PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, run.m_pace });
     }
   }
   for (const TaskRef& ref : moving) {
@@ -350,21 +350,23 @@
 void
 Scheduler::AdjustPace(Worker& aWorker, Instant aNow)
 {
-  if (aWorker.m_filling.empty() || aWorker.m_serving.empty()) {
+  SmoothLoads(aWorker.m_loads, DescribeLoads(aWorker), aNow - aWorker.m_loadsAt);
+  aWorker.m_loadsAt = aNow;
+  if (aWorker.m_serving.empty()) {
     return;
   }
-  const std::vector<ImageLoad> loads = DescribeLoads(aWorker);
+  const std::vector<ImageLoad>& loads = aWorker.m_loads;
   for (const auto& [ref, run] : aWorker.m_runs) {
     if (run.m_targetMs > 0 && run.m_phase == RunPhase::Running) {
-      m_pressure.Learn(run.m_image,
-                       static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs),
-                       loads);
+      m_pressure.Learn(
+        run.m_image, static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs), loads);
     }
   }
   for (FillGroup& group : aWorker.m_filling) {
     if (aNow - group.m_pacedAt >= kPaceEvery) {
       const double worst = WorstRatio(aWorker, group, loads);
-      const int pace = worst > kTailGoal || group.m_pace < 100 ? NextPace(group.m_pace, worst) : 100;
+      const int pace =
+        worst > kTailGoal || group.m_pace < 100 ? NextPace(group.m_pace, worst) : 100;
       if (pace != group.m_pace) {
         group.m_pace = pace;
         group.m_pacedAt = aNow;
