Keep serving images apart

Cause: a worker with several serving images is pressed by more images that fill. Change: a serving task goes to workers of its own image, then to empty ones, then to mixed ones.

--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -22,7 +22,7 @@
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
 static constexpr double kServingPenalty = 8000.0; // for a task that fills beside serving ones
-static constexpr double kSameImageBonus = 4000.0; // serving tasks of one image share a worker
+static constexpr double kSameImageBonus = 100000.0; // serving tasks of one image share a worker
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
 
