Order work by whether it can still be in time, then by what it still needs; let idle jobs run when there is room

Change: a job that cannot be done in time goes behind those that can, each group by remaining work; a job that stood still for 1.5 s runs beside what it presses while less than 0.7 of the processors are asked for.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -120,6 +120,9 @@
   /// Takes the run of \p aTask off \p aWorker, if it is there.
   static void RemoveRun(Worker& aWorker, const TaskRef& aTask);
 
+  /// The share of all processors that is reserved or asked for by runs.
+  double ShareInUse() const;
+
   /// The end of a lease granted at \p aNow, on the worker's clock. 0 if its clock is not known.
   int64_t LeaseEnd(const Worker& aWorker, Instant aNow) const;
 
--- a/include/egretturn/Scheduler/JobBook.h
+++ b/include/egretturn/Scheduler/JobBook.h
@@ -52,6 +52,8 @@
   Duration m_objective{}; ///< From submission until done.
   int64_t m_endedMs = 0;  ///< Unix time.
   uint32_t m_nextOccurrence = 0;
+  uint32_t m_liveRuns = 0;
+  Instant m_activeAt; ///< When a run of it last started or ended.
   std::vector<OccurrenceRecord> m_occurrences;
   std::vector<RequestToken> m_submitters;
   std::vector<RequestToken> m_cancellers;
@@ -88,6 +90,16 @@
   std::unordered_map<GraphId, std::unique_ptr<Job>> m_jobs;
 };
 
+/// What an occurrence still needs.
+struct RemainingWork
+{
+  Duration m_path{};      ///< The longest chain of steps, by their estimates.
+  double m_coreSeconds = 0;
+};
+
+/// Thread-compatible.
+RemainingWork EstimateRemaining(const Job& aJob, const OccurrenceRecord& aOccurrence);
+
 /// The progress record of \p aJob. Thread-compatible.
 StoredProgress DescribeProgress(const Job& aJob);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -125,6 +125,7 @@
     uint16_t m_step;
     int m_class; ///< 0 within its objective, 1 late, 2 without payoff.
     Instant m_deadline;
+    double m_work; ///< Core-seconds that the occurrence still needs.
   };
 
   /// A job as the batch in flight describes it.
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -56,7 +56,12 @@
 
 /// Takes the run off the task. Returns the step's record if the task now waits.
 static void
-DetachRun(Job& aJob, const TaskRef& aRef, TaskRecord& aTask, const Worker& aWorker, RunNumber aRun)
+DetachRun(Job& aJob,
+          const TaskRef& aRef,
+          TaskRecord& aTask,
+          const Worker& aWorker,
+          RunNumber aRun,
+          Instant aNow)
 {
   const auto it = std::find_if(aTask.m_runs.begin(), aTask.m_runs.end(), [&](const LiveRun& aLive) {
     return aLive.m_worker == &aWorker && aLive.m_run == aRun;
@@ -65,6 +70,8 @@
     return;
   }
   aTask.m_runs.erase(it);
+  --aJob.m_liveRuns;
+  aJob.m_activeAt = aNow;
   if (aTask.m_runs.empty() && !aTask.m_done) {
     ++JobBook::FindOccurrence(aJob, aRef.m_occurrence)->m_steps[aRef.m_step].m_waiting;
   }
@@ -148,7 +155,7 @@
                     Instant aNow)
 {
   const bool lasting = aJob.m_stored.m_graph.m_steps[aRow.m_task.m_step].m_lasting;
-  DetachRun(aJob, aRow.m_task, aTask, aWorker, aRow.m_run);
+  DetachRun(aJob, aRow.m_task, aTask, aWorker, aRow.m_run, aNow);
   m_waitingJobs.insert(aJob.m_stored.m_id);
   m_placeNeeded = true;
   if (!aRow.m_checkpoint.empty() && !aTask.m_done) {
@@ -233,6 +240,8 @@
     return;
   }
   task->m_runs.push_back({ &aWorker, aRow.m_run });
+  ++job->m_liveRuns;
+  job->m_activeAt = aNow;
   --JobBook::FindOccurrence(*job, aRow.m_task.m_occurrence)->m_steps[aRow.m_task.m_step].m_waiting;
   if (job->m_state == JobState::Queued) {
     job->m_state = JobState::Running;
@@ -273,7 +282,6 @@
 void
 Scheduler::LoseRun(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause)
 {
-  (void)aNow;
   const RunNumber run = aWorker.m_runs.at(aTask).m_run;
   LogRun("run_lost", aWorker, aTask, run, aCause);
   Fleet::RemoveRun(aWorker, aTask);
@@ -283,7 +291,7 @@
     return;
   }
   if (TaskRecord* task = JobBook::FindTask(*job, aTask)) {
-    DetachRun(*job, aTask, *task, aWorker, run);
+    DetachRun(*job, aTask, *task, aWorker, run, aNow);
     m_waitingJobs.insert(aTask.m_job);
   }
 }
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -166,6 +166,20 @@
   aWorker.m_runs.erase(it);
 }
 
+double
+Fleet::ShareInUse() const
+{
+  int64_t capacity = 1;
+  int64_t used = 0;
+  for (const std::unique_ptr<Worker>& worker : m_workers) {
+    if (worker->m_listed) {
+      capacity += worker->m_report.m_capacity.m_cpuMilli;
+      used += worker->m_used.m_cpuMilli + worker->m_fillCpu;
+    }
+  }
+  return static_cast<double>(used) / static_cast<double>(capacity);
+}
+
 int64_t
 Fleet::LeaseEnd(const Worker& aWorker, Instant aNow) const
 {
--- a/lib/Scheduler/JobBook.cpp
+++ b/lib/Scheduler/JobBook.cpp
@@ -39,6 +39,7 @@
   const double pathMs = terms.m_stretch * static_cast<double>(CriticalPathMs(aStored.m_graph));
   job->m_objective = std::chrono::milliseconds(terms.m_targetMs + static_cast<int64_t>(pathMs));
   job->m_submittedAt = aNow;
+  job->m_activeAt = aNow;
   job->m_stored = std::move(aStored);
   Job& added = *job;
   m_jobs.emplace(added.m_stored.m_id, std::move(job));
@@ -110,6 +111,30 @@
   });
 }
 
+RemainingWork
+EstimateRemaining(const Job& aJob, const OccurrenceRecord& aOccurrence)
+{
+  static constexpr double kMilliPerUnit = 1e6; // thousandths of a core times milliseconds
+  const std::vector<GraphStep>& steps = aJob.m_stored.m_graph.m_steps;
+  std::vector<int64_t> endMs(steps.size(), 0);
+  RemainingWork remaining;
+  int64_t longestMs = 0;
+  for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
+    const GraphStep& step = steps[s];
+    const size_t open = aOccurrence.m_steps[s].m_tasks.size() - aOccurrence.m_steps[s].m_done;
+    for (uint32_t dependency : step.m_dependencies) {
+      endMs[s] = std::max(endMs[s], endMs[dependency]);
+    }
+    endMs[s] += open > 0 ? step.m_estimateMs : 0;
+    longestMs = std::max(longestMs, endMs[s]);
+    remaining.m_coreSeconds +=
+      static_cast<double>(open) *
+      static_cast<double>(step.m_estimateMs * step.m_demand.m_cpuMilli) / kMilliPerUnit;
+  }
+  remaining.m_path = std::chrono::milliseconds(longestMs);
+  return remaining;
+}
+
 static StoredOccurrence
 DescribeOccurrence(const OccurrenceRecord& aOccurrence)
 {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -10,6 +10,10 @@
 static constexpr Duration kPlaceGap = std::chrono::milliseconds(5);
 static constexpr RunNumber kRunsPerEpoch = 1 << 20; // starts of one task under one epoch
 static constexpr int kLateLimit = 3; // a job later than so many objectives earns nothing
+// With room to spare, a job that has stood still for so long runs even beside what it presses.
+static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
+static constexpr double kPlentyOfRoom = 0.7;
+
 static constexpr Duration kReserveHeld = std::chrono::seconds(1);
 
 static constexpr Duration kPaceEvery = std::chrono::milliseconds(450); // tails cover half a second
@@ -29,9 +33,14 @@
     bool any = false;
     if (job && job->m_durable && !IsEnded(job->m_state)) {
       const Instant deadline = job->m_submittedAt + job->m_objective;
-      const bool hopeless = aNow > job->m_submittedAt + kLateLimit * job->m_objective;
-      const int lateness = job->IsLasting() ? 0 : hopeless ? 2 : aNow > deadline ? 1 : 0;
+      const Instant lastUse = job->m_submittedAt + kLateLimit * job->m_objective;
+      const bool lasting = job->IsLasting();
       for (OccurrenceRecord& occurrence : job->m_occurrences) {
+        const RemainingWork remaining = EstimateRemaining(*job, occurrence);
+        const int lateness = lasting                               ? 0
+                             : aNow > lastUse                      ? 2
+                             : aNow + remaining.m_path > deadline ? 1
+                                                                   : 0;
         for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
           if (occurrence.m_steps[s].m_waiting == 0) {
             continue;
@@ -39,7 +48,7 @@
           any = true;
           const bool held = job->m_recovered && !m_recovered;
           if (!held && JobBook::IsReady(*job, occurrence, s)) {
-            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), lateness, deadline });
+            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), lateness, deadline, remaining.m_coreSeconds });
           }
         }
       }
@@ -50,8 +59,8 @@
     waiting.begin(), waiting.end(), [](const WaitingStep& aLeft, const WaitingStep& aRight) {
       const uint32_t left = aLeft.m_job->m_stored.m_terms.m_priority;
       const uint32_t right = aRight.m_job->m_stored.m_terms.m_priority;
-      return std::tuple(aLeft.m_class == 2, left, aLeft.m_class, aLeft.m_deadline) <
-             std::tuple(aRight.m_class == 2, right, aRight.m_class, aRight.m_deadline);
+      return std::tuple(aLeft.m_class == 2, left, aLeft.m_class, aLeft.m_work) <
+             std::tuple(aRight.m_class == 2, right, aRight.m_class, aRight.m_work);
     });
   return waiting;
 }
@@ -99,7 +108,9 @@
   request.m_step = &step;
   request.m_service = &aWaiting.m_job->m_stored.m_terms.m_service;
   request.m_siblings = &siblings;
-  request.m_pressure = &m_pressure;
+  const bool idle = aWaiting.m_job->m_liveRuns == 0 &&
+                    aNow - aWaiting.m_job->m_activeAt >= kIdlePatience;
+  request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(step.m_image);
   request.m_mayUseReserve = aNow - aWaiting.m_job->m_submittedAt > kReserveHeld;
   if (step.m_gang) {
@@ -186,6 +197,8 @@
     --record.m_waiting;
   }
   task.m_runs.push_back({ &aWorker, number });
+  ++job.m_liveRuns;
+  job.m_activeAt = aNow;
   WorkerRun run;
   run.m_run = number;
   run.m_demand = step.m_demand;
