Read tails as utilization and tell a job's own load from disturbance

Cause: learned weights of pairs jumped (47.7 to 0.02 within 25 s): the load of a serving job swings, and its peaks were put down to whatever ran beside it.

Change: a tail is read as a queue's utilization, which adds up; the tasks of one job share its load, so the least disturbed one tells it, and only the rest is learned for the pairs. Pacing and placement use the same sum.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -32,6 +32,7 @@
   int m_pace = 100;
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
+  double m_utilization = 0; ///< Of a serving task, by its tail.
   Instant m_phaseSince;   ///< When the phase began.
   Instant m_progressedAt; ///< When the percentage last rose.
 };
@@ -51,6 +52,7 @@
 {
   ImageId m_image = 0;
   uint32_t m_runs = 0;
+  double m_ownLoad = 0.45; ///< Highest utilization of late without neighbours.
 };
 
 /// One worker. \c m_used and \c m_fillCpu follow from \c m_runs.
--- a/include/egretturn/Scheduler/JobBook.h
+++ b/include/egretturn/Scheduler/JobBook.h
@@ -53,6 +53,7 @@
   int64_t m_endedMs = 0;  ///< Unix time.
   uint32_t m_nextOccurrence = 0;
   uint32_t m_liveRuns = 0;
+  ServingLoad m_servingLoad; ///< Of lasting tasks with a target.
   Instant m_activeAt; ///< When a run of it last started or ended.
   std::vector<OccurrenceRecord> m_occurrences;
   std::vector<RequestToken> m_submitters;
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -1,4 +1,8 @@
 // How much tasks that fill disturb serving tasks, learned for each pair of images.
+//
+// A tail is read as the utilization of a queue: tail = idle tail / (1 - utilization). Utilization
+// adds up: a serving task's own load, which all tasks of its job share, and for each image beside it
+// the pair's weight times the share of the worker's processors that the image uses.
 #pragma once
 
 #include "egretturn/Support/Time.h"
@@ -19,26 +23,60 @@
   double m_share = 0; ///< Of the worker's processors.
 };
 
+/// Moves \p aSmoothed towards \p aLoads, \p aSince after the last call. Thread-safe.
+void SmoothLoads(std::vector<ImageLoad>& aSmoothed,
+                 const std::vector<ImageLoad>& aLoads,
+                 Duration aSince);
+
+/// The load that the tasks of one serving job have in common. Not thread-safe.
+class ServingLoad
+{
+public:
+  /// Notes the utilization of the task numbered \p aTask.
+  void Note(uint32_t aTask, double aUtilization, Instant aNow);
+
+  /// The utilization without neighbours: that of the least disturbed task.
+  double Own(Instant aNow) const;
+
+  /// The highest own load of late.
+  double Peak() const { return m_peak; }
+
+  /// Whether several tasks were seen lately, so that Own() can be told from disturbance.
+  bool IsTelling(Instant aNow) const;
+
+private:
+  struct Sample
+  {
+    uint32_t m_task = 0;
+    double m_utilization = 0;
+    Instant m_at;
+  };
+
+  std::vector<Sample> m_samples;
+  double m_peak = 0.45;
+  Instant m_peakAt;
+};
+
 /// Learns from tails which images press which. Not thread-safe.
-///
-/// The pressure on a serving image is the sum, over the images beside it, of the pair's weight
-/// times the share of the worker's processors that the image uses. At 1 the tail is at its target.
 class PressureModel
 {
 public:
   /// A small number for \p aImage; the same one each time.
   ImageId Intern(const std::string& aImage);
 
-  /// Notes that a task of \p aServing had a tail of \p aRatio times its target beside \p aBeside.
-  void Learn(ImageId aServing, double aRatio, const std::vector<ImageLoad>& aBeside);
+  /// The utilization of a task of \p aServing whose tail is \p aRatio times its target.
+  double UtilizationOf(ImageId aServing, double aRatio);
 
-  /// Lets what was learned fade. Call often.
-  void Age(Instant aNow);
+  /// The utilization at which the tail of \p aServing meets its target.
+  double TargetUtilization(ImageId aServing) const;
 
-  /// The pressure of \p aBeside on \p aServing.
+  /// Notes that \p aBeside added \p aAdded to the utilization of a task of \p aServing.
+  void Learn(ImageId aServing, double aAdded, const std::vector<ImageLoad>& aBeside);
+
+  /// What \p aBeside adds to the utilization of a task of \p aServing.
   double Predict(ImageId aServing, const std::vector<ImageLoad>& aBeside) const;
 
-  /// Pressure of \p aFilling on \p aServing for a whole worker's processors.
+  /// What \p aFilling adds on the whole of a worker's processors.
   double Weight(ImageId aServing, ImageId aFilling) const;
 
 private:
@@ -48,20 +86,8 @@
   }
 
   std::unordered_map<std::string, ImageId> m_images;
+  std::unordered_map<ImageId, double> m_idleRatio; ///< Lowest ratio of tail to target.
   std::unordered_map<uint32_t, double> m_weights;
-  Instant m_agedAt;
 };
 
-/// Moves \p aSmoothed towards \p aLoads, \p aSince after the last call. Thread-safe.
-void SmoothLoads(std::vector<ImageLoad>& aSmoothed,
-                 const std::vector<ImageLoad>& aLoads,
-                 Duration aSince);
-
-/// The pace, in percent, that brings a tail of \p aRatio times its target near the goal.
-/// Thread-safe.
-int NextPace(int aPace, double aRatio);
-
-/// Above this ratio of tail to target, neighbours are paced.
-constexpr double kTailGoal = 0.8;
-
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -164,9 +164,8 @@
   void StopAllRuns(Job& aJob, Instant aNow);
   void EvacuateWorker(Worker& aWorker, Instant aNow);
   void AdjustPace(Worker& aWorker, Instant aNow);
-  double WorstRatio(const Worker& aWorker,
-                    const FillGroup& aGroup,
-                    const std::vector<ImageLoad>& aLoads);
+  void LearnFromTails(Worker& aWorker, Instant aNow);
+  double PaceFactor(const Worker& aWorker, const FillGroup& aGroup);
   void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
 
   // Scheduler.cpp
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -13,11 +13,11 @@
 // A task that fills starts only where it gets at least this share of its demand.
 static constexpr double kLeastFillShare = 0.6;
 
-// Expected pressure on a serving task above which no neighbour that adds to it is placed.
-static constexpr double kMostPressure = 0.7;
+// Utilization kept free below the target of a serving task, for estimates that are off.
+static constexpr double kHeadroom = 0.02;
 
-// A pair of images whose weight is below this is taken to be harmless.
-static constexpr double kHarmlessWeight = 0.3;
+// What adds less than this to a serving task's utilization is not held to press it.
+static constexpr double kNegligible = 0.02;
 
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
@@ -54,15 +54,16 @@
   const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) / capacity;
   for (const ServingGroup& serving : aWorker.m_serving) {
     const double weight = aRequest.m_pressure->Weight(serving.m_image, aRequest.m_image);
-    if (weight < kHarmlessWeight) {
+    double added = weight * share;
+    if (added < kNegligible) {
       continue;
     }
-    double pressure = weight * share;
     for (const FillGroup& group : aWorker.m_filling) {
-      pressure += aRequest.m_pressure->Weight(serving.m_image, group.m_image) *
-                  static_cast<double>(group.m_cpu) / capacity;
+      added += aRequest.m_pressure->Weight(serving.m_image, group.m_image) *
+               static_cast<double>(group.m_cpu) / capacity;
     }
-    if (pressure > kMostPressure) {
+    const double limit = aRequest.m_pressure->TargetUtilization(serving.m_image) - kHeadroom;
+    if (serving.m_ownLoad + added > limit) {
       return true;
     }
   }
--- a/lib/Scheduler/Pressure.cpp
+++ b/lib/Scheduler/Pressure.cpp
@@ -5,134 +5,132 @@
 
 namespace egretturn {
 
-static constexpr double kIdleTail = 0.45;  // share of its target that an undisturbed tail has
-static constexpr double kMostPressure = 3; // a tail far above its target says no more
-static constexpr double kLearningRate = 0.4;
-static constexpr double kForgettingRate = 0.03; // with each tail that is fine
-static constexpr double kBlamedRatio = 1.0;     // tails below this accuse nobody
-static constexpr double kTellingShare = 0.01;   // a smaller load says nothing about its image
-static constexpr double kSuspicion = 0.5;       // weight under which an unknown image is suspected
-static constexpr double kMostWeight = 60;
-
-// What was learned fades, so that a pair that is kept apart is tried again.
-static constexpr Duration kAgeEvery = std::chrono::seconds(1);
-static constexpr double kAgeFactor = 0.985;
+// An idle tail is taken to be at most this part of the target, until a lower one is seen.
+static constexpr double kIdleRatio = 0.28;
+static constexpr double kMostUtilization = 0.98;
+
+static constexpr double kLearningRate = 0.25;
+static constexpr double kLeastNorm = 0.01;
+static constexpr double kMostWeight = 12.0;
+static constexpr double kFirstWeight = 0.5; // of a pair that was never seen
 
 // Tails are reported over a span; loads are smoothed to match.
 static constexpr double kSmoothingMs = 350;
 
-static constexpr double kLeastFactor = 0.15; // of the pace, in one step
-static constexpr double kMostFactor = 1.6;
-static constexpr int kPaceFloor = 8;     // percent; below this a task is paced to a halt
-static constexpr int kPaceResume = 15;   // percent; from a halt
-static constexpr int kPaceTolerance = 8; // smaller changes are not sent
+static constexpr Duration kSampleAge = std::chrono::milliseconds(1200);
+static constexpr double kPeakFade = 0.02; // of a peak, in a second
 
-ImageId
-PressureModel::Intern(const std::string& aImage)
+void
+SmoothLoads(std::vector<ImageLoad>& aSmoothed,
+            const std::vector<ImageLoad>& aLoads,
+            Duration aSince)
 {
-  return m_images.emplace(aImage, static_cast<ImageId>(m_images.size())).first->second;
+  const double keep = std::exp(-static_cast<double>(ToMillis(aSince)) / kSmoothingMs);
+  for (ImageLoad& smoothed : aSmoothed) {
+    smoothed.m_share *= keep;
+  }
+  for (const ImageLoad& load : aLoads) {
+    auto it = std::find_if(aSmoothed.begin(), aSmoothed.end(), [&](const ImageLoad& aOther) {
+      return aOther.m_image == load.m_image;
+    });
+    if (it == aSmoothed.end()) {
+      it = aSmoothed.insert(aSmoothed.end(), { load.m_image, 0.0 });
+    }
+    it->m_share += (1.0 - keep) * load.m_share;
+  }
 }
 
-double
-PressureModel::Weight(ImageId aServing, ImageId aFilling) const
+void
+ServingLoad::Note(uint32_t aTask, double aUtilization, Instant aNow)
 {
-  const auto it = m_weights.find(Pair(aServing, aFilling));
-  return it == m_weights.end() ? 0.0 : it->second;
+  auto it = std::find_if(m_samples.begin(), m_samples.end(), [&](const Sample& aSample) {
+    return aSample.m_task == aTask;
+  });
+  if (it == m_samples.end()) {
+    it = m_samples.insert(m_samples.end(), Sample{ aTask, 0, aNow });
+  }
+  it->m_utilization = aUtilization;
+  it->m_at = aNow;
+  if (!IsTelling(aNow)) {
+    return;
+  }
+  const double seconds = static_cast<double>(ToMillis(aNow - m_peakAt)) / 1000.0;
+  m_peak = std::max(Own(aNow), m_peak * std::max(0.0, 1.0 - kPeakFade * seconds));
+  m_peakAt = aNow;
 }
 
 double
-PressureModel::Predict(ImageId aServing, const std::vector<ImageLoad>& aBeside) const
+ServingLoad::Own(Instant aNow) const
 {
-  double pressure = 0;
-  for (const ImageLoad& load : aBeside) {
-    pressure += Weight(aServing, load.m_image) * load.m_share;
+  double least = kMostUtilization;
+  for (const Sample& sample : m_samples) {
+    if (aNow - sample.m_at < kSampleAge) {
+      least = std::min(least, sample.m_utilization);
+    }
   }
-  return pressure;
+  return least;
 }
 
-/// The pressure that a tail of \p aRatio times its target speaks of.
-static double
-PressureOf(double aRatio)
+bool
+ServingLoad::IsTelling(Instant aNow) const
 {
-  const double above = std::max(aRatio, kIdleTail) / kIdleTail;
-  return std::min(kMostPressure, std::log(above) / std::log(1.0 / kIdleTail));
+  return std::count_if(m_samples.begin(), m_samples.end(), [&](const Sample& aSample) {
+           return aNow - aSample.m_at < kSampleAge;
+         }) >= 2;
 }
 
-void
-PressureModel::Learn(ImageId aServing, double aRatio, const std::vector<ImageLoad>& aBeside)
+ImageId
+PressureModel::Intern(const std::string& aImage)
 {
-  const double error = PressureOf(aRatio) - Predict(aServing, aBeside);
-  const bool pressed = aRatio >= kBlamedRatio && error > 0;
-  const bool fine = aRatio < kTailGoal && error < 0;
-  if (!pressed && !fine) {
-    return;
-  }
-  // An image that is known to press takes most of the blame; others are suspected by their share.
-  double suspicion = 0;
-  for (const ImageLoad& load : aBeside) {
-    suspicion += (Weight(aServing, load.m_image) + kSuspicion) * load.m_share;
-  }
-  for (const ImageLoad& load : aBeside) {
-    if (load.m_share < kTellingShare) {
-      continue;
-    }
-    double& weight = m_weights[Pair(aServing, load.m_image)];
-    if (pressed) {
-      const double part = (weight + kSuspicion) * load.m_share / suspicion;
-      weight = std::min(kMostWeight, weight + kLearningRate * part * error / load.m_share);
-    } else {
-      weight -= kForgettingRate * weight;
-    }
-  }
+  return m_images.emplace(aImage, static_cast<ImageId>(m_images.size())).first->second;
 }
 
-void
-PressureModel::Age(Instant aNow)
+double
+PressureModel::UtilizationOf(ImageId aServing, double aRatio)
 {
-  if (aNow - m_agedAt < kAgeEvery) {
-    return;
-  }
-  m_agedAt = aNow;
-  for (auto& [pair, weight] : m_weights) {
-    weight *= kAgeFactor;
+  double& idle = m_idleRatio.emplace(aServing, kIdleRatio).first->second;
+  if (aRatio > 0) {
+    idle = std::min(idle, aRatio);
   }
+  return std::clamp(1.0 - idle / std::max(aRatio, 0.01), 0.0, kMostUtilization);
 }
 
-void
-SmoothLoads(std::vector<ImageLoad>& aSmoothed,
-            const std::vector<ImageLoad>& aLoads,
-            Duration aSince)
+double
+PressureModel::TargetUtilization(ImageId aServing) const
 {
-  const double keep = std::exp(-static_cast<double>(ToMillis(aSince)) / kSmoothingMs);
-  for (ImageLoad& smoothed : aSmoothed) {
-    smoothed.m_share *= keep;
-  }
-  for (const ImageLoad& load : aLoads) {
-    auto it = std::find_if(aSmoothed.begin(), aSmoothed.end(), [&](const ImageLoad& aOther) {
-      return aOther.m_image == load.m_image;
-    });
-    if (it == aSmoothed.end()) {
-      it = aSmoothed.insert(aSmoothed.end(), { load.m_image, 0.0 });
-    }
-    it->m_share += (1.0 - keep) * load.m_share;
+  const auto it = m_idleRatio.find(aServing);
+  return 1.0 - (it == m_idleRatio.end() ? kIdleRatio : it->second);
+}
+
+double
+PressureModel::Weight(ImageId aServing, ImageId aFilling) const
+{
+  const auto it = m_weights.find(Pair(aServing, aFilling));
+  return it == m_weights.end() ? kFirstWeight : it->second;
+}
+
+double
+PressureModel::Predict(ImageId aServing, const std::vector<ImageLoad>& aBeside) const
+{
+  double added = 0;
+  for (const ImageLoad& load : aBeside) {
+    added += Weight(aServing, load.m_image) * load.m_share;
   }
+  return added;
 }
 
-int
-NextPace(int aPace, double aRatio)
+void
+PressureModel::Learn(ImageId aServing, double aAdded, const std::vector<ImageLoad>& aBeside)
 {
-  if (aPace == 0) {
-    return aRatio < kTailGoal ? kPaceResume : 0;
+  double norm = kLeastNorm;
+  for (const ImageLoad& load : aBeside) {
+    norm += load.m_share * load.m_share;
   }
-  // The part of the tail above the idle one follows the work of the neighbours.
-  const double factor = (kTailGoal - kIdleTail) / std::max(aRatio - kIdleTail, 0.01);
-  const double pace = aPace * std::clamp(factor, kLeastFactor, kMostFactor);
-  if (pace < kPaceFloor) {
-    return 0;
+  const double step = kLearningRate * (aAdded - Predict(aServing, aBeside)) / norm;
+  for (const ImageLoad& load : aBeside) {
+    double& weight = m_weights.emplace(Pair(aServing, load.m_image), kFirstWeight).first->second;
+    weight = std::clamp(weight + step * load.m_share, 0.0, kMostWeight);
   }
-  const int next = std::min(100, static_cast<int>(pace));
-  const bool small = std::abs(next - aPace) < kPaceTolerance && next < 100;
-  return small ? aPace : next;
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -424,7 +424,6 @@
   OpenOccurrences(aWallMs);
   if (aNow >= m_nextSweepAt) {
     m_nextSweepAt = aNow + kSweep;
-    m_pressure.Age(aNow);
     RetryStops(aNow);
     CheckLeases(aNow);
     CheckRecovery(aNow);
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -18,8 +18,16 @@
 
 static constexpr Duration kPaceEvery = std::chrono::milliseconds(450); // tails cover half a second
 
-// An image that causes less than this part of the pressure is not paced for it.
-static constexpr double kBlameShare = 0.25;
+// Utilization kept free below the target, so that pacing starts before the target is missed.
+static constexpr double kPaceHeadroom = 0.05;
+
+// An image that adds less than this to the utilization of a serving task is not paced for it.
+static constexpr double kLeastPart = 0.03;
+
+static constexpr double kMostFactor = 1.6; // of a pace, upwards in one step
+static constexpr int kPaceFloor = 8;       // percent; below this a task is paced to a halt
+static constexpr int kPaceResume = 15;     // percent; from a halt
+static constexpr int kPaceTolerance = 8;   // smaller changes are not sent
 
 // A task that saves its progress moves away when it is paced lower than this.
 static constexpr int kMoveBelowPace = 50;
@@ -309,30 +317,71 @@
   return loads;
 }
 
-/// The worst ratio of tail to target among the serving tasks that \p aGroup has a part in pressing.
+void
+Scheduler::LearnFromTails(Worker& aWorker, Instant aNow)
+{
+  for (ServingGroup& group : aWorker.m_serving) {
+    group.m_ownLoad = 0;
+  }
+  for (auto& [ref, run] : aWorker.m_runs) {
+    Job* job = run.m_targetMs > 0 ? m_book.Find(ref.m_job) : nullptr;
+    if (!job || run.m_phase != RunPhase::Running || run.m_usage == 0) {
+      continue;
+    }
+    const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
+    run.m_utilization = m_pressure.UtilizationOf(run.m_image, ratio);
+    const uint32_t number = (uint32_t{ ref.m_step } << 16) | ref.m_index;
+    ServingLoad& load = job->m_servingLoad;
+    load.Note(number, run.m_utilization, aNow);
+    if (load.IsTelling(aNow) && !aWorker.m_loads.empty()) {
+      m_pressure.Learn(run.m_image, run.m_utilization - load.Own(aNow), aWorker.m_loads);
+    }
+    for (ServingGroup& group : aWorker.m_serving) {
+      if (group.m_image == run.m_image) {
+        group.m_ownLoad = std::max(group.m_ownLoad, load.Peak());
+      }
+    }
+  }
+}
+
+/// By how much the pace of \p aGroup should change for the serving tasks that it presses.
 double
-Scheduler::WorstRatio(const Worker& aWorker,
-                      const FillGroup& aGroup,
-                      const std::vector<ImageLoad>& aLoads)
+Scheduler::PaceFactor(const Worker& aWorker, const FillGroup& aGroup)
 {
-  double worst = 0;
+  double factor = kMostFactor;
   for (const auto& [ref, run] : aWorker.m_runs) {
     if (run.m_targetMs == 0 || run.m_phase != RunPhase::Running) {
       continue;
     }
-    const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
-    const double total = m_pressure.Predict(run.m_image, aLoads);
     double own = 0;
-    for (const ImageLoad& load : aLoads) {
+    for (const ImageLoad& load : aWorker.m_loads) {
       own = load.m_image == aGroup.m_image ? load.m_share : own;
     }
     own *= m_pressure.Weight(run.m_image, aGroup.m_image);
-    const bool blamed = total > 0 && own >= kBlameShare * total;
-    if (blamed || (aGroup.m_pace < 100 && m_pressure.Weight(run.m_image, aGroup.m_image) > 0)) {
-      worst = std::max(worst, ratio);
+    if (own < kLeastPart && aGroup.m_pace == 100) {
+      continue;
     }
+    const double added = std::max(m_pressure.Predict(run.m_image, aWorker.m_loads), kLeastPart);
+    const double goal = m_pressure.TargetUtilization(run.m_image) - kPaceHeadroom;
+    factor = std::min(factor, 1.0 + (goal - run.m_utilization) / added);
+  }
+  return std::max(0.0, factor);
+}
+
+/// \p aPace changed by \p aFactor, within bounds.
+static int
+ScalePace(int aPace, double aFactor)
+{
+  if (aPace == 0) {
+    return aFactor > 1.0 ? kPaceResume : 0;
+  }
+  const double scaled = aPace * aFactor;
+  if (scaled < kPaceFloor) {
+    return 0;
   }
-  return worst;
+  const int next = std::min(100, static_cast<int>(scaled));
+  const bool small = std::abs(next - aPace) < kPaceTolerance && next < 100;
+  return small ? aPace : next;
 }
 
 void
@@ -368,18 +417,11 @@
   if (aWorker.m_serving.empty()) {
     return;
   }
-  const std::vector<ImageLoad>& loads = aWorker.m_loads;
-  for (const auto& [ref, run] : aWorker.m_runs) {
-    if (run.m_targetMs > 0 && run.m_phase == RunPhase::Running) {
-      m_pressure.Learn(
-        run.m_image, static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs), loads);
-    }
-  }
+  LearnFromTails(aWorker, aNow);
   for (FillGroup& group : aWorker.m_filling) {
     if (aNow - group.m_pacedAt >= kPaceEvery) {
-      const double worst = WorstRatio(aWorker, group, loads);
-      const int pace =
-        worst > kTailGoal || group.m_pace < 100 ? NextPace(group.m_pace, worst) : 100;
+      const double factor = PaceFactor(aWorker, group);
+      const int pace = ScalePace(group.m_pace, factor);
       if (pace != group.m_pace) {
         group.m_pace = pace;
         group.m_pacedAt = aNow;
@@ -387,7 +429,7 @@
               .Add("worker", aWorker.m_report.m_id)
               .Add("image", uint64_t{ group.m_image })
               .Add("percent", pace)
-              .Add("worst_ratio", worst));
+              .Add("factor", factor));
       }
     }
     ApplyPace(aWorker, group, aNow);
