Keep workers free of serving tasks for work that presses all of them

Cause: with serving images kept apart no worker was left for images that press every serving one (weights of pairs are near 5 or near 0.3, two thirds of them high).

Change: while under 0.15 of the processors are on workers without serving tasks, serving tasks join others first; tasks that fill take harmless company before free workers, and free workers before company that they press.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -125,6 +125,9 @@
   /// The share of all processors that is reserved or asked for by runs.
   double ShareInUse() const;
 
+  /// The share of all processors on workers without serving tasks.
+  double ShareWithoutServing() const;
+
   /// The end of a lease granted at \p aNow, on the worker's clock. 0 if its clock is not known.
   int64_t LeaseEnd(const Worker& aWorker, Instant aNow) const;
 
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -14,6 +14,7 @@
   const std::vector<const Worker*>* m_siblings = nullptr; ///< Workers of the step's live runs.
   const PressureModel* m_pressure = nullptr;
   ImageId m_image = 0;
+  bool m_fewEmptyWorkers = false; ///< Few workers are left without serving tasks.
   bool m_mayUseReserve =
     false; ///< Lasting tasks leave a reserve for short ones unless this is set.
 };
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -180,6 +180,20 @@
   return static_cast<double>(used) / static_cast<double>(capacity);
 }
 
+double
+Fleet::ShareWithoutServing() const
+{
+  int64_t capacity = 1;
+  int64_t free = 0;
+  for (const std::unique_ptr<Worker>& worker : m_workers) {
+    if (worker->m_listed && !worker->m_report.m_draining) {
+      capacity += worker->m_report.m_capacity.m_cpuMilli;
+      free += worker->m_serving.empty() ? worker->m_report.m_capacity.m_cpuMilli : 0;
+    }
+  }
+  return static_cast<double>(free) / static_cast<double>(capacity);
+}
+
 int64_t
 Fleet::LeaseEnd(const Worker& aWorker, Instant aNow) const
 {
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -17,12 +17,14 @@
 static constexpr double kHeadroom = 0.02;
 
 // What adds less than this to a serving task's utilization is not held to press it.
-static constexpr double kNegligible = 0.02;
+static constexpr double kNegligible = 0.06;
 
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
-static constexpr double kServingPenalty = 8000.0; // for a task that fills beside serving ones
+static constexpr double kHarmlessBonus = 24000.0;
+static constexpr double kPressingPenalty = 24000.0;
 static constexpr double kSameImageBonus = 100000.0; // serving tasks of one image share a worker
+static constexpr double kEmptyWorkerPenalty = 400000.0; // while few are left
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
 
@@ -43,6 +45,22 @@
          idle;
 }
 
+/// The most that one task of \p aRequest adds to the utilization of a serving task.
+static double
+AddedByOne(const Worker& aWorker, const PlacementRequest& aRequest)
+{
+  const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) /
+                       static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  double added = 0;
+  for (const ServingGroup& serving : aWorker.m_serving) {
+    if (aRequest.m_pressure) {
+      added =
+        std::max(added, share * aRequest.m_pressure->Weight(serving.m_image, aRequest.m_image));
+    }
+  }
+  return added;
+}
+
 /// Whether one more task of \p aRequest would press a serving task on \p aWorker too hard.
 static bool
 WouldPress(const Worker& aWorker, const PlacementRequest& aRequest)
@@ -139,14 +157,16 @@
       ? SpareForFill(aWorker)
       : static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli - aWorker.m_used.m_cpuMilli) -
           kFillWeight * static_cast<double>(aWorker.m_fillCpu);
-  if (step.m_fills && aWorker.m_lastingCpu > 0) {
-    score -= kServingPenalty;
+  if (step.m_fills && !aWorker.m_serving.empty()) {
+    // Workers without serving tasks are left to what presses them everywhere.
+    score += AddedByOne(aWorker, aRequest) < kNegligible ? kHarmlessBonus : -kPressingPenalty;
   }
   if (step.m_lasting) {
     score = -score; // packed together, serving tasks leave whole workers to others
   }
   if (step.m_targetMs > 0) {
     score -= kSameImageBonus * CountOtherImages(aWorker, aRequest.m_image);
+    score -= aRequest.m_fewEmptyWorkers && aWorker.m_serving.empty() ? kEmptyWorkerPenalty : 0;
   }
   const std::string& rack = aWorker.m_report.m_rack;
   if (!step.m_dataRack.empty() && step.m_dataRack == rack) {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -14,6 +14,9 @@
 static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
 static constexpr double kPlentyOfRoom = 0.7;
 
+// Of the processors, kept without serving tasks for work that would press them.
+static constexpr double kShareKeptEmpty = 0.15;
+
 static constexpr Duration kReserveHeld = std::chrono::seconds(1);
 
 static constexpr Duration kPaceEvery = std::chrono::milliseconds(450); // tails cover half a second
@@ -120,6 +123,7 @@
                     aNow - aWaiting.m_job->m_activeAt >= kIdlePatience;
   request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(step.m_image);
+  request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
   request.m_mayUseReserve = aNow - aWaiting.m_job->m_submittedAt > kReserveHeld;
   if (step.m_gang) {
     PlaceGang(aWaiting, request, aNow);
