Keep a record of each worker, so that a successor looks at those the directory has lost

Change: a worker gets a record in the topic of jobs before it is given work; a successor looks at every recorded worker, or waits until its lease is over, before it starts recovered tasks.

--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -29,6 +29,21 @@
   int64_t m_incarnation = 0; ///< Unix time of its start; 0 if it does not say.
   bool m_draining = false;
   int64_t m_remainingMs = 0; ///< At least so long until a draining worker leaves.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("id", aSelf.m_id);
+    aVisit("service", aSelf.m_service);
+    aVisit("address", aSelf.m_address);
+    aVisit("zone", aSelf.m_zone);
+    aVisit("rack", aSelf.m_rack);
+    aVisit("labels", aSelf.m_labels);
+    aVisit("capacity", aSelf.m_capacity);
+    aVisit("incarnation", aSelf.m_incarnation);
+    aVisit("draining", aSelf.m_draining);
+    aVisit("remaining_ms", aSelf.m_remainingMs);
+  }
 };
 
 /// A run that a worker holds.
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -33,8 +33,16 @@
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
   double m_utilization = 0; ///< Of a serving task, by its tail.
-  Instant m_phaseSince;   ///< When the phase began.
-  Instant m_progressedAt; ///< When the percentage last rose.
+  Instant m_phaseSince;     ///< When the phase began.
+  Instant m_progressedAt;   ///< When the percentage last rose.
+};
+
+/// Whether the store knows of something.
+enum class RecordState : uint8_t
+{
+  Missing,
+  InBatch,
+  Durable,
 };
 
 /// The runs of one image that fill on a worker. They share a pace.
@@ -59,8 +67,9 @@
 struct Worker
 {
   WorkerReport m_report;
-  bool m_listed = true;  ///< The directory has an entry for it.
-  bool m_looked = false; ///< It has answered under the present epoch.
+  bool m_listed = true;                        ///< The directory has an entry for it.
+  RecordState m_record = RecordState::Missing; ///< So that a successor looks at it.
+  bool m_looked = false;                       ///< It has answered under the present epoch.
   std::unordered_map<TaskRef, WorkerRun, TaskRefHash> m_runs;
   Demand m_used;            ///< Of runs that reserve; memory of all runs.
   int64_t m_fillCpu = 0;    ///< Processor demand of runs that fill.
--- a/include/egretturn/Scheduler/JobBook.h
+++ b/include/egretturn/Scheduler/JobBook.h
@@ -54,7 +54,7 @@
   uint32_t m_nextOccurrence = 0;
   uint32_t m_liveRuns = 0;
   ServingLoad m_servingLoad; ///< Of lasting tasks with a target.
-  Instant m_activeAt; ///< When a run of it last started or ended.
+  Instant m_activeAt;        ///< When a run of it last started or ended.
   std::vector<OccurrenceRecord> m_occurrences;
   std::vector<RequestToken> m_submitters;
   std::vector<RequestToken> m_cancellers;
@@ -94,7 +94,7 @@
 /// What an occurrence still needs.
 struct RemainingWork
 {
-  Duration m_path{};      ///< The longest chain of steps, by their estimates.
+  Duration m_path{}; ///< The longest chain of steps, by their estimates.
   double m_coreSeconds = 0;
 };
 
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -1,8 +1,8 @@
 // How much tasks that fill disturb serving tasks, learned for each pair of images.
 //
 // A tail is read as the utilization of a queue: tail = idle tail / (1 - utilization). Utilization
-// adds up: a serving task's own load, which all tasks of its job share, and for each image beside it
-// the pair's weight times the share of the worker's processors that the image uses.
+// adds up: a serving task's own load, which all tasks of its job share, and for each image beside
+// it the pair's weight times the share of the worker's processors that the image uses.
 #pragma once
 
 #include "egretturn/Support/Time.h"
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -149,6 +149,7 @@
 /// Keys of the records. Thread-safe.
 std::string JobKey(GraphId aId);
 std::string ProgressKey(GraphId aId);
+std::string WorkerKey(std::string_view aWorker);
 constexpr std::string_view kClaimKey = "claim";
 
 enum class RecordKind
@@ -156,6 +157,7 @@
   Claim,
   Job,
   Progress,
+  Worker,
   Unknown,
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -56,6 +56,9 @@
   /// Applies the progress of a job that was restored before.
   void RestoreProgress(GraphId aId, const StoredProgress& aProgress);
 
+  /// Adds a worker on which an earlier epoch may have started tasks.
+  void RestoreWorker(const WorkerReport& aReport, Instant aNow);
+
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the answer follows as an AnswerRequest.
@@ -171,6 +174,8 @@
   // Scheduler.cpp
   void MarkDirty(Job& aJob) { m_dirty.insert(aJob.m_stored.m_id); }
   void WriteBatch(Instant aNow);
+  bool HasToWrite() const;
+  void AppendWorkerRecords(AppendRecords& aBatch);
   bool AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes);
   void SendLooks(Instant aNow);
   void SendLook(Worker& aWorker, Instant aNow);
@@ -194,6 +199,7 @@
   std::vector<BatchedJob> m_batchJobs;         ///< In the batch in flight.
   uint64_t m_batch = 0;
   bool m_batchInFlight = false;
+  bool m_workersUnwritten = false; ///< A worker has no record yet.
   Instant m_nextBatchAt;
   bool m_urgent = false; ///< A caller waits for the next batch.
   bool m_storeAvailable = true;
--- a/lib/Node/Claimer.cpp
+++ b/lib/Node/Claimer.cpp
@@ -145,10 +145,13 @@
     }
     StoredJob job;
     StoredProgress progress;
+    WorkerReport worker;
     if (kind == RecordKind::Job && UnpackCompact(value, job)) {
       outcome.m_state.m_jobs.push_back(std::move(job));
     } else if (kind == RecordKind::Progress && UnpackCompact(value, progress)) {
       outcome.m_state.m_progress.emplace_back(id, std::move(progress));
+    } else if (kind == RecordKind::Worker && UnpackCompact(value, worker)) {
+      outcome.m_state.m_workers.push_back(std::move(worker));
     } else {
       Log(LogLine(LogLevel::Error, "record_unreadable")
             .Add("key", key)
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -43,6 +43,9 @@
   for (const auto& [id, progress] : aState.m_progress) {
     m_scheduler.RestoreProgress(id, progress);
   }
+  for (const WorkerReport& report : aState.m_workers) {
+    m_scheduler.RestoreWorker(report, now);
+  }
   TopicFollower::Callbacks callbacks;
   const std::weak_ptr<Decider> weak = weak_from_this();
   callbacks.m_onRecord = [weak](const KeyedRecord& aRecord) {
--- a/lib/Scheduler/JobBook.cpp
+++ b/lib/Scheduler/JobBook.cpp
@@ -127,9 +127,9 @@
     }
     endMs[s] += open > 0 ? step.m_estimateMs : 0;
     longestMs = std::max(longestMs, endMs[s]);
-    remaining.m_coreSeconds +=
-      static_cast<double>(open) *
-      static_cast<double>(step.m_estimateMs * step.m_demand.m_cpuMilli) / kMilliPerUnit;
+    remaining.m_coreSeconds += static_cast<double>(open) *
+                               static_cast<double>(step.m_estimateMs * step.m_demand.m_cpuMilli) /
+                               kMilliPerUnit;
   }
   remaining.m_path = std::chrono::milliseconds(longestMs);
   return remaining;
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -23,7 +23,7 @@
 static constexpr double kLocalityBonus = 64000.0;
 static constexpr double kHarmlessBonus = 24000.0;
 static constexpr double kPressingPenalty = 24000.0;
-static constexpr double kSameImageBonus = 100000.0; // serving tasks of one image share a worker
+static constexpr double kSameImageBonus = 100000.0;     // serving tasks of one image share a worker
 static constexpr double kEmptyWorkerPenalty = 400000.0; // while few are left
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
@@ -31,8 +31,8 @@
 bool
 TakesWork(const Worker& aWorker, Instant aNow)
 {
-  return aWorker.m_looked && aWorker.m_listed && !aWorker.m_report.m_draining &&
-         aWorker.m_failedLooks == 0 && aWorker.m_avoidUntil <= aNow;
+  return aWorker.m_looked && aWorker.m_listed && aWorker.m_record == RecordState::Durable &&
+         !aWorker.m_report.m_draining && aWorker.m_failedLooks == 0 && aWorker.m_avoidUntil <= aNow;
 }
 
 /// Processor time that tasks that fill can still get on \p aWorker.
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -14,6 +14,7 @@
 
 static constexpr std::string_view kJobPrefix = "job/";
 static constexpr std::string_view kProgressPrefix = "progress/";
+static constexpr std::string_view kWorkerPrefix = "worker/";
 
 std::string_view
 NameOf(JobState aState)
@@ -33,6 +34,12 @@
   return std::string(kProgressPrefix) + FormatGraphId(aId);
 }
 
+std::string
+WorkerKey(std::string_view aWorker)
+{
+  return std::string(kWorkerPrefix).append(aWorker);
+}
+
 /// Reads PREFIX + id. False if \p aKey is something else.
 static bool
 ReadKey(std::string_view aKey, std::string_view aPrefix, GraphId& aId)
@@ -51,6 +58,9 @@
   if (aKey == kClaimKey) {
     return RecordKind::Claim;
   }
+  if (aKey.starts_with(kWorkerPrefix)) {
+    return RecordKind::Worker;
+  }
   if (ReadKey(aKey, kJobPrefix, aId)) {
     return RecordKind::Job;
   }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -53,6 +53,16 @@
   ApplyProgress(*job, aProgress);
 }
 
+void
+Scheduler::RestoreWorker(const WorkerReport& aReport, Instant aNow)
+{
+  m_fleet.Update(aReport, aNow);
+  Worker* worker = m_fleet.Find(aReport.m_id);
+  worker->m_record = RecordState::Durable;
+  worker->m_listed = false; // until the directory says so
+  m_fleet.ExtendLease(*worker, aNow);
+}
+
 void
 Scheduler::Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs)
 {
@@ -146,6 +156,7 @@
   }
   const bool startsDraining = aReport.m_draining && !(known && known->m_report.m_draining);
   const bool added = m_fleet.Update(aReport, aNow);
+  m_workersUnwritten = m_workersUnwritten || added;
   Worker* worker = m_fleet.Find(aReport.m_id);
   if (added && !m_recovered) {
     m_fleet.ExtendLease(*worker, aNow); // by the deciding instance before this one
@@ -208,10 +219,32 @@
   return true;
 }
 
+void
+Scheduler::AppendWorkerRecords(AppendRecords& aBatch)
+{
+  if (!m_workersUnwritten) {
+    return;
+  }
+  m_workersUnwritten = false;
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (worker->m_record == RecordState::Missing) {
+      worker->m_record = RecordState::InBatch;
+      aBatch.m_records.push_back(
+        { WorkerKey(worker->m_report.m_id), PackCompact(worker->m_report) });
+    }
+  }
+}
+
+bool
+Scheduler::HasToWrite() const
+{
+  return !m_dirty.empty() || !m_dropKeys.empty() || m_workersUnwritten;
+}
+
 void
 Scheduler::WriteBatch(Instant aNow)
 {
-  if (m_batchInFlight || (m_dirty.empty() && m_dropKeys.empty())) {
+  if (m_batchInFlight || !HasToWrite()) {
     return;
   }
   const Instant due = m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap);
@@ -220,6 +253,7 @@
   }
   AppendRecords batch;
   batch.m_batch = ++m_batch;
+  AppendWorkerRecords(batch);
   size_t bytes = 0;
   while (!m_dirty.empty()) {
     Job* job = m_book.Find(*m_dirty.begin());
@@ -285,6 +319,10 @@
   }
   m_batchJobs.clear();
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (worker->m_record == RecordState::InBatch) {
+      worker->m_record = RecordState::Durable;
+      m_placeNeeded = true;
+    }
     if (worker->m_endsInBatch > worker->m_endsDurable) {
       worker->m_endsDurable = worker->m_endsInBatch;
       worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
@@ -361,6 +399,7 @@
     }
   }
   for (const WorkerName& id : gone) {
+    m_dropKeys.push_back(WorkerKey(id));
     m_fleet.Erase(id);
   }
 }
@@ -441,7 +480,7 @@
   if (m_placeNeeded) {
     wake = std::min(wake, m_nextPlaceAt);
   }
-  if (!m_batchInFlight && (!m_dirty.empty() || !m_dropKeys.empty())) {
+  if (!m_batchInFlight && HasToWrite()) {
     wake = std::min(wake, m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap));
   }
   for (const std::unique_ptr<Worker>& worker : const_cast<Fleet&>(m_fleet).All()) {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -48,10 +48,10 @@
       const bool lasting = job->IsLasting();
       for (OccurrenceRecord& occurrence : job->m_occurrences) {
         const RemainingWork remaining = EstimateRemaining(*job, occurrence);
-        const int lateness = lasting                               ? 0
-                             : aNow > lastUse                      ? 2
+        const int lateness = lasting                              ? 0
+                             : aNow > lastUse                     ? 2
                              : aNow + remaining.m_path > deadline ? 1
-                                                                   : 0;
+                                                                  : 0;
         for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
           if (occurrence.m_steps[s].m_waiting == 0) {
             continue;
@@ -59,7 +59,12 @@
           any = true;
           const bool held = job->m_recovered && !m_recovered;
           if (!held && JobBook::IsReady(*job, occurrence, s)) {
-            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), lateness, deadline, remaining.m_coreSeconds });
+            waiting.push_back({ job,
+                                &occurrence,
+                                static_cast<uint16_t>(s),
+                                lateness,
+                                deadline,
+                                remaining.m_coreSeconds });
           }
         }
       }
@@ -119,8 +124,8 @@
   request.m_step = &step;
   request.m_service = &aWaiting.m_job->m_stored.m_terms.m_service;
   request.m_siblings = &siblings;
-  const bool idle = aWaiting.m_job->m_liveRuns == 0 &&
-                    aNow - aWaiting.m_job->m_activeAt >= kIdlePatience;
+  const bool idle =
+    aWaiting.m_job->m_liveRuns == 0 && aNow - aWaiting.m_job->m_activeAt >= kIdlePatience;
   request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(step.m_image);
   request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
