Fuzz the scheduler against an oracle; judge a restarted worker by its own lists

(1) An answer to a look that was sent before the worker was forgotten and listed again counted as the newest. (2) A worker that restarted under its name lost its runs from the table while a start on its way reached the new life. (3) An acknowledgement for one life reached the next and dropped its ends.

Change: looks are numbered; runs of a restarted worker are judged by the lists of its new life; ends are acknowledged only within 150 ms of an answer of the life that listed them.

--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -139,6 +139,7 @@
 /// Extends the worker's lease, acknowledges ends and asks what runs there.
 struct LookAtWorker
 {
+  uint64_t m_number = 0; ///< Differs for each look; its answer names it.
   WorkerName m_worker;
   std::string m_address;
   int64_t m_untilMs = 0;       ///< End of the lease on the worker's clock; 0 to leave it.
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -80,6 +80,7 @@
   Instant m_leaseOverAt; ///< All runs have lapsed by then, unless the lease is extended.
 
   bool m_lookInFlight = false;
+  uint64_t m_lookNumber = 0; ///< Of the look in flight.
   Instant m_lookSentAt;
   Instant m_lookDueAt;
   uint32_t m_failedLooks = 0;      ///< In a row.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -85,8 +85,9 @@
   /// The directory has been read whole once.
   void DirectoryComplete();
 
-  void OnLook(const WorkerName& aId, const WorkerView& aView, Instant aNow);
-  void OnLookFailed(const WorkerName& aId, OrderResult aResult, Instant aNow);
+  /// The look numbered \p aNumber was answered; answers to earlier ones are passed over.
+  void OnLook(const WorkerName& aId, uint64_t aNumber, const WorkerView& aView, Instant aNow);
+  void OnLookFailed(const WorkerName& aId, uint64_t aNumber, OrderResult aResult, Instant aNow);
   void OnStart(const WorkerName& aId,
                const TaskRef& aTask,
                RunNumber aRun,
@@ -153,7 +154,7 @@
   void DropVanished(Worker& aWorker, const WorkerView& aView, Instant aNow);
   void LoseRun(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
   void LoseAllRuns(Worker& aWorker, Instant aNow, const char* aCause);
-  void Reincarnate(Worker& aWorker, int64_t aIncarnation, Instant aNow);
+  void Reincarnate(Worker& aWorker, int64_t aIncarnation);
   void EndJob(Job& aJob, JobState aState, Instant aNow);
   void NoteConduct(Worker& aWorker, bool aGood, Instant aNow);
 
@@ -198,6 +199,7 @@
   std::vector<std::string> m_dropKeys;         ///< Of jobs to forget.
   std::vector<BatchedJob> m_batchJobs;         ///< In the batch in flight.
   uint64_t m_batch = 0;
+  uint64_t m_lookNumber = 0;
   bool m_batchInFlight = false;
   bool m_workersUnwritten = false; ///< A worker has no record yet.
   Instant m_nextBatchAt;
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -179,14 +179,15 @@
         m_workers.Look(
           aLook,
           fence,
-          [self, worker = aLook.m_worker](OrderResult aResult, const WorkerView& aView) {
+          [self, worker = aLook.m_worker, number = aLook.m_number](OrderResult aResult,
+                                                                   const WorkerView& aView) {
             if (self->m_stopped) {
               return;
             }
             if (aResult == OrderResult::Accepted) {
-              self->m_scheduler.OnLook(worker, aView, NowWithSuspend());
+              self->m_scheduler.OnLook(worker, number, aView, NowWithSuspend());
             } else {
-              self->m_scheduler.OnLookFailed(worker, aResult, NowWithSuspend());
+              self->m_scheduler.OnLookFailed(worker, number, aResult, NowWithSuspend());
             }
             self->Wake();
           });
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -306,21 +306,19 @@
 }
 
 void
-Scheduler::Reincarnate(Worker& aWorker, int64_t aIncarnation, Instant aNow)
+Scheduler::Reincarnate(Worker& aWorker, int64_t aIncarnation)
 {
   Log(LogLine(LogLevel::Info, "worker_restarted")
         .Add("worker", aWorker.m_report.m_id)
         .Add("incarnation", aIncarnation)
         .Add("runs", uint64_t{ aWorker.m_runs.size() }));
-  LoseAllRuns(aWorker, aNow, "worker_restarted");
+  // Orders on their way may have reached the new life, so each run is judged by the look's lists.
   aWorker.m_report.m_incarnation = aIncarnation;
-  aWorker.m_looked = false;
   aWorker.m_endsSeen = 0;
   aWorker.m_endsDurable = 0;
   aWorker.m_endsInBatch = 0;
   aWorker.m_endsAcknowledged = 0;
   aWorker.m_acknowledging = 0;
-  aWorker.m_lookDueAt = aNow;
 }
 
 void
@@ -351,10 +349,10 @@
 }
 
 void
-Scheduler::OnLook(const WorkerName& aId, const WorkerView& aView, Instant aNow)
+Scheduler::OnLook(const WorkerName& aId, uint64_t aNumber, const WorkerView& aView, Instant aNow)
 {
   Worker* worker = m_fleet.Find(aId);
-  if (!worker) {
+  if (!worker || worker->m_lookNumber != aNumber) {
     return;
   }
   worker->m_lookInFlight = false;
@@ -364,7 +362,7 @@
   }
   if (aView.m_incarnation > worker->m_report.m_incarnation) {
     if (worker->m_report.m_incarnation != 0) {
-      Reincarnate(*worker, aView.m_incarnation, aNow);
+      Reincarnate(*worker, aView.m_incarnation);
     }
     worker->m_report.m_incarnation = aView.m_incarnation;
   }
@@ -388,19 +386,22 @@
     worker->m_endsDurable = worker->m_endsSeen; // nothing of these ends is left to write
   }
   const bool undurable = worker->m_endsSeen > worker->m_endsDurable;
-  worker->m_lookDueAt = aNow + (undurable ? kUndurableLook : kLookGap);
+  const bool unacknowledged = worker->m_endsDurable > worker->m_endsAcknowledged;
+  worker->m_lookDueAt = aNow + (unacknowledged ? Duration::zero()
+                                : undurable    ? kUndurableLook
+                                               : kLookGap);
   CheckRecovery(aNow);
 }
 
 void
-Scheduler::OnLookFailed(const WorkerName& aId, OrderResult aResult, Instant aNow)
+Scheduler::OnLookFailed(const WorkerName& aId, uint64_t aNumber, OrderResult aResult, Instant aNow)
 {
   if (aResult == OrderResult::Fenced) {
     Emit(StepDown{ "fenced by worker " + aId });
     return;
   }
   Worker* worker = m_fleet.Find(aId);
-  if (!worker) {
+  if (!worker || worker->m_lookNumber != aNumber) {
     return;
   }
   worker->m_lookInFlight = false;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -13,6 +13,8 @@
 static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
+static constexpr Duration kFreshAnswer =
+  std::chrono::milliseconds(150);                            // no worker restarts in less
 static constexpr Duration kIdleLook = std::chrono::hours(1); // a worker without runs is left alone
 
 Scheduler::Scheduler(const SchedulerLimits& aLimits, uint64_t aEpoch, Instant aNow)
@@ -151,13 +153,17 @@
       return; // an entry of an earlier life
     }
     if (reborn) {
-      Reincarnate(*known, aReport.m_incarnation, aNow);
+      known->m_lookDueAt = aNow; // the worker itself tells what runs in its new life
     }
   }
+  const int64_t incarnation = known ? known->m_report.m_incarnation : 0;
   const bool startsDraining = aReport.m_draining && !(known && known->m_report.m_draining);
   const bool added = m_fleet.Update(aReport, aNow);
   m_workersUnwritten = m_workersUnwritten || added;
   Worker* worker = m_fleet.Find(aReport.m_id);
+  if (incarnation != 0) {
+    worker->m_report.m_incarnation = incarnation;
+  }
   if (added && !m_recovered) {
     m_fleet.ExtendLease(*worker, aNow); // by the deciding instance before this one
   }
@@ -334,16 +340,24 @@
 Scheduler::SendLook(Worker& aWorker, Instant aNow)
 {
   LookAtWorker look;
+  look.m_number = ++m_lookNumber;
+  aWorker.m_lookNumber = look.m_number;
   look.m_worker = aWorker.m_report.m_id;
   look.m_address = aWorker.m_report.m_address;
-  look.m_acknowledged = aWorker.m_endsDurable;
-  aWorker.m_acknowledging = aWorker.m_endsDurable;
+  // Ends are numbered anew in each life, and a worker may start again under its name. So ends are
+  // acknowledged only right after an answer of the life that listed them.
+  const bool fresh = aWorker.m_failedLooks == 0 && aNow - aWorker.m_clockAt < kFreshAnswer;
+  if (fresh && aWorker.m_endsDurable > aWorker.m_endsAcknowledged) {
+    look.m_acknowledged = aWorker.m_endsDurable;
+  }
+  aWorker.m_acknowledging = look.m_acknowledged;
   if (aWorker.m_failedLooks == 0 && !aWorker.m_runs.empty()) {
     look.m_untilMs = m_fleet.LeaseEnd(aWorker, aNow);
     m_fleet.ExtendLease(aWorker, aNow);
   }
-  const bool settled =
-    aWorker.m_looked && aWorker.m_failedLooks == 0 && aWorker.m_endsSeen == aWorker.m_endsDurable;
+  const bool acknowledged =
+    aWorker.m_endsSeen <= aWorker.m_endsAcknowledged || aWorker.m_endsSeen == look.m_acknowledged;
+  const bool settled = aWorker.m_looked && aWorker.m_failedLooks == 0 && acknowledged;
   if (settled && !aWorker.m_runs.empty()) {
     look.m_wait =
       !aWorker.m_filling.empty() && !aWorker.m_serving.empty() ? kWatchfulLookWait : kLookWait;
--- /dev/null
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -0,0 +1,249 @@
+#include "FakeFleet.h"
+
+#include <algorithm>
+
+namespace egretturn::schedtest {
+
+using std::chrono::milliseconds;
+
+static constexpr int64_t kLongestLeaseMs = 6000;
+static constexpr double kClockRate = 0.985; // a worker's clock may be 2% slow
+static constexpr Duration kStopTime = milliseconds(300);
+static constexpr Duration kRestartTime = milliseconds(200); // a process does not start at once
+static constexpr Duration kLastingFailure = std::chrono::seconds(20);
+
+const GraphStep*
+Oracle::StepOf(const TaskRef& aTask) const
+{
+  const auto it = m_jobs.find(aTask.m_job);
+  return it == m_jobs.end() ? nullptr : &it->second.m_submission.m_graph.m_steps[aTask.m_step];
+}
+
+void
+Oracle::OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate)
+{
+  const std::string key = Key(aTask);
+  const GraphStep* step = StepOf(aTask);
+  if (!step) {
+    Break("unasked: " + key);
+    return;
+  }
+  const JobTruth& job = m_jobs.at(aTask.m_job);
+  if (!m_running[key].empty() && !step->m_copies) {
+    Break("two runs at the same time: " + key);
+  }
+  if (m_noted.count(key) > 0 && !step->m_copies) {
+    Break("started after a noted end: " + key);
+  }
+  for (uint32_t dependency : step->m_dependencies) {
+    const uint32_t count = job.m_submission.m_graph.m_steps[dependency].m_count;
+    for (uint32_t i = 0; i < count; ++i) {
+      const TaskRef needed{
+        aTask.m_job, aTask.m_occurrence, static_cast<uint16_t>(dependency), static_cast<uint16_t>(i)
+      };
+      if (m_done.count(Key(needed)) == 0) {
+        Break("started before its dependencies: " + key);
+      }
+    }
+  }
+  if (!step->m_lasting && m_failed[key].size() >= job.m_submission.m_terms.m_attempts) {
+    Break("started beyond its attempts: " + key);
+  }
+  if (job.m_refused && !job.m_accepted) {
+    Break("a refused job runs: " + key);
+  }
+  if (job.m_cancelled && !aLate && aNow - job.m_cancelledAt > milliseconds(3000)) {
+    Break("started after its cancel: " + key);
+  }
+  m_running[key].insert(aWorker);
+}
+
+void
+Oracle::OnEnded(const TaskRef& aTask, const WorkerName& aWorker, RunEnd aEnd)
+{
+  m_running[Key(aTask)].erase(aWorker);
+  if (aEnd == RunEnd::Done) {
+    m_done.insert(Key(aTask));
+  }
+}
+
+void
+Oracle::OnAcknowledged(const TaskRef& aTask, RunNumber aRun, RunEnd aEnd)
+{
+  if (aEnd == RunEnd::Done) {
+    m_noted.insert(Key(aTask));
+  } else if (aEnd == RunEnd::Failed) {
+    m_failed[Key(aTask)].insert(aRun);
+  }
+}
+
+FakeWorker::FakeWorker(WorkerReport aReport, Oracle& aOracle, Random& aRandom)
+  : m_report(std::move(aReport))
+  , m_oracle(aOracle)
+  , m_random(aRandom)
+{
+}
+
+int64_t
+FakeWorker::ClockMs(Instant aNow) const
+{
+  return 1000 +
+         static_cast<int64_t>(static_cast<double>(ToMillis(aNow - m_startedAt)) * kClockRate);
+}
+
+bool
+FakeWorker::Fence(uint64_t aFence)
+{
+  if (aFence < m_fence) {
+    return false;
+  }
+  m_fence = aFence;
+  return true;
+}
+
+Demand
+FakeWorker::InUse() const
+{
+  Demand used;
+  for (const auto& [key, run] : m_runs) {
+    used.m_cpuMilli += run.second.m_demand.m_cpuMilli;
+    used.m_memoryMb += run.second.m_demand.m_memoryMb;
+  }
+  return used;
+}
+
+OrderResult
+FakeWorker::Start(const StartTask& aStart, uint64_t aFence, Instant aNow, bool aLate)
+{
+  Advance(aNow);
+  if (!Fence(aFence)) {
+    return OrderResult::Fenced;
+  }
+  const std::string key = FormatTaskRef(aStart.m_task);
+  if (aStart.m_untilMs <= ClockMs(aNow)) {
+    return OrderResult::TooLate;
+  }
+  const auto it = m_runs.find(key);
+  if (it != m_runs.end()) {
+    return it->second.second.m_run == aStart.m_run ? OrderResult::Accepted
+                                                   : OrderResult::Superseded;
+  }
+  if (aStart.m_run <= m_highestEnded[key]) {
+    return OrderResult::Superseded;
+  }
+  m_leaseMs = std::max(m_leaseMs, std::min(aStart.m_untilMs, ClockMs(aNow) + kLongestLeaseMs));
+  const GraphStep& step =
+    m_oracle.m_jobs.at(aStart.m_task.m_job).m_submission.m_graph.m_steps[aStart.m_task.m_step];
+  Run run;
+  run.m_run = aStart.m_run;
+  run.m_demand = step.m_demand;
+  if (step.m_fills) {
+    run.m_demand.m_cpuMilli = 0;
+  }
+  const bool fails = m_failsAll || m_random.Below(25) == 0;
+  run.m_end = fails ? RunEnd::Failed : RunEnd::Done;
+  const Duration length =
+    step.m_lasting ? kLastingFailure : Duration(milliseconds(100 + m_random.Below(2500)));
+  run.m_endsAt = aNow + (fails ? length / 3 : length);
+  if (step.m_lasting) {
+    run.m_end = RunEnd::Failed;
+  }
+  m_runs[key] = { aStart.m_task, run };
+  const Demand used = InUse();
+  if (!aLate && (used.m_cpuMilli > m_report.m_capacity.m_cpuMilli ||
+                 used.m_memoryMb > m_report.m_capacity.m_memoryMb)) {
+    m_oracle.Break("over capacity: " + m_report.m_id);
+  }
+  m_oracle.OnStarted(aStart.m_task, m_report.m_id, aNow, aLate);
+  return OrderResult::Accepted;
+}
+
+OrderResult
+FakeWorker::Stop(const StopTask& aStop, uint64_t aFence, Instant aNow)
+{
+  Advance(aNow);
+  if (!Fence(aFence)) {
+    return OrderResult::Fenced;
+  }
+  const std::string key = FormatTaskRef(aStop.m_task);
+  m_highestEnded[key] = std::max(m_highestEnded[key], aStop.m_run);
+  const auto it = m_runs.find(key);
+  if (it != m_runs.end() && it->second.second.m_run == aStop.m_run) {
+    Run& run = it->second.second;
+    if (run.m_end != RunEnd::Stopped) {
+      run.m_endsAt = std::min(run.m_endsAt, aNow + kStopTime);
+      run.m_end = RunEnd::Stopped;
+    }
+  }
+  return OrderResult::Accepted;
+}
+
+OrderResult
+FakeWorker::Look(const LookAtWorker& aLook, uint64_t aFence, Instant aNow, WorkerView& aView)
+{
+  Advance(aNow);
+  if (!Fence(aFence)) {
+    return OrderResult::Fenced;
+  }
+  if (aLook.m_untilMs > 0) {
+    m_leaseMs = std::max(m_leaseMs, std::min(aLook.m_untilMs, ClockMs(aNow) + kLongestLeaseMs));
+  }
+  while (!m_ended.empty() && m_ended.front().m_number <= aLook.m_acknowledged) {
+    m_oracle.OnAcknowledged(m_ended.front().m_task, m_ended.front().m_run, m_ended.front().m_end);
+    m_ended.erase(m_ended.begin());
+  }
+  aView.m_clockMs = ClockMs(aNow);
+  aView.m_incarnation = m_report.m_incarnation;
+  for (const auto& [key, run] : m_runs) {
+    aView.m_running.push_back({ run.first, run.second.m_run, "", 50, 0 });
+  }
+  aView.m_ended = m_ended;
+  return OrderResult::Accepted;
+}
+
+void
+FakeWorker::End(const TaskRef& aTask, RunEnd aEnd)
+{
+  const std::string key = FormatTaskRef(aTask);
+  const RunNumber run = m_runs.at(key).second.m_run;
+  m_highestEnded[key] = std::max(m_highestEnded[key], run);
+  m_ended.push_back({ ++m_lastEnd, aTask, run, aEnd, "" });
+  m_runs.erase(key);
+  m_oracle.OnEnded(aTask, m_report.m_id, aEnd);
+}
+
+void
+FakeWorker::Advance(Instant aNow)
+{
+  std::vector<std::pair<TaskRef, RunEnd>> ending;
+  for (const auto& [key, run] : m_runs) {
+    if (run.second.m_endsAt <= aNow) {
+      ending.emplace_back(run.first, run.second.m_end);
+    } else if (ClockMs(aNow) >= m_leaseMs) {
+      ending.emplace_back(run.first, RunEnd::Lapsed);
+    }
+  }
+  for (const auto& [task, end] : ending) {
+    End(task, end);
+  }
+}
+
+void
+FakeWorker::Restart(Instant aNow)
+{
+  Advance(aNow);
+  for (const auto& [key, run] : m_runs) {
+    m_oracle.OnEnded(run.first, m_report.m_id, RunEnd::Lapsed);
+  }
+  m_runs.clear();
+  m_ended.clear();
+  m_highestEnded.clear();
+  m_lastEnd = 0;
+  m_fence = 0;
+  m_leaseMs = 0;
+  m_startedAt = aNow;
+  m_unreachableUntil = std::max(m_unreachableUntil, aNow + kRestartTime);
+  m_report.m_incarnation = ToMillis(aNow.time_since_epoch());
+}
+
+} // namespace egretturn::schedtest
--- /dev/null
+++ b/unittests/Scheduler/FakeFleet.h
@@ -0,0 +1,96 @@
+// Workers under virtual time that follow the worker protocol, and note every broken promise.
+#pragma once
+
+#include "egretturn/Scheduler/Scheduler.h"
+#include "egretturn/Support/Random.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretturn::schedtest {
+
+/// What the oracle knows of a job.
+struct JobTruth
+{
+  Submission m_submission;
+  bool m_accepted = false;
+  bool m_refused = false;
+  bool m_cancelled = false; ///< The cancel was acknowledged.
+  Instant m_cancelledAt;
+};
+
+/// Judges starts and ends as callers and workers see them.
+class Oracle
+{
+public:
+  std::map<GraphId, JobTruth> m_jobs;
+  std::vector<std::string> m_broken;
+
+  void Break(const std::string& aWhat) { m_broken.push_back(aWhat); }
+  void OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate);
+  void OnEnded(const TaskRef& aTask, const WorkerName& aWorker, RunEnd aEnd);
+  void OnAcknowledged(const TaskRef& aTask, RunNumber aRun, RunEnd aEnd);
+  bool IsDone(const TaskRef& aTask) const { return m_done.count(Key(aTask)) > 0; }
+
+private:
+  static std::string Key(const TaskRef& aTask) { return FormatTaskRef(aTask); }
+  const GraphStep* StepOf(const TaskRef& aTask) const;
+
+  std::map<std::string, std::set<WorkerName>> m_running;
+  std::set<std::string> m_done;  ///< Ended as done.
+  std::set<std::string> m_noted; ///< ... and acknowledged.
+  std::map<std::string, std::set<RunNumber>> m_failed;
+};
+
+/// One worker.
+class FakeWorker
+{
+public:
+  FakeWorker(WorkerReport aReport, Oracle& aOracle, Random& aRandom);
+
+  OrderResult Start(const StartTask& aStart, uint64_t aFence, Instant aNow, bool aLate);
+  OrderResult Stop(const StopTask& aStop, uint64_t aFence, Instant aNow);
+  OrderResult Look(const LookAtWorker& aLook, uint64_t aFence, Instant aNow, WorkerView& aView);
+
+  /// Lets time pass: tasks end, leases lapse.
+  void Advance(Instant aNow);
+
+  /// Everything that runs is gone; the worker starts again, with a new incarnation.
+  void Restart(Instant aNow);
+
+  const WorkerReport& Report() const { return m_report; }
+  size_t Running() const { return m_runs.size(); }
+
+  Instant m_unreachableUntil; ///< Calls get no answer.
+  Instant m_unlistedUntil;    ///< The directory has lost its entry.
+  bool m_failsAll = false;
+
+private:
+  struct Run
+  {
+    RunNumber m_run = 0;
+    Instant m_endsAt;
+    RunEnd m_end = RunEnd::Done;
+    Demand m_demand;
+  };
+
+  int64_t ClockMs(Instant aNow) const;
+  void End(const TaskRef& aTask, RunEnd aEnd);
+  bool Fence(uint64_t aFence);
+  Demand InUse() const;
+
+  WorkerReport m_report;
+  Oracle& m_oracle;
+  Random& m_random;
+  std::map<std::string, std::pair<TaskRef, Run>> m_runs;
+  std::vector<EndedRow> m_ended;
+  std::map<std::string, RunNumber> m_highestEnded;
+  uint64_t m_lastEnd = 0;
+  uint64_t m_fence = 0;
+  int64_t m_leaseMs = 0;
+  Instant m_startedAt;
+};
+
+} // namespace egretturn::schedtest
--- /dev/null
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -0,0 +1,112 @@
+// Random faults against the scheduler, judged by the oracle. A seed reproduces a sequence.
+#include "SchedulerWorld.h"
+
+#include "egretturn/Support/Log.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace egretturn;
+using namespace egretturn::schedtest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr uint64_t kSeeds = 60;
+static constexpr int kSteps = 120;
+
+static void
+DisturbWorker(SchedulerWorld& aWorld)
+{
+  FakeWorker& worker = *aWorld.m_workers[aWorld.m_random.Below(aWorld.m_workers.size())];
+  const Duration span = milliseconds(500 + aWorld.m_random.Below(9000));
+  switch (aWorld.m_random.Below(4)) {
+    case 0:
+      worker.Restart(aWorld.Now());
+      break;
+    case 1:
+      worker.m_unreachableUntil = aWorld.Now() + span;
+      break;
+    case 2:
+      worker.m_unlistedUntil = aWorld.Now() + span;
+      break;
+    default:
+      worker.m_failsAll = !worker.m_failsAll && aWorld.m_random.Below(3) == 0;
+  }
+}
+
+static void
+DisturbSystem(SchedulerWorld& aWorld)
+{
+  switch (aWorld.m_random.Below(6)) {
+    case 0:
+      aWorld.TakeOver(true);
+      break;
+    case 1:
+      aWorld.TakeOver(false);
+      break;
+    case 2:
+      aWorld.KillDeciders();
+      aWorld.Advance(milliseconds(aWorld.m_random.Below(8000)));
+      aWorld.TakeOver(false);
+      break;
+    case 3:
+      aWorld.m_faults.m_storeDown = !aWorld.m_faults.m_storeDown;
+      break;
+    case 4:
+      aWorld.m_faults.m_lateOrder = aWorld.m_random.Below(2) == 0 ? 0.0 : 0.06;
+      break;
+    default:
+      aWorld.m_faults.m_lostAppend = aWorld.m_random.Below(2) == 0 ? 0.0 : 0.3;
+  }
+}
+
+static void
+Play(uint64_t aSeed)
+{
+  SchedulerWorld world(aSeed, 8);
+  std::vector<GraphId> jobs;
+  world.TakeOver(false);
+  world.Advance(seconds(1));
+  for (int step = 0; step < kSteps; ++step) {
+    const uint64_t draw = world.m_random.Below(20);
+    if (draw < 9) {
+      jobs.push_back(world.SubmitRandom());
+    } else if (draw == 9 && !jobs.empty()) {
+      world.Cancel(jobs[world.m_random.Below(jobs.size())]);
+    } else if (draw == 10) {
+      DisturbWorker(world);
+    } else if (draw == 11) {
+      DisturbSystem(world);
+    }
+    world.Advance(milliseconds(world.m_random.Below(600)));
+  }
+  for (const auto& [id, truth] : world.m_oracle.m_jobs) {
+    if (truth.m_submission.m_graph.m_steps[0].m_lasting) {
+      world.Cancel(id);
+    }
+  }
+  world.Settle();
+  world.CheckEnd();
+  INFO("seed " << aSeed);
+  for (const std::string& broken : world.m_oracle.m_broken) {
+    UNSCOPED_INFO(broken);
+  }
+  CHECK(world.m_oracle.m_broken.empty());
+}
+
+TEST_CASE("the scheduler keeps its promises under random faults")
+{
+  // EGRETTURN_FUZZ_SEED=N plays another stretch of seeds.
+  const char* first = std::getenv("EGRETTURN_FUZZ_SEED");
+  const uint64_t kCount = std::getenv("EGRETTURN_FUZZ_COUNT")
+                            ? std::strtoull(std::getenv("EGRETTURN_FUZZ_COUNT"), nullptr, 10)
+                            : kSeeds;
+  const uint64_t from = first ? std::strtoull(first, nullptr, 10) : 1;
+  if (std::getenv("EGRETTURN_FUZZ_LOG")) {
+    StartLogging(LogLevel::Info, "fuzz");
+  }
+  for (uint64_t seed = from; seed < from + kCount; ++seed) {
+    Play(seed);
+  }
+  StopLogging();
+}
--- /dev/null
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -0,0 +1,97 @@
+// A store, workers and deciding instances under virtual time, with faults from a printed seed.
+#pragma once
+
+#include "FakeFleet.h"
+
+#include <functional>
+#include <queue>
+
+namespace egretturn::schedtest {
+
+/// What may go wrong.
+struct Faults
+{
+  double m_lateOrder = 0;   ///< Orders that get no answer and may be carried out later.
+  double m_lostAppend = 0;  ///< Appends that are done and not answered.
+  bool m_storeDown = false; ///< Appends fail.
+};
+
+class SchedulerWorld
+{
+public:
+  SchedulerWorld(uint64_t aSeed, size_t aWorkers);
+
+  /// Submits a random job. Returns its id.
+  GraphId SubmitRandom();
+  void Submit(Submission aSubmission);
+  void Cancel(GraphId aId);
+
+  /// A new instance claims; the one before lives on, unaware, if \p aOldLives.
+  void TakeOver(bool aOldLives);
+
+  /// Nobody decides from now on.
+  void KillDeciders() { m_deciders.clear(); }
+
+  void Advance(Duration aTime);
+
+  /// Lifts all faults and lets everything finish that can.
+  void Settle();
+
+  /// Checks that every accepted job has ended or lasts with all its tasks running.
+  void CheckEnd();
+
+  Faults m_faults;
+  Oracle m_oracle;
+  Random m_random;
+  std::vector<std::unique_ptr<FakeWorker>> m_workers;
+  Instant Now() const { return m_now; }
+  std::optional<JobState> StateOf(GraphId aId);
+
+private:
+  /// One deciding instance with its view of where the log ends.
+  struct Decider
+  {
+    std::unique_ptr<Scheduler> m_scheduler;
+    uint64_t m_epoch = 0;
+    size_t m_end = 0;
+    bool m_stopped = false;
+    std::map<RequestToken, std::pair<GraphId, bool>> m_requests; ///< Job, and whether a cancel.
+    std::map<WorkerName, bool> m_listed;
+  };
+
+  struct Event
+  {
+    Instant m_at;
+    uint64_t m_order;
+    std::function<void()> m_run;
+    bool operator<(const Event& aOther) const
+    {
+      return std::tie(m_at, m_order) > std::tie(aOther.m_at, aOther.m_order);
+    }
+  };
+
+  void After(Duration aDelay, std::function<void()> aRun);
+  Duration Delay() { return std::chrono::milliseconds(1 + m_random.Below(15)); }
+  void Pump(const std::shared_ptr<Decider>& aDecider);
+  void Carry(const std::shared_ptr<Decider>& aDecider, const Action& aAction);
+  void Append(const std::shared_ptr<Decider>& aDecider, const AppendRecords& aAppend);
+  void Answer(const std::shared_ptr<Decider>& aDecider, const AnswerRequest& aAnswer);
+  void ReadDirectory(const std::shared_ptr<Decider>& aDecider);
+  void Order(const std::shared_ptr<Decider>& aDecider,
+             const WorkerName& aWorker,
+             std::function<OrderResult(FakeWorker&, bool)> aCall,
+             std::function<void(OrderResult)> aDone);
+  FakeWorker& WorkerOf(const WorkerName& aName);
+  int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+
+  Instant m_now{ std::chrono::hours(1) };
+  std::priority_queue<Event> m_events;
+  uint64_t m_order = 0;
+  std::map<std::string, std::string> m_store;
+  size_t m_storeEnd = 0;
+  std::vector<std::shared_ptr<Decider>> m_deciders; ///< The last one has the highest epoch.
+  uint64_t m_epoch = 0;
+  RequestToken m_request = 0;
+};
+
+} // namespace egretturn::schedtest
