Keep the strongest instance deciding, and gather events into steps

Change: an instance waits longer the weaker it is than the strongest known; a leader passes on to one with twice its share; a claimer gives way once to a leader that writes; events within 2 ms share a step; passes over many steps are farther apart.

--- a/include/egretturn/Node/Claimer.h
+++ b/include/egretturn/Node/Claimer.h
@@ -13,15 +13,18 @@
   {
     std::optional<StoredClaim> m_own;   ///< Set if this instance decides now.
     std::optional<StoredClaim> m_other; ///< A claim newer than the one that was to be succeeded.
+    bool m_leaderWrites = false;        ///< Gave way to a leader that goes on writing.
     RecoveredState m_state;
   };
   using Callback = std::function<void(Outcome)>;
 
-  /// \p aKnownEpoch: the epoch to succeed; a newer one ends the attempt.
+  /// \p aKnownEpoch: the epoch to succeed; a newer one ends the attempt. With \p aGivesWay, so
+  /// does a leader that goes on writing.
   Claimer(boost::asio::io_context& aIo,
           StorePort& aStore,
           StoredClaim aIdentity,
           uint64_t aKnownEpoch,
+          bool aGivesWay,
           Callback aDone);
 
   void Start();
@@ -39,6 +42,8 @@
   StorePort& m_store;
   StoredClaim m_identity;
   uint64_t m_knownEpoch;
+  bool m_givesWay;
+  bool m_gaveWay = false;
   Callback m_done;
   std::unordered_map<std::string, std::string> m_values; ///< Newest value of each key.
   StoredClaim m_newest;
--- a/include/egretturn/Node/Decider.h
+++ b/include/egretturn/Node/Decider.h
@@ -57,7 +57,10 @@
   Scheduler& Core() { return m_scheduler; }
 
 private:
+  /// Takes a step soon, together with what else comes in.
   void Wake();
+  void WakeAt(Instant aAt);
+  void Step();
   void Carry(const Action& aAction);
   void Append(std::vector<KeyedRecord> aRecords, uint64_t aBatch);
   void SendAppend();
@@ -89,7 +92,8 @@
   Instant m_appendSince;
   bool m_storeAvailable = true;
   bool m_stopped = false;
-  bool m_waking = false;
+  bool m_timerSet = false;
+  Instant m_wakeAt;
 };
 
 } // namespace egretturn
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -68,6 +68,10 @@
   void OnStepDown(const std::string& aReason);
   void DropDecider();
   PeerAnswer NotDeciding() const;
+  struct Peer;
+  const Peer* StrongestPeer() const;
+  void PassOn(const Peer* aTo);
+  void YieldToStronger();
 
   struct Peer
   {
@@ -90,6 +94,7 @@
   std::unordered_map<std::string, Peer> m_peers; ///< By id: those that pinged this leader.
   RequestToken m_nextRequest = 1;
   Instant m_startedAt;
+  Instant m_decidingSince;
   Instant m_pingAt;
   bool m_pinging = false;
   bool m_claiming = false;
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -83,6 +83,7 @@
   uint64_t m_count = 0;
   bool m_storeAvailable = true;
   StoredClaim m_leader;
+  double m_strongest = 0; ///< Of the instances that the leader hears, share of a processor.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -92,6 +93,7 @@
     aVisit("count", aSelf.m_count);
     aVisit("store_available", aSelf.m_storeAvailable);
     aVisit("leader", aSelf.m_leader);
+    aVisit("strongest", aSelf.m_strongest);
   }
 };
 
--- a/include/egretturn/Node/Succession.h
+++ b/include/egretturn/Node/Succession.h
@@ -30,8 +30,15 @@
   /// The store has been read to its end, \p aRoundTrip after the call.
   void OnStoreRead(Duration aRoundTrip, Instant aNow);
 
-  /// The leader answered a ping. \p aStoreAvailable is what it says of itself.
-  void OnPing(bool aStoreAvailable, Instant aNow);
+  /// The leader answered a ping: whether it has the store, and the weight of the strongest instance
+  /// that it hears.
+  void OnPing(bool aStoreAvailable, double aStrongest, Instant aNow);
+
+  /// The leader was found writing to the store although it does not answer pings.
+  void OnLeaderWrites(Instant aNow);
+
+  /// Whether a claim should give way to a leader that goes on writing.
+  bool GivesWay() const { return m_gaveWay < kMostGivingWay; }
 
   /// The process at the leader's address does not decide, or is not there.
   void OnLeaderGone(Instant aNow);
@@ -51,6 +58,10 @@
   const std::optional<StoredClaim>& Leader() const { return m_leader; }
 
 private:
+  static constexpr int kMostGivingWay = 1; ///< Then a leader that nobody hears is succeeded.
+
+  Duration DelayNow() const;
+
   SuccessionSettings m_settings;
   std::optional<StoredClaim> m_leader;
   Instant m_heardAt;
@@ -58,6 +69,8 @@
   std::optional<Instant> m_goneAt;
   Instant m_notBefore;
   bool m_storeRead = false;
+  double m_strongest = 0;
+  int m_gaveWay = 0;
   Duration m_delay{}; ///< Keeps instances from claiming all at once.
 };
 
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -128,6 +128,7 @@
   std::string m_instance;
   std::string m_address;      ///< For calls between instances.
   uint64_t m_incarnation = 0; ///< Differs in each run of the instance's process.
+  double m_weight = 0;        ///< Its share of a processor.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -136,6 +137,7 @@
     aVisit("instance", aSelf.m_instance);
     aVisit("address", aSelf.m_address);
     aVisit("incarnation", aSelf.m_incarnation);
+    aVisit("weight", aSelf.m_weight);
   }
 };
 
--- a/lib/Node/Claimer.cpp
+++ b/lib/Node/Claimer.cpp
@@ -12,11 +12,13 @@
                  StorePort& aStore,
                  StoredClaim aIdentity,
                  uint64_t aKnownEpoch,
+                 bool aGivesWay,
                  Callback aDone)
   : m_timer(aIo)
   , m_store(aStore)
   , m_identity(std::move(aIdentity))
   , m_knownEpoch(aKnownEpoch)
+  , m_givesWay(aGivesWay)
   , m_done(std::move(aDone))
 {
 }
@@ -79,7 +81,8 @@
     Succeed(); // an append without an answer had been carried out
     return;
   }
-  if (m_newest.m_epoch > m_knownEpoch || ++m_tries > kMostTries) {
+  const bool superseded = m_newest.m_epoch > m_knownEpoch;
+  if (superseded || m_gaveWay || ++m_tries > kMostTries) {
     Fail();
     return;
   }
@@ -99,6 +102,7 @@
       Succeed();
       return;
     case AppendResult::Kind::Conflict:
+      m_gaveWay = m_givesWay && m_tries == 1;
       ReadOn();
       return;
     case AppendResult::Kind::Unknown:
@@ -125,6 +129,7 @@
 Claimer::Fail()
 {
   Outcome outcome;
+  outcome.m_leaderWrites = m_gaveWay;
   if (m_newest.m_epoch > m_knownEpoch) {
     outcome.m_other = m_newest;
   }
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -9,6 +9,7 @@
 static constexpr Duration kDirectoryPause = std::chrono::milliseconds(400);
 static constexpr Duration kAppendRetry = std::chrono::milliseconds(100);
 static constexpr Duration kStorePatience = std::chrono::milliseconds(800); // then it counts as away
+static constexpr Duration kGather = std::chrono::milliseconds(2); // events that come together
 static constexpr Duration kConfirmEvery = std::chrono::milliseconds(1000);
 
 Decider::Decider(boost::asio::io_context& aIo,
@@ -117,10 +118,29 @@
 void
 Decider::Wake()
 {
-  if (m_stopped || m_waking) {
+  WakeAt(NowWithSuspend() + kGather);
+}
+
+void
+Decider::WakeAt(Instant aAt)
+{
+  if (m_stopped || (m_timerSet && m_wakeAt <= aAt)) {
     return;
   }
-  m_waking = true;
+  m_timerSet = true;
+  m_wakeAt = aAt;
+  m_timer.expires_after(std::max(aAt - NowWithSuspend(), Duration::zero()));
+  m_timer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError && !self->m_stopped) {
+      self->m_timerSet = false;
+      self->Step();
+    }
+  });
+}
+
+void
+Decider::Step()
+{
   const Instant now = NowWithSuspend();
   if (m_appending.empty() && now - m_confirmedAt >= kConfirmEvery) {
     Confirm();
@@ -135,14 +155,7 @@
       return;
     }
   }
-  m_waking = false;
-  const Duration pause = std::max(m_scheduler.NextWake(now) - now, Duration(1000));
-  m_timer.expires_after(pause);
-  m_timer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
-    if (!aError) {
-      self->Wake();
-    }
-  });
+  WakeAt(std::max(m_scheduler.NextWake(now), now + kGather));
 }
 
 void
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -8,11 +8,15 @@
 
 static constexpr Duration kTick = std::chrono::milliseconds(150);
 static constexpr Duration kPingEvery = std::chrono::milliseconds(500);
-static constexpr Duration kPingTimeout = std::chrono::milliseconds(900);
+static constexpr Duration kPingTimeout = std::chrono::milliseconds(1700);
 static constexpr Duration kTryTimeout = std::chrono::milliseconds(1200);
 static constexpr Duration kTryAgain = std::chrono::milliseconds(100);
 static constexpr Duration kLeaderWait =
   std::chrono::milliseconds(1500); // for a caller, without a leader
+// A leader passes on to an instance with so many times its share of a processor.
+static constexpr double kMuchStronger = 2.0;
+static constexpr Duration kSettledLeader = std::chrono::seconds(1); // before it passes on
+
 static constexpr Duration kPeerFresh = std::chrono::seconds(2);
 static constexpr Duration kFreshClaim = std::chrono::milliseconds(1800);
 static constexpr Duration kAnnouncementWait = std::chrono::seconds(5);
@@ -131,6 +135,7 @@
       Claim();
     }
   }
+  YieldToStronger();
   if (!m_decider && m_succession.Leader() && !m_pinging && now >= m_pingAt) {
     PingLeader();
   }
@@ -169,7 +174,7 @@
     return; // silence is judged by time
   }
   if (answer.m_outcome == PeerOutcome::Ok) {
-    m_succession.OnPing(answer.m_storeAvailable, now);
+    m_succession.OnPing(answer.m_storeAvailable, answer.m_strongest, now);
     return;
   }
   if (answer.m_leader.m_epoch > m_succession.Leader()->m_epoch) {
@@ -190,12 +195,14 @@
   identity.m_instance = m_settings.m_id;
   identity.m_address = m_settings.m_peerAddress;
   identity.m_incarnation = m_settings.m_incarnation;
+  identity.m_weight = m_settings.m_weight;
   const uint64_t known = m_succession.Leader() ? m_succession.Leader()->m_epoch : 0;
   Log(LogLine(LogLevel::Info, "claiming").Add("succeeds_epoch", known));
   std::make_shared<Claimer>(m_io,
                             m_store,
                             identity,
                             known,
+                            m_succession.GivesWay(),
                             [self = shared_from_this()](Claimer::Outcome aOutcome) {
                               self->m_claiming = false;
                               self->OnClaimed(std::move(aOutcome));
@@ -210,6 +217,10 @@
   if (aOutcome.m_other) {
     m_succession.OnClaim(*aOutcome.m_other, now);
   }
+  if (aOutcome.m_leaderWrites) {
+    m_succession.OnLeaderWrites(now);
+    return;
+  }
   if (!aOutcome.m_own || m_leaving) {
     m_succession.OnClaimFailed(now);
     return;
@@ -219,6 +230,8 @@
         .Add("epoch", claim.m_epoch)
         .Add("jobs", uint64_t{ aOutcome.m_state.m_jobs.size() }));
   m_succession.OnClaim(claim, now);
+  m_decidingSince = now;
+  m_peers.clear();
   Decider::Callbacks callbacks;
   const std::weak_ptr<Node> weak = weak_from_this();
   callbacks.m_onAnswer = [weak](RequestToken aRequest, SubmitResult aResult) {
@@ -303,6 +316,12 @@
   if (!m_decider) {
     return;
   }
+  PassOn(StrongestPeer());
+}
+
+const Node::Peer*
+Node::StrongestPeer() const
+{
   const Instant now = NowWithSuspend();
   const Peer* best = nullptr;
   for (const auto& [id, peer] : m_peers) {
@@ -311,19 +330,41 @@
       best = &peer;
     }
   }
+  return best;
+}
+
+void
+Node::PassOn(const Peer* aTo)
+{
+  const std::string address = aTo ? aTo->m_ping.m_address : std::string();
   Log(LogLine(LogLevel::Info, "hand_over")
         .Add("epoch", m_decider->Claim().m_epoch)
-        .Add("to", best ? best->m_ping.m_instance : "nobody"));
+        .Add("to", aTo ? aTo->m_ping.m_instance : "nobody"));
   DropDecider();
+  const Instant now = NowWithSuspend();
   m_succession.OnLeaderGone(now);
-  if (best) {
-    m_client.Send(best->m_ping.m_address,
+  m_succession.OnClaimFailed(now); // the successor goes first
+  if (!address.empty()) {
+    m_client.Send(address,
                   MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Claim), ""),
                   kPingTimeout,
                   [](const ClientAnswer&) {});
   }
 }
 
+void
+Node::YieldToStronger()
+{
+  if (!m_decider || m_leaving || !m_decider->IsStoreAvailable()) {
+    return;
+  }
+  const bool settled = NowWithSuspend() - m_decidingSince >= kSettledLeader;
+  const Peer* strongest = settled && m_decider->Core().IsRecovered() ? StrongestPeer() : nullptr;
+  if (strongest && strongest->m_ping.m_weight >= kMuchStronger * m_settings.m_weight) {
+    PassOn(strongest);
+  }
+}
+
 PeerAnswer
 Node::NotDeciding() const
 {
@@ -364,6 +405,8 @@
   answer.m_outcome = PeerOutcome::Ok;
   answer.m_leader = m_decider->Claim();
   answer.m_storeAvailable = m_decider->IsStoreAvailable();
+  const Peer* strongest = StrongestPeer();
+  answer.m_strongest = std::max(m_settings.m_weight, strongest ? strongest->m_ping.m_weight : 0.0);
   aDone(answer);
 }
 
--- a/lib/Node/Succession.cpp
+++ b/lib/Node/Succession.cpp
@@ -6,9 +6,10 @@
 
 namespace egretturn {
 
-// Parts of the delay before a claim: the weakest machine waits longest, so does one far from the
-// store, and equal ones are spread.
+// Parts of the delay before a claim: a machine waits longer the weaker it is than the strongest one
+// known, and the farther it is from the store; equal ones are spread.
 static constexpr double kWeightDelayMs = 150.0;
+static constexpr double kLongestWeightDelayMs = 900.0;
 static constexpr int kRoundTripFactor = 8;
 static constexpr uint64_t kSpreadMs = 120;
 static constexpr Duration kLongestRoundTripDelay = std::chrono::milliseconds(400);
@@ -30,6 +31,8 @@
     return;
   }
   m_leader = aClaim;
+  m_strongest = std::max(m_strongest, aClaim.m_weight);
+  m_gaveWay = 0;
   m_heardAt = aNow;
   m_storeOkAt = aNow;
   m_goneAt.reset();
@@ -42,19 +45,35 @@
     return;
   }
   m_storeRead = true;
-  const double idle = std::max(0.0, 1.0 - m_settings.m_weight);
   const uint64_t spread = HashBytes(m_settings.m_instance) % kSpreadMs;
-  m_delay = std::chrono::milliseconds(static_cast<int64_t>(kWeightDelayMs * idle) +
-                                      static_cast<int64_t>(spread)) +
+  m_delay = std::chrono::milliseconds(spread) +
             std::min<Duration>(aRoundTrip * kRoundTripFactor, kLongestRoundTripDelay);
   if (!m_leader) {
     m_goneAt = aNow;
   }
 }
 
+Duration
+Succession::DelayNow() const
+{
+  const double ratio = m_strongest / std::max(m_settings.m_weight, 0.01);
+  const double weightMs = std::clamp(kWeightDelayMs * (ratio - 1.0), 0.0, kLongestWeightDelayMs);
+  return m_delay + std::chrono::milliseconds(static_cast<int64_t>(weightMs));
+}
+
+void
+Succession::OnLeaderWrites(Instant aNow)
+{
+  ++m_gaveWay;
+  m_heardAt = aNow - m_settings.m_silence / 2;
+  m_goneAt.reset();
+}
+
 void
-Succession::OnPing(bool aStoreAvailable, Instant aNow)
+Succession::OnPing(bool aStoreAvailable, double aStrongest, Instant aNow)
 {
+  m_strongest = aStrongest;
+  m_gaveWay = 0;
   m_heardAt = aNow;
   m_goneAt.reset();
   if (aStoreAvailable) {
@@ -73,13 +92,13 @@
 void
 Succession::OnClaimFailed(Instant aNow)
 {
-  m_notBefore = aNow + kRetryClaim + m_delay;
+  m_notBefore = aNow + kRetryClaim + DelayNow();
 }
 
 void
 Succession::OnHandOver(Instant aNow)
 {
-  m_goneAt = aNow - m_delay;
+  m_goneAt = aNow - DelayNow();
 }
 
 bool
@@ -89,10 +108,10 @@
     return false;
   }
   if (m_goneAt) {
-    return aNow - *m_goneAt >= m_delay;
+    return aNow - *m_goneAt >= DelayNow();
   }
-  return aNow - m_heardAt >= m_settings.m_silence + m_delay ||
-         aNow - m_storeOkAt >= m_settings.m_storeless + m_delay;
+  return aNow - m_heardAt >= m_settings.m_silence + DelayNow() ||
+         aNow - m_storeOkAt >= m_settings.m_storeless + DelayNow();
 }
 
 bool
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -7,7 +7,10 @@
 
 namespace egretturn {
 
+// A pass over many steps costs more, so that passes are farther apart.
 static constexpr Duration kPlaceGap = std::chrono::milliseconds(5);
+static constexpr Duration kPlaceGapPerStep = std::chrono::microseconds(150);
+static constexpr Duration kLongestPlaceGap = std::chrono::milliseconds(45);
 static constexpr RunNumber kRunsPerEpoch = 1 << 20; // starts of one task under one epoch
 static constexpr int kLateLimit = 3; // a job later than so many objectives earns nothing
 // With room to spare, a job that has stood still for so long runs even beside what it presses.
@@ -88,9 +91,11 @@
     return;
   }
   m_placeNeeded = false;
-  m_nextPlaceAt = aNow + kPlaceGap;
+  const std::vector<WaitingStep> steps = CollectWaiting(aNow);
+  m_nextPlaceAt =
+    aNow + kPlaceGap + std::min<Duration>(kPlaceGapPerStep * steps.size(), kLongestPlaceGap);
   std::vector<const GraphStep*> noRoom;
-  for (const WaitingStep& waiting : CollectWaiting(aNow)) {
+  for (const WaitingStep& waiting : steps) {
     const GraphStep& step = waiting.m_job->m_stored.m_graph.m_steps[waiting.m_step];
     const bool hopeless = std::any_of(noRoom.begin(), noRoom.end(), [&](const GraphStep* aOther) {
       return aOther->m_fills == step.m_fills && aOther->m_lasting == step.m_lasting &&
