--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -51,9 +51,9 @@
 
   void Serve(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone);
   void ServeDeciding(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone);
-  void ServePing(const std::string& aBody, PeerCallback aDone);
-  void ServeClaim(PeerCallback aDone);
-  void ServeState(GraphId aId, PeerCallback aDone);
+  void ServePing(const std::string& aBody, const PeerCallback& aDone);
+  void ServeClaim(const PeerCallback& aDone);
+  void ServeState(GraphId aId, const PeerCallback& aDone);
   void Begin(PeerOperation aOperation, std::string aBody, Duration aDeadline, PeerCallback aDone);
   void Try(const std::shared_ptr<Call>& aCall);
   void OnTried(const std::shared_ptr<Call>& aCall, const ClientAnswer& aAnswer);
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -281,12 +281,14 @@
 void
 Decider::SettleConflict()
 {
-  m_store.ReadTail(
-    Topic::Jobs, m_end, Duration::zero(), [self = shared_from_this()](Expected<TopicPage> aPage) {
-      if (!self->m_stopped) {
-        self->OnSettleRead(aPage);
-      }
-    });
+  m_store.ReadTail(Topic::Jobs,
+                   m_end,
+                   Duration::zero(),
+                   [self = shared_from_this()](const Expected<TopicPage>& aPage) {
+                     if (!self->m_stopped) {
+                       self->OnSettleRead(aPage);
+                     }
+                   });
 }
 
 void
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -99,7 +99,7 @@
         aReply->Send(MakeResponse(200, "application/msgpack", PackCompact(aAnswer)));
       });
     });
-  const Expected<void> listening = m_server->Listen(m_settings.m_peerAddress);
+  Expected<void> listening = m_server->Listen(m_settings.m_peerAddress);
   if (!listening) {
     return listening;
   }
@@ -380,9 +380,9 @@
 Node::Serve(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone)
 {
   if (aOperation == PeerOperation::Ping) {
-    ServePing(aBody, std::move(aDone));
+    ServePing(aBody, aDone);
   } else if (aOperation == PeerOperation::Claim) {
-    ServeClaim(std::move(aDone));
+    ServeClaim(aDone);
   } else if (m_decider) {
     ServeDeciding(aOperation, aBody, std::move(aDone));
   } else {
@@ -391,7 +391,7 @@
 }
 
 void
-Node::ServePing(const std::string& aBody, PeerCallback aDone)
+Node::ServePing(const std::string& aBody, const PeerCallback& aDone)
 {
   if (!m_decider) {
     aDone(NotDeciding());
@@ -411,7 +411,7 @@
 }
 
 void
-Node::ServeClaim(PeerCallback aDone)
+Node::ServeClaim(const PeerCallback& aDone)
 {
   m_succession.OnHandOver(NowWithSuspend());
   if (!m_decider && !m_leaving) {
@@ -421,7 +421,7 @@
 }
 
 void
-Node::ServeState(GraphId aId, PeerCallback aDone)
+Node::ServeState(GraphId aId, const PeerCallback& aDone)
 {
   PeerAnswer answer;
   const std::optional<JobState> state = m_decider->StateOf(aId);
@@ -462,14 +462,14 @@
   if (aOperation == PeerOperation::Cancel) {
     const std::optional<JobState> known = m_decider->StateOf(message.m_id);
     if (!known) {
-      ServeState(message.m_id, std::move(aDone));
+      ServeState(message.m_id, aDone);
       return;
     }
     const RequestToken token = m_nextRequest++;
     m_requests.emplace(token, std::move(aDone));
     m_decider->Cancel(token, message.m_id);
   } else if (aOperation == PeerOperation::State) {
-    ServeState(message.m_id, std::move(aDone));
+    ServeState(message.m_id, aDone);
   } else {
     answer.m_outcome = PeerOutcome::Ok;
     answer.m_count = m_decider->CountPending(message.m_route);
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -36,7 +36,7 @@
 static constexpr int kPaceTolerance = 8;   // smaller changes are not sent
 
 // A task that saves its progress moves away when it is paced lower than this.
-static constexpr int kMoveBelowPace = 50;
+static constexpr int kMoveBelowPace = 25;
 
 std::vector<Scheduler::WaitingStep>
 Scheduler::CollectWaiting(Instant aNow)
@@ -78,8 +78,14 @@
     waiting.begin(), waiting.end(), [](const WaitingStep& aLeft, const WaitingStep& aRight) {
       const uint32_t left = aLeft.m_job->m_stored.m_terms.m_priority;
       const uint32_t right = aRight.m_job->m_stored.m_terms.m_priority;
-      return std::tuple(aLeft.m_class == 2, left, aLeft.m_class, aLeft.m_work) <
-             std::tuple(aRight.m_class == 2, right, aRight.m_class, aRight.m_work);
+      const std::tuple leftRank(aLeft.m_class == 2, left, aLeft.m_class);
+      const std::tuple rightRank(aRight.m_class == 2, right, aRight.m_class);
+      if (leftRank != rightRank) {
+        return leftRank < rightRank;
+      }
+      // What can still be in time goes by its deadline; what is late, by what it still needs.
+      return aLeft.m_class == 0 ? aLeft.m_deadline < aRight.m_deadline
+                                : aLeft.m_work < aRight.m_work;
     });
   return waiting;
 }
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -181,8 +181,8 @@
 void
 SchedulerWorld::Order(const std::shared_ptr<Decider>& aDecider,
                       const WorkerName& aWorker,
-                      std::function<OrderResult(FakeWorker&, bool)> aCall,
-                      std::function<void(OrderResult)> aDone)
+                      const std::function<OrderResult(FakeWorker&, bool)>& aCall,
+                      const std::function<void(OrderResult)>& aDone)
 {
   const std::function<void(OrderResult)> done = [this, aDecider, aDone](OrderResult aResult) {
     if (!aDecider->m_stopped) {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -79,8 +79,8 @@
   void ReadDirectory(const std::shared_ptr<Decider>& aDecider);
   void Order(const std::shared_ptr<Decider>& aDecider,
              const WorkerName& aWorker,
-             std::function<OrderResult(FakeWorker&, bool)> aCall,
-             std::function<void(OrderResult)> aDone);
+             const std::function<OrderResult(FakeWorker&, bool)>& aCall,
+             const std::function<void(OrderResult)>& aDone);
   FakeWorker& WorkerOf(const WorkerName& aName);
   int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
 
