--- a/include/egretturn/Node/Succession.h
+++ b/include/egretturn/Node/Succession.h
@@ -13,7 +13,7 @@
   std::string m_instance;
   double m_weight = 0.1; ///< Share of a processor; the strongest claims first.
   Duration m_silence =
-    std::chrono::milliseconds(1800); ///< Without a ping, then the leader counts as gone.
+    std::chrono::milliseconds(1300); ///< Without a ping, then the leader counts as gone.
   Duration m_storeless =
     std::chrono::milliseconds(1200); ///< A leader without the store for so long is replaced.
 };
--- a/lib/Node/Succession.cpp
+++ b/lib/Node/Succession.cpp
@@ -66,6 +66,7 @@
 {
   ++m_gaveWay;
   m_heardAt = aNow - m_settings.m_silence / 2;
+  m_storeOkAt = m_heardAt;
   m_goneAt.reset();
 }
 
@@ -111,7 +112,7 @@
     return aNow - *m_goneAt >= DelayNow();
   }
   return aNow - m_heardAt >= m_settings.m_silence + DelayNow() ||
-         aNow - m_storeOkAt >= m_settings.m_storeless + DelayNow();
+         m_heardAt - m_storeOkAt >= m_settings.m_storeless + DelayNow();
 }
 
 bool
--- /dev/null
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -0,0 +1,116 @@
+// Placement under the loads that it is meant for.
+#include "egretturn/Scheduler/Packing.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+
+static const Instant kNow{ std::chrono::hours(1) };
+static const std::string kService = "desk";
+
+static Worker&
+AddWorker(Fleet& aFleet, const std::string& aName, int64_t aCpu = 16000)
+{
+  WorkerReport report;
+  report.m_id = aName;
+  report.m_service = kService;
+  report.m_rack = "r" + aName.substr(1);
+  report.m_labels = { "a", report.m_rack };
+  report.m_capacity = { aCpu, 64000, 0 };
+  aFleet.Update(report, kNow);
+  Worker& worker = *aFleet.Find(aName);
+  worker.m_looked = true;
+  worker.m_record = RecordState::Durable;
+  return worker;
+}
+
+static void
+AddRun(Worker& aWorker, uint16_t aIndex, ImageId aImage, int64_t aCpu, bool aFills)
+{
+  WorkerRun run;
+  run.m_run = 1;
+  run.m_demand = { aCpu, 1000, 0 };
+  run.m_image = aImage;
+  run.m_fills = aFills;
+  run.m_lasting = !aFills;
+  run.m_targetMs = aFills ? 0 : 18;
+  Fleet::AddRun(aWorker, { 7, 0, 0, aIndex }, run);
+}
+
+static PlacementRequest
+RequestFor(const GraphStep& aStep, const PressureModel& aModel, ImageId aImage)
+{
+  PlacementRequest request;
+  request.m_step = &aStep;
+  request.m_service = &kService;
+  request.m_pressure = &aModel;
+  request.m_image = aImage;
+  return request;
+}
+
+TEST_CASE("what is being stopped still counts against capacity")
+{
+  Fleet fleet{ LeaseLimits() };
+  Worker& worker = AddWorker(fleet, "w1");
+  AddRun(worker, 0, 0, 15000, false);
+  worker.m_runs.begin()->second.m_phase = RunPhase::Stopping;
+  GraphStep step;
+  step.m_demand = { 2000, 100, 0 };
+  const PressureModel model;
+  CHECK(ChooseWorker(fleet, RequestFor(step, model, 9), kNow) == nullptr);
+  Fleet::RemoveRun(worker, { 7, 0, 0, 0 });
+  CHECK(ChooseWorker(fleet, RequestFor(step, model, 9), kNow) == &worker);
+}
+
+TEST_CASE("serving tasks of one image share a worker, so that fewer images press each other")
+{
+  Fleet fleet{ LeaseLimits() };
+  AddRun(AddWorker(fleet, "w1"), 0, 1, 3000, false);
+  Worker& own = AddWorker(fleet, "w2");
+  AddRun(own, 1, 2, 3000, false);
+  AddWorker(fleet, "w3");
+  GraphStep step;
+  step.m_demand = { 3000, 1000, 0 };
+  step.m_lasting = true;
+  step.m_targetMs = 18;
+  const PressureModel model;
+  CHECK(ChooseWorker(fleet, RequestFor(step, model, 2), kNow) == &own);
+}
+
+TEST_CASE("work that presses a serving image goes to a worker without serving tasks")
+{
+  Fleet fleet{ LeaseLimits() };
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  const ImageId heavy = model.Intern("heavy");
+  for (int i = 0; i < 50; ++i) {
+    model.Learn(serving, 0.5, { { heavy, 0.1 } });
+  }
+  AddRun(AddWorker(fleet, "w1", 32000), 0, serving, 3000, false);
+  Worker& empty = AddWorker(fleet, "w2", 8000);
+  GraphStep step;
+  step.m_demand = { 3000, 1000, 0 };
+  step.m_fills = true;
+  CHECK(ChooseWorker(fleet, RequestFor(step, model, heavy), kNow) == &empty);
+}
+
+TEST_CASE("labels, limits a worker and draining are kept")
+{
+  Fleet fleet{ LeaseLimits() };
+  Worker& worker = AddWorker(fleet, "w1");
+  GraphStep step;
+  step.m_demand = { 100, 100, 0 };
+  step.m_maxPerWorker = 1;
+  const PressureModel model;
+  PlacementRequest request = RequestFor(step, model, 0);
+  std::vector<const Worker*> siblings = { &worker };
+  request.m_siblings = &siblings;
+  CHECK(ChooseWorker(fleet, request, kNow) == nullptr);
+  siblings.clear();
+  CHECK(ChooseWorker(fleet, request, kNow) == &worker);
+  step.m_label = "b";
+  CHECK(ChooseWorker(fleet, request, kNow) == nullptr);
+  step.m_label = "a";
+  worker.m_report.m_draining = true;
+  CHECK(ChooseWorker(fleet, request, kNow) == nullptr);
+}
--- /dev/null
+++ b/unittests/Scheduler/PressureTest.cpp
@@ -0,0 +1,67 @@
+// Interference between images, told apart from the load of the serving job itself.
+#include "egretturn/Scheduler/Pressure.h"
+
+#include "egretturn/Support/Random.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+
+static constexpr double kIdleRatio = 0.22;
+
+/// The ratio of tail to target at \p aUtilization.
+static double
+RatioAt(double aUtilization)
+{
+  return kIdleRatio / (1.0 - std::min(aUtilization, 0.98));
+}
+
+TEST_CASE("a pair that presses is told from one that does not, though the serving load swings")
+{
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  const ImageId heavy = model.Intern("heavy");
+  const ImageId light = model.Intern("light");
+  ServingLoad load;
+  Random random(3);
+  Instant now(std::chrono::hours(1));
+  for (int i = 0; i < 600; ++i) {
+    now += milliseconds(200);
+    const double own = 0.42 + 0.2 * (random.Unit() - 0.5);
+    load.Note(0, model.UtilizationOf(serving, RatioAt(own)), now); // undisturbed
+    const std::vector<ImageLoad> beside = { { heavy, 0.06 * random.Unit() },
+                                            { light, 0.3 * random.Unit() } };
+    const double added = 5.0 * beside[0].m_share + 0.2 * beside[1].m_share;
+    const double seen = model.UtilizationOf(serving, RatioAt(own + added));
+    load.Note(1, seen, now);
+    model.Learn(serving, seen - load.Own(now), beside);
+  }
+  CHECK(model.Weight(serving, heavy) > 3.0);
+  CHECK(model.Weight(serving, light) < 0.8);
+  CHECK(load.Peak() < 0.6);
+}
+
+TEST_CASE("a load that has gone fades from the span of a reported tail")
+{
+  std::vector<ImageLoad> smoothed;
+  SmoothLoads(smoothed, { { 1, 0.5 } }, std::chrono::seconds(5));
+  CHECK(smoothed[0].m_share == Approx(0.5).margin(0.01));
+  SmoothLoads(smoothed, {}, milliseconds(350));
+  CHECK(smoothed[0].m_share == Approx(0.184).margin(0.01));
+  SmoothLoads(smoothed, {}, std::chrono::seconds(5));
+  CHECK(smoothed[0].m_share < 0.001);
+}
+
+TEST_CASE("one task alone does not tell the load of its job")
+{
+  ServingLoad load;
+  const Instant now(std::chrono::hours(1));
+  load.Note(0, 0.9, now);
+  CHECK_FALSE(load.IsTelling(now));
+  load.Note(1, 0.5, now);
+  CHECK(load.IsTelling(now));
+  CHECK(load.Own(now) == Approx(0.5));
+  CHECK_FALSE(load.IsTelling(now + std::chrono::seconds(2)));
+}
