Halt what fills beside a task that stays over its target; keep what was learned of pairs in the store

Change: a serving task over its target for 1.8 s halts everything that fills beside it; learned weights are written every 3 s with a batch and restored.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -32,9 +32,10 @@
   int m_pace = 100;
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
-  double m_utilization = 0; ///< Of a serving task, by its tail.
-  Instant m_phaseSince;     ///< When the phase began.
-  Instant m_progressedAt;   ///< When the percentage last rose.
+  double m_utilization = 0;           ///< Of a serving task, by its tail.
+  std::optional<Instant> m_overSince; ///< Since when its tail has been over its target.
+  Instant m_phaseSince;               ///< When the phase began.
+  Instant m_progressedAt;             ///< When the percentage last rose.
 };
 
 /// Whether the store knows of something.
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -57,6 +57,33 @@
   Instant m_peakAt;
 };
 
+/// What was learned of one pair of images, for the store.
+struct StoredPair
+{
+  std::string m_serving;
+  std::string m_filling;
+  double m_weight = 0;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("serving", aSelf.m_serving);
+    aVisit("filling", aSelf.m_filling);
+    aVisit("weight", aSelf.m_weight);
+  }
+};
+
+struct StoredPressure
+{
+  std::vector<StoredPair> m_pairs;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("pairs", aSelf.m_pairs);
+  }
+};
+
 /// Learns from tails which images press which. Not thread-safe.
 class PressureModel
 {
@@ -79,6 +106,12 @@
   /// What \p aFilling adds on the whole of a worker's processors.
   double Weight(ImageId aServing, ImageId aFilling) const;
 
+  /// What was learned so far.
+  StoredPressure Describe() const;
+
+  /// Takes over what an earlier epoch has learned.
+  void Restore(const StoredPressure& aStored);
+
 private:
   static uint32_t Pair(ImageId aServing, ImageId aFilling)
   {
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -153,6 +153,7 @@
 std::string ProgressKey(GraphId aId);
 std::string WorkerKey(std::string_view aWorker);
 constexpr std::string_view kClaimKey = "claim";
+constexpr std::string_view kPressureKey = "pressure";
 
 enum class RecordKind
 {
@@ -160,6 +161,7 @@
   Job,
   Progress,
   Worker,
+  Pressure,
   Unknown,
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -59,6 +59,9 @@
   /// Adds a worker on which an earlier epoch may have started tasks.
   void RestoreWorker(const WorkerReport& aReport, Instant aNow);
 
+  /// Takes over what an earlier epoch has learned of images.
+  void RestorePressure(const StoredPressure& aStored) { m_pressure.Restore(aStored); }
+
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the answer follows as an AnswerRequest.
@@ -169,7 +172,7 @@
   void EvacuateWorker(Worker& aWorker, Instant aNow);
   void AdjustPace(Worker& aWorker, Instant aNow);
   void LearnFromTails(Worker& aWorker, Instant aNow);
-  double PaceFactor(const Worker& aWorker, const FillGroup& aGroup);
+  double PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow);
   void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
 
   // Scheduler.cpp
@@ -212,6 +215,7 @@
   bool m_placeNeeded = false;
   Instant m_nextPlaceAt;
   Instant m_nextSweepAt;
+  Instant m_pressureWrittenAt;
   SchedulerCounters m_counters;
 };
 
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -44,6 +44,7 @@
   for (const auto& [id, progress] : aState.m_progress) {
     m_scheduler.RestoreProgress(id, progress);
   }
+  m_scheduler.RestorePressure(aState.m_pressure);
   for (const WorkerReport& report : aState.m_workers) {
     m_scheduler.RestoreWorker(report, now);
   }
--- a/lib/Scheduler/Pressure.cpp
+++ b/lib/Scheduler/Pressure.cpp
@@ -133,4 +133,27 @@
   }
 }
 
+StoredPressure
+PressureModel::Describe() const
+{
+  std::vector<const std::string*> names(m_images.size());
+  for (const auto& [name, image] : m_images) {
+    names[image] = &name;
+  }
+  StoredPressure stored;
+  for (const auto& [pair, weight] : m_weights) {
+    stored.m_pairs.push_back({ *names[pair >> 16], *names[pair & 0xffff], weight });
+  }
+  return stored;
+}
+
+void
+PressureModel::Restore(const StoredPressure& aStored)
+{
+  for (const StoredPair& pair : aStored.m_pairs) {
+    const ImageId serving = Intern(pair.m_serving);
+    m_weights[Pair(serving, Intern(pair.m_filling))] = pair.m_weight;
+  }
+}
+
 } // namespace egretturn
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -58,6 +58,9 @@
   if (aKey == kClaimKey) {
     return RecordKind::Claim;
   }
+  if (aKey == kPressureKey) {
+    return RecordKind::Pressure;
+  }
   if (aKey.starts_with(kWorkerPrefix)) {
     return RecordKind::Worker;
   }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -10,6 +10,7 @@
 static constexpr Duration kUrgentBatchGap = std::chrono::milliseconds(10);
 static constexpr Duration kBatchGap = std::chrono::milliseconds(50);
 static constexpr Duration kSweep = std::chrono::milliseconds(100); // leases, stops, occurrences
+static constexpr Duration kPressureEvery = std::chrono::seconds(3);
 static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
@@ -25,6 +26,7 @@
   , m_createdAt(aNow)
   , m_nextPlaceAt(aNow)
   , m_nextSweepAt(aNow)
+  , m_pressureWrittenAt(aNow)
 {
 }
 
@@ -275,6 +277,10 @@
     batch.m_records.push_back({ std::move(key), "" });
   }
   m_dropKeys.clear();
+  if (aNow - m_pressureWrittenAt >= kPressureEvery) {
+    m_pressureWrittenAt = aNow; // with a batch that is written anyway
+    batch.m_records.push_back({ std::string(kPressureKey), PackCompact(m_pressure.Describe()) });
+  }
   m_urgent = !m_dirty.empty();
   if (batch.m_records.empty()) {
     m_batchJobs.clear();
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -30,6 +30,9 @@
 // An image that adds less than this to the utilization of a serving task is not paced for it.
 static constexpr double kLeastPart = 0.03;
 
+// A serving task over its target for so long halts everything that fills beside it.
+static constexpr Duration kPressedTooLong = std::chrono::milliseconds(1800);
+
 static constexpr double kMostFactor = 1.6; // of a pace, upwards in one step
 static constexpr int kPaceFloor = 8;       // percent; below this a task is paced to a halt
 static constexpr int kPaceResume = 15;     // percent; from a halt
@@ -350,6 +353,7 @@
     }
     const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
     run.m_utilization = m_pressure.UtilizationOf(run.m_image, ratio);
+    run.m_overSince = ratio > 1.0 ? std::optional(run.m_overSince.value_or(aNow)) : std::nullopt;
     const uint32_t number = (uint32_t{ ref.m_step } << 16) | ref.m_index;
     ServingLoad& load = job->m_servingLoad;
     load.Note(number, run.m_utilization, aNow);
@@ -366,13 +370,16 @@
 
 /// By how much the pace of \p aGroup should change for the serving tasks that it presses.
 double
-Scheduler::PaceFactor(const Worker& aWorker, const FillGroup& aGroup)
+Scheduler::PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow)
 {
   double factor = kMostFactor;
   for (const auto& [ref, run] : aWorker.m_runs) {
     if (run.m_targetMs == 0 || run.m_phase != RunPhase::Running) {
       continue;
     }
+    if (run.m_overSince && aNow - *run.m_overSince >= kPressedTooLong) {
+      return 0.0; // whatever was learned, some neighbour presses it
+    }
     double own = 0;
     for (const ImageLoad& load : aWorker.m_loads) {
       own = load.m_image == aGroup.m_image ? load.m_share : own;
@@ -440,7 +447,7 @@
   LearnFromTails(aWorker, aNow);
   for (FillGroup& group : aWorker.m_filling) {
     if (aNow - group.m_pacedAt >= kPaceEvery) {
-      const double factor = PaceFactor(aWorker, group);
+      const double factor = PaceFactor(aWorker, group, aNow);
       const int pace = ScalePace(group.m_pace, factor);
       if (pace != group.m_pace) {
         group.m_pace = pace;
