--- a/include/egretturn/Support/Log.h
+++ b/include/egretturn/Support/Log.h
@@ -49,9 +49,18 @@
   std::string m_text;
 };
 
-/// Starts the log thread, which writes to standard error. \pre Called once, before any Log().
+/// Where log lines go.
+enum class LogStream
+{
+  StandardError,
+  StandardOutput,
+};
+
+/// Starts the log thread, which writes to \p aStream. \pre Called once, before any Log().
 /// Lines above kLogQueueLines waiting are dropped and counted.
-void StartLogging(LogLevel aLevel, std::string_view aInstance);
+void StartLogging(LogLevel aLevel,
+                  std::string_view aInstance,
+                  LogStream aStream = LogStream::StandardError);
 
 /// Writes what is queued and stops the log thread. Log() does nothing afterwards.
 void StopLogging();
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -147,9 +147,9 @@
 }
 
 void
-StartLogging(LogLevel aLevel, std::string_view aInstance)
+StartLogging(LogLevel aLevel, std::string_view aInstance, LogStream aStream)
 {
-  boost::log::add_console_log(std::cerr,
+  boost::log::add_console_log(aStream == LogStream::StandardOutput ? std::cout : std::cerr,
                               boost::log::keywords::format = boost::log::expressions::stream
                                                              << boost::log::expressions::smessage);
   sLevel = static_cast<int>(aLevel);
