--- a/unittests/Node/SuccessionTest.cpp
+++ b/unittests/Node/SuccessionTest.cpp
@@ -36,7 +36,8 @@
   succession.OnPing(true, 0.1, kStart + seconds(1));
   const Duration silence = SuccessionSettings().m_silence;
   CHECK_FALSE(succession.ShouldClaim(kStart + seconds(1) + silence - milliseconds(1)));
-  CHECK(succession.ShouldClaim(kStart + seconds(4)));
+  static constexpr Duration kLongestDelay = milliseconds(600); // equal weights, a near store
+  CHECK(succession.ShouldClaim(kStart + seconds(1) + silence + kLongestDelay));
 }
 
 TEST_CASE("a leader that lost the store is succeeded although it answers")
