Answer every request that was read before an instance ends

At shutdown only answers to jobs were counted as in flight, not questions for counts; and the process ended after 1 s of draining though a call still waited for a leader ("stopped cut_off=1"). A leader named by a peer's refusal is asked next. Ruled out: a slow leader alone, since the connection was closed by our own exit.

--- a/include/egretturn/Http/Http.h
+++ b/include/egretturn/Http/Http.h
@@ -57,8 +57,14 @@
   /// Stops accepting; open connections end after their present request.
   void StopAccepting();
 
+  /// Goes on accepting, but closes each connection with its next answer.
+  void StopKeepingAlive();
+
   size_t Connections() const;
 
+  /// Requests that were read whole and whose answers have not been written yet.
+  size_t InFlight() const;
+
 private:
   struct Shared;
   void Accept();
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -6,6 +6,8 @@
 #include "egretturn/Node/PeerProtocol.h"
 #include "egretturn/Node/Succession.h"
 
+#include <set>
+
 namespace egretturn {
 
 struct NodeSettings
@@ -43,6 +45,10 @@
   /// Stops deciding and asks a peer to succeed; requests are forwarded from then on.
   void HandOver();
 
+  /// Answers the callers that still wait with what is known: not run, or unknown. Requests that
+  /// come later are answered at once in the same way.
+  void FinishCalls();
+
   /// Metrics as text.
   std::string Metrics();
 
@@ -59,6 +65,8 @@
   void OnTried(const std::shared_ptr<Call>& aCall, const ClientAnswer& aAnswer);
   void Settle(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer);
   void TryLater(const std::shared_ptr<Call>& aCall);
+  void GiveUp(const std::shared_ptr<Call>& aCall);
+  void Finish(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer);
   void Tick();
   void PingLeader();
   void OnPinged(const ClientAnswer& aAnswer);
@@ -92,6 +100,7 @@
   std::shared_ptr<Decider> m_decider;
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< By id: those that pinged this leader.
+  std::set<std::shared_ptr<Call>> m_calls;       ///< Callers that wait for an answer.
   RequestToken m_nextRequest = 1;
   Instant m_startedAt;
   Instant m_decidingSince;
@@ -99,6 +108,7 @@
   bool m_pinging = false;
   bool m_claiming = false;
   bool m_leaving = false;
+  bool m_finishing = false; ///< No call is tried any more.
 };
 
 } // namespace egretturn
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -19,6 +19,7 @@
   HttpLimits m_limits;
   HttpHandler m_handler;
   size_t m_connections = 0;
+  size_t m_inFlight = 0;
   bool m_stopping = false;
 };
 
@@ -40,7 +41,11 @@
     m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   }
 
-  ~Session() override { --m_shared->m_connections; }
+  ~Session() override
+  {
+    EndRequest();
+    --m_shared->m_connections;
+  }
 
   void Read()
   {
@@ -99,6 +104,8 @@
     m_answered = false;
     // The handler decides how long an answer takes; a caller that goes away is noticed by a read.
     m_stream.expires_never();
+    m_inFlight = true;
+    ++m_shared->m_inFlight;
     m_shared->m_handler(std::move(request), this->shared_from_this());
     WatchForGone();
   }
@@ -135,8 +142,17 @@
     }
   }
 
+  void EndRequest()
+  {
+    if (m_inFlight) {
+      m_inFlight = false;
+      --m_shared->m_inFlight;
+    }
+  }
+
   void OnWritten(beast::error_code aError)
   {
+    EndRequest();
     if (aError || !m_response.keep_alive()) {
       Close();
       return;
@@ -160,6 +176,7 @@
   std::function<void()> m_onGone;
   bool m_keepAlive = true;
   bool m_answered = true;
+  bool m_inFlight = false; ///< Counted in the server's number of requests.
   bool m_gone = false;
 };
 
@@ -224,9 +241,21 @@
 {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
+  StopKeepingAlive();
+}
+
+void
+HttpServer::StopKeepingAlive()
+{
   m_shared->m_stopping = true;
 }
 
+size_t
+HttpServer::InFlight() const
+{
+  return m_shared->m_inFlight;
+}
+
 size_t
 HttpServer::Connections() const
 {
--- a/lib/Node/Forwarding.cpp
+++ b/lib/Node/Forwarding.cpp
@@ -24,6 +24,7 @@
   Instant m_deadline;
   bool m_mayBeDone = false; ///< An earlier try may have reached the leader.
   bool m_offered = false;   ///< A leader was there to try.
+  bool m_trying = false;    ///< A try is on its way.
   PeerCallback m_done;
   boost::asio::steady_timer m_timer;
 };
@@ -64,6 +65,7 @@
   call->m_beganAt = NowWithSuspend();
   call->m_deadline = call->m_beganAt + aDeadline;
   call->m_done = std::move(aDone);
+  m_calls.insert(call);
   Try(call);
 }
 
@@ -71,8 +73,13 @@
 Node::Try(const std::shared_ptr<Call>& aCall)
 {
   const Instant now = NowWithSuspend();
+  if (m_finishing) {
+    GiveUp(aCall);
+    return;
+  }
   if (m_decider) {
     aCall->m_offered = true;
+    aCall->m_trying = true;
     ServeDeciding(aCall->m_operation,
                   aCall->m_body,
                   [self = shared_from_this(), aCall](const PeerAnswer& aAnswer) {
@@ -85,6 +92,7 @@
     return;
   }
   aCall->m_offered = true;
+  aCall->m_trying = true;
   const Duration left = aCall->m_deadline - now;
   m_client.Send(
     m_succession.Leader()->m_address,
@@ -114,6 +122,7 @@
 Node::Settle(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer)
 {
   if (aAnswer.m_outcome == PeerOutcome::NotDeciding) {
+    m_succession.OnClaim(aAnswer.m_leader, NowWithSuspend()); // passed over unless it is newer
     TryLater(aCall);
     return;
   }
@@ -125,21 +134,47 @@
   if (aAnswer.m_outcome == PeerOutcome::NotRun && aCall->m_mayBeDone) {
     PeerAnswer unknown = aAnswer;
     unknown.m_outcome = PeerOutcome::Unknown;
-    aCall->m_done(unknown);
+    Finish(aCall, unknown);
     return;
   }
-  aCall->m_done(aAnswer);
+  Finish(aCall, aAnswer);
+}
+
+void
+Node::Finish(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer)
+{
+  if (m_calls.erase(aCall) > 0) {
+    aCall->m_done(aAnswer);
+  }
+}
+
+void
+Node::GiveUp(const std::shared_ptr<Call>& aCall)
+{
+  PeerAnswer answer;
+  answer.m_outcome = aCall->m_mayBeDone ? PeerOutcome::Unknown : PeerOutcome::NotRun;
+  Finish(aCall, answer);
+}
+
+void
+Node::FinishCalls()
+{
+  m_finishing = true;
+  const std::set<std::shared_ptr<Call>> calls = m_calls;
+  for (const std::shared_ptr<Call>& call : calls) {
+    call->m_mayBeDone = call->m_mayBeDone || call->m_trying;
+    GiveUp(call);
+  }
 }
 
 void
 Node::TryLater(const std::shared_ptr<Call>& aCall)
 {
+  aCall->m_trying = false;
   const Instant now = NowWithSuspend();
   const bool lateForLeader = !aCall->m_offered && now - aCall->m_beganAt >= kLeaderWait;
-  if (now + kTryAgain >= aCall->m_deadline || lateForLeader) {
-    PeerAnswer answer;
-    answer.m_outcome = aCall->m_mayBeDone ? PeerOutcome::Unknown : PeerOutcome::NotRun;
-    aCall->m_done(answer);
+  if (m_finishing || now + kTryAgain >= aCall->m_deadline || lateForLeader) {
+    GiveUp(aCall);
     return;
   }
   aCall->m_timer.expires_after(kTryAgain);
