Learn interference by a Kalman filter and run times by route; let fill tasks use what is idle

Change: weights of pairs have variances, outliers are left out, one unknown image at a time beside a serving task; serving images are placed by how unlike they are; declared durations are corrected by a fit for each route, objectives and remaining paths follow; lasting tasks are taken to use 45%.

--- a/include/egretturn/JobGraph/Graph.h
+++ b/include/egretturn/JobGraph/Graph.h
@@ -109,9 +109,9 @@
 /// field and the remedy. Thread-safe.
 Errors ValidateGraph(const Graph& aGraph);
 
-/// The longest chain of step estimates through \p aGraph, in milliseconds.
-/// \pre ValidateGraph() found no error. Thread-safe.
-int64_t CriticalPathMs(const Graph& aGraph);
+/// The longest chain of steps through \p aGraph, where each takes as long as \p aStepMs says, in
+/// milliseconds. \pre ValidateGraph() found no error; a duration for each step. Thread-safe.
+int64_t CriticalPathMs(const Graph& aGraph, const std::vector<int64_t>& aStepMs);
 
 /// One task of a job.
 struct TaskRef
--- a/include/egretturn/Node/Decider.h
+++ b/include/egretturn/Node/Decider.h
@@ -13,7 +13,7 @@
   std::vector<StoredJob> m_jobs;
   std::vector<std::pair<GraphId, StoredProgress>> m_progress;
   std::vector<WorkerReport> m_workers;
-  StoredPressure m_pressure;
+  StoredLearning m_learned;
   LogOffset m_end = 0; ///< Where the topic of jobs ends, after the claim.
 };
 
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -30,10 +30,12 @@
   int m_percent = 0;
   ImageId m_image = 0;
   int m_pace = 100;
+  bool m_undisturbed = true; ///< Started from nothing, and never paced down.
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
   double m_utilization = 0;           ///< Of a serving task, by its tail.
   std::optional<Instant> m_overSince; ///< Since when its tail has been over its target.
+  Instant m_startedAt;                ///< When the start was sent.
   Instant m_phaseSince;               ///< When the phase began.
   Instant m_progressedAt;             ///< When the percentage last rose.
 };
--- a/include/egretturn/Scheduler/JobBook.h
+++ b/include/egretturn/Scheduler/JobBook.h
@@ -1,6 +1,7 @@
 // Jobs in memory: the phase of each task, and what of it is durable.
 #pragma once
 
+#include "egretturn/Scheduler/Durations.h"
 #include "egretturn/Scheduler/Fleet.h"
 
 #include <map>
@@ -49,8 +50,10 @@
   bool m_recovered = false;                   ///< An earlier epoch may have started tasks of it.
   bool m_jobWritten = false;                  ///< The acceptance is in a batch, or durable.
   Instant m_submittedAt;
-  Duration m_objective{}; ///< From submission until done.
-  int64_t m_endedMs = 0;  ///< Unix time.
+  std::vector<int64_t> m_stepMs; ///< How long a task of each step takes, as far as is known.
+  std::vector<bool> m_stepSeen;  ///< Whether that was seen, not expected.
+  Duration m_objective{};        ///< From submission until done, by m_stepMs.
+  int64_t m_endedMs = 0;         ///< Unix time.
   uint32_t m_nextOccurrence = 0;
   uint32_t m_liveRuns = 0;
   ServingLoad m_servingLoad; ///< Of lasting tasks with a target.
@@ -59,6 +62,12 @@
   std::vector<RequestToken> m_submitters;
   std::vector<RequestToken> m_cancellers;
 
+  /// Notes that a task of \p aStep took \p aMs undisturbed.
+  void NoteDuration(size_t aStep, int64_t aMs);
+
+  /// The core-seconds of all steps, by m_stepMs.
+  double TotalWork() const;
+
   bool IsLasting() const;
   bool HasOpenOccurrences() const;
 };
@@ -71,7 +80,7 @@
   Job* Find(GraphId aId);
 
   /// Adds a job that was not known. \pre Its graph is valid and its id new.
-  Job& Add(StoredJob aStored, Instant aNow);
+  Job& Add(StoredJob aStored, const DurationModel& aDurations, Instant aNow);
 
   void Erase(GraphId aId) { m_jobs.erase(aId); }
 
@@ -94,7 +103,7 @@
 /// What an occurrence still needs.
 struct RemainingWork
 {
-  Duration m_path{}; ///< The longest chain of steps, by their estimates.
+  Duration m_path{}; ///< The longest chain of steps.
   double m_coreSeconds = 0;
 };
 
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -63,6 +63,7 @@
   std::string m_serving;
   std::string m_filling;
   double m_weight = 0;
+  double m_variance = 0; ///< Of the weight; 0 in records that do not say.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -70,6 +71,7 @@
     aVisit("serving", aSelf.m_serving);
     aVisit("filling", aSelf.m_filling);
     aVisit("weight", aSelf.m_weight);
+    aVisit("variance", aSelf.m_variance);
   }
 };
 
@@ -84,7 +86,9 @@
   }
 };
 
-/// Learns from tails which images press which. Not thread-safe.
+/// Learns from tails which images press which: a Kalman filter for each serving image, with the
+/// weights taken as independent. What is known well takes little blame for what is not.
+/// Not thread-safe.
 class PressureModel
 {
 public:
@@ -106,6 +110,13 @@
   /// What \p aFilling adds on the whole of a worker's processors.
   double Weight(ImageId aServing, ImageId aFilling) const;
 
+  /// Whether enough was seen of the pair to rely on Weight().
+  bool IsKnown(ImageId aServing, ImageId aFilling) const;
+
+  /// How differently the images that fill press \p aOne and \p aOther: 0 alike, 1 unlike, and in
+  /// between as long as little is known.
+  double Unlikeness(ImageId aOne, ImageId aOther) const;
+
   /// What was learned so far.
   StoredPressure Describe() const;
 
@@ -113,6 +124,15 @@
   void Restore(const StoredPressure& aStored);
 
 private:
+  /// A weight, and the variance of its error.
+  struct Estimate
+  {
+    double m_weight = 0;
+    double m_variance = 0;
+  };
+
+  Estimate EstimateOf(ImageId aServing, ImageId aFilling) const;
+
   static uint32_t Pair(ImageId aServing, ImageId aFilling)
   {
     return (uint32_t{ aServing } << 16) | aFilling;
@@ -120,7 +140,7 @@
 
   std::unordered_map<std::string, ImageId> m_images;
   std::unordered_map<ImageId, double> m_idleRatio; ///< Lowest ratio of tail to target.
-  std::unordered_map<uint32_t, double> m_weights;
+  std::unordered_map<uint32_t, Estimate> m_weights;
 };
 
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -153,7 +153,7 @@
 std::string ProgressKey(GraphId aId);
 std::string WorkerKey(std::string_view aWorker);
 constexpr std::string_view kClaimKey = "claim";
-constexpr std::string_view kPressureKey = "pressure";
+constexpr std::string_view kLearnedKey = "learned";
 
 enum class RecordKind
 {
@@ -161,7 +161,7 @@
   Job,
   Progress,
   Worker,
-  Pressure,
+  Learned,
   Unknown,
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -27,6 +27,20 @@
   Graph m_graph;
 };
 
+/// What an epoch has learned of images and routes, for the store.
+struct StoredLearning
+{
+  StoredPressure m_pressure;
+  std::vector<StoredDurations> m_durations;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("pressure", aSelf.m_pressure);
+    aVisit("durations", aSelf.m_durations);
+  }
+};
+
 /// Counters for metrics.
 struct SchedulerCounters
 {
@@ -59,8 +73,8 @@
   /// Adds a worker on which an earlier epoch may have started tasks.
   void RestoreWorker(const WorkerReport& aReport, Instant aNow);
 
-  /// Takes over what an earlier epoch has learned of images.
-  void RestorePressure(const StoredPressure& aStored) { m_pressure.Restore(aStored); }
+  /// Takes over what an earlier epoch has learned. Call before RestoreJob().
+  void RestoreLearned(const StoredLearning& aStored);
 
   // Callers.
 
@@ -143,6 +157,7 @@
   };
 
   // Ends.cpp
+  void NoteDuration(const TaskRef& aTask, Duration aTook);
   void HandleEnd(Worker& aWorker, const EndedRow& aRow, Instant aNow);
   void ApplyEnd(Job& aJob, TaskRecord& aTask, const EndedRow& aRow, Worker& aWorker, Instant aNow);
   void ApplyDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow);
@@ -195,6 +210,7 @@
   Fleet m_fleet;
   JobBook m_book;
   PressureModel m_pressure;
+  DurationModel m_durations;
   std::vector<Action> m_actions;
   std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
   std::unordered_set<GraphId> m_scheduledJobs; ///< Have occurrences to come.
@@ -215,7 +231,7 @@
   bool m_placeNeeded = false;
   Instant m_nextPlaceAt;
   Instant m_nextSweepAt;
-  Instant m_pressureWrittenAt;
+  Instant m_learnedWrittenAt;
   SchedulerCounters m_counters;
 };
 
--- a/lib/JobGraph/Graph.cpp
+++ b/lib/JobGraph/Graph.cpp
@@ -108,16 +108,16 @@
 }
 
 int64_t
-CriticalPathMs(const Graph& aGraph)
+CriticalPathMs(const Graph& aGraph, const std::vector<int64_t>& aStepMs)
 {
   std::vector<int64_t> endMs;
   int64_t longest = 0;
-  for (const GraphStep& step : aGraph.m_steps) {
+  for (size_t s = 0; s < aGraph.m_steps.size(); ++s) {
     int64_t startMs = 0;
-    for (uint32_t dependency : step.m_dependencies) {
+    for (uint32_t dependency : aGraph.m_steps[s].m_dependencies) {
       startMs = std::max(startMs, endMs[dependency]);
     }
-    endMs.push_back(startMs + step.m_estimateMs);
+    endMs.push_back(startMs + aStepMs[s]);
     longest = std::max(longest, endMs.back());
   }
   return longest;
--- a/lib/Node/Claimer.cpp
+++ b/lib/Node/Claimer.cpp
@@ -155,7 +155,7 @@
       outcome.m_state.m_jobs.push_back(std::move(job));
     } else if (kind == RecordKind::Progress && UnpackCompact(value, progress)) {
       outcome.m_state.m_progress.emplace_back(id, std::move(progress));
-    } else if (kind == RecordKind::Pressure && UnpackCompact(value, outcome.m_state.m_pressure)) {
+    } else if (kind == RecordKind::Learned && UnpackCompact(value, outcome.m_state.m_learned)) {
       continue;
     } else if (kind == RecordKind::Worker && UnpackCompact(value, worker)) {
       outcome.m_state.m_workers.push_back(std::move(worker));
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -38,13 +38,13 @@
   const Instant now = NowWithSuspend();
   const int64_t wallMs = WallNowMs();
   m_end = aState.m_end;
+  m_scheduler.RestoreLearned(aState.m_learned);
   for (StoredJob& job : aState.m_jobs) {
     m_scheduler.RestoreJob(std::move(job), now, wallMs);
   }
   for (const auto& [id, progress] : aState.m_progress) {
     m_scheduler.RestoreProgress(id, progress);
   }
-  m_scheduler.RestorePressure(aState.m_pressure);
   for (const WorkerReport& report : aState.m_workers) {
     m_scheduler.RestoreWorker(report, now);
   }
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -169,12 +169,27 @@
   }
 }
 
+void
+Scheduler::NoteDuration(const TaskRef& aTask, Duration aTook)
+{
+  Job* job = m_book.Find(aTask.m_job);
+  if (!job || aTask.m_step >= job->m_stepMs.size()) {
+    return;
+  }
+  const GraphStep& step = job->m_stored.m_graph.m_steps[aTask.m_step];
+  m_durations.Learn(job->m_stored.m_terms.m_route, step.m_estimateMs, aTook);
+  job->NoteDuration(aTask.m_step, ToMillis(aTook));
+}
+
 void
 Scheduler::HandleEnd(Worker& aWorker, const EndedRow& aRow, Instant aNow)
 {
   LogRun("run_ended", aWorker, aRow.m_task, aRow.m_run, NameOf(aRow.m_end));
   const auto it = aWorker.m_runs.find(aRow.m_task);
   if (it != aWorker.m_runs.end() && it->second.m_run == aRow.m_run) {
+    if (aRow.m_end == RunEnd::Done && it->second.m_undisturbed) {
+      NoteDuration(aRow.m_task, aNow - it->second.m_startedAt);
+    }
     Fleet::RemoveRun(aWorker, aRow.m_task);
     m_placeNeeded = true;
   }
@@ -222,6 +237,8 @@
   WorkerRun run;
   run.m_run = aRow.m_run;
   run.m_phase = RunPhase::Running;
+  run.m_undisturbed = false; // when it started is not known
+  run.m_startedAt = aNow;
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
   if (job && aRow.m_task.m_step < job->m_stored.m_graph.m_steps.size()) {
--- a/lib/Scheduler/JobBook.cpp
+++ b/lib/Scheduler/JobBook.cpp
@@ -30,17 +30,59 @@
   return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
+/// Sets the objective of \p aJob by what is known of its steps.
+static void
+SetObjective(Job& aJob)
+{
+  const JobTerms& terms = aJob.m_stored.m_terms;
+  const int64_t pathMs = CriticalPathMs(aJob.m_stored.m_graph, aJob.m_stepMs);
+  const double stretchedMs = terms.m_stretch * static_cast<double>(pathMs);
+  aJob.m_objective =
+    std::chrono::milliseconds(terms.m_targetMs + static_cast<int64_t>(stretchedMs));
+}
+
+void
+Job::NoteDuration(size_t aStep, int64_t aMs)
+{
+  m_stepMs[aStep] = m_stepSeen[aStep] ? std::max(m_stepMs[aStep], aMs) : aMs;
+  m_stepSeen[aStep] = true;
+  SetObjective(*this);
+}
+
+/// Core-seconds of \p aTasks tasks of \p aStep that take \p aMs each.
+static double
+CoreSeconds(const GraphStep& aStep, size_t aTasks, int64_t aMs)
+{
+  static constexpr double kMilliPerUnit = 1e6; // thousandths of a core times milliseconds
+  return static_cast<double>(aTasks) * static_cast<double>(aMs * aStep.m_demand.m_cpuMilli) /
+         kMilliPerUnit;
+}
+
+double
+Job::TotalWork() const
+{
+  double work = 0;
+  for (size_t s = 0; s < m_stepMs.size(); ++s) {
+    const GraphStep& step = m_stored.m_graph.m_steps[s];
+    work += CoreSeconds(step, step.m_count, m_stepMs[s]);
+  }
+  return work;
+}
+
 Job&
-JobBook::Add(StoredJob aStored, Instant aNow)
+JobBook::Add(StoredJob aStored, const DurationModel& aDurations, Instant aNow)
 {
   assert(m_jobs.count(aStored.m_id) == 0 && "the job is known already");
   std::unique_ptr<Job> job = std::make_unique<Job>();
-  const JobTerms& terms = aStored.m_terms;
-  const double pathMs = terms.m_stretch * static_cast<double>(CriticalPathMs(aStored.m_graph));
-  job->m_objective = std::chrono::milliseconds(terms.m_targetMs + static_cast<int64_t>(pathMs));
   job->m_submittedAt = aNow;
   job->m_activeAt = aNow;
   job->m_stored = std::move(aStored);
+  const std::string& route = job->m_stored.m_terms.m_route;
+  for (const GraphStep& step : job->m_stored.m_graph.m_steps) {
+    job->m_stepMs.push_back(step.m_lasting ? 0 : aDurations.Expect(route, step.m_estimateMs));
+  }
+  job->m_stepSeen.resize(job->m_stepMs.size());
+  SetObjective(*job);
   Job& added = *job;
   m_jobs.emplace(added.m_stored.m_id, std::move(job));
   return added;
@@ -114,7 +156,6 @@
 RemainingWork
 EstimateRemaining(const Job& aJob, const OccurrenceRecord& aOccurrence)
 {
-  static constexpr double kMilliPerUnit = 1e6; // thousandths of a core times milliseconds
   const std::vector<GraphStep>& steps = aJob.m_stored.m_graph.m_steps;
   std::vector<int64_t> endMs(steps.size(), 0);
   RemainingWork remaining;
@@ -125,11 +166,9 @@
     for (uint32_t dependency : step.m_dependencies) {
       endMs[s] = std::max(endMs[s], endMs[dependency]);
     }
-    endMs[s] += open > 0 ? step.m_estimateMs : 0;
+    endMs[s] += open > 0 ? aJob.m_stepMs[s] : 0;
     longestMs = std::max(longestMs, endMs[s]);
-    remaining.m_coreSeconds += static_cast<double>(open) *
-                               static_cast<double>(step.m_estimateMs * step.m_demand.m_cpuMilli) /
-                               kMilliPerUnit;
+    remaining.m_coreSeconds += CoreSeconds(step, open, aJob.m_stepMs[s]);
   }
   remaining.m_path = std::chrono::milliseconds(longestMs);
   return remaining;
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -5,7 +5,7 @@
 namespace egretturn {
 
 // The share of their reservation that lasting tasks use on average.
-static constexpr double kLastingUse = 0.6;
+static constexpr double kLastingUse = 0.45;
 
 // The share of a worker's processors that lasting tasks leave to short ones.
 static constexpr double kShortTaskReserve = 0.0;
@@ -16,14 +16,15 @@
 // Utilization kept free below the target of a serving task, for estimates that are off.
 static constexpr double kHeadroom = 0.02;
 
-// What adds less than this to a serving task's utilization is not held to press it.
-static constexpr double kNegligible = 0.06;
+// Below this a pair's weight is harmless: even a whole worker of the image leaves a serving task
+// under its target at most times.
+static constexpr double kHarmlessWeight = 0.6;
 
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
 static constexpr double kHarmlessBonus = 24000.0;
 static constexpr double kPressingPenalty = 24000.0;
-static constexpr double kSameImageBonus = 100000.0;     // serving tasks of one image share a worker
+static constexpr double kUnlikePenalty = 200000.0;      // serving tasks of unlike images
 static constexpr double kEmptyWorkerPenalty = 400000.0; // while few are left
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
@@ -45,43 +46,52 @@
          idle;
 }
 
-/// The most that one task of \p aRequest adds to the utilization of a serving task.
-static double
-AddedByOne(const Worker& aWorker, const PlacementRequest& aRequest)
+/// Whether tasks of \p aImage are known to leave all serving tasks on \p aWorker in peace.
+static bool
+IsHarmless(const Worker& aWorker, const PressureModel& aPressure, ImageId aImage)
 {
-  const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) /
-                       static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
-  double added = 0;
-  for (const ServingGroup& serving : aWorker.m_serving) {
-    if (aRequest.m_pressure) {
-      added =
-        std::max(added, share * aRequest.m_pressure->Weight(serving.m_image, aRequest.m_image));
-    }
-  }
-  return added;
+  return std::all_of(
+    aWorker.m_serving.begin(), aWorker.m_serving.end(), [&](const ServingGroup& aServing) {
+      return aPressure.IsKnown(aServing.m_image, aImage) &&
+             aPressure.Weight(aServing.m_image, aImage) < kHarmlessWeight;
+    });
+}
+
+/// Whether something fills on \p aWorker whose effect on \p aServing is not known yet.
+static bool
+IsOnTrial(const Worker& aWorker, const PressureModel& aPressure, ImageId aServing)
+{
+  return std::any_of(
+    aWorker.m_filling.begin(), aWorker.m_filling.end(), [&](const FillGroup& aGroup) {
+      return !aPressure.IsKnown(aServing, aGroup.m_image);
+    });
 }
 
 /// Whether one more task of \p aRequest would press a serving task on \p aWorker too hard.
 static bool
 WouldPress(const Worker& aWorker, const PlacementRequest& aRequest)
 {
-  if (!aRequest.m_pressure || aWorker.m_serving.empty()) {
+  if (!aRequest.m_pressure) {
     return false;
   }
+  const PressureModel& pressure = *aRequest.m_pressure;
   const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
   const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) / capacity;
   for (const ServingGroup& serving : aWorker.m_serving) {
-    const double weight = aRequest.m_pressure->Weight(serving.m_image, aRequest.m_image);
-    double added = weight * share;
-    if (added < kNegligible) {
+    const bool known = pressure.IsKnown(serving.m_image, aRequest.m_image);
+    if (!known && IsOnTrial(aWorker, pressure, serving.m_image)) {
+      return true; // one at a time, so that the tail tells which of them presses
+    }
+    const double weight = pressure.Weight(serving.m_image, aRequest.m_image);
+    if (known && weight < kHarmlessWeight) {
       continue;
     }
+    double added = weight * share;
     for (const FillGroup& group : aWorker.m_filling) {
-      added += aRequest.m_pressure->Weight(serving.m_image, group.m_image) *
-               static_cast<double>(group.m_cpu) / capacity;
+      added += pressure.Weight(serving.m_image, group.m_image) * static_cast<double>(group.m_cpu) /
+               capacity;
     }
-    const double limit = aRequest.m_pressure->TargetUtilization(serving.m_image) - kHeadroom;
-    if (serving.m_ownLoad + added > limit) {
+    if (serving.m_ownLoad + added > pressure.TargetUtilization(serving.m_image) - kHeadroom) {
       return true;
     }
   }
@@ -138,14 +148,19 @@
          (step.m_maxPerWorker == 0 || CountSiblings(aWorker, aRequest) < step.m_maxPerWorker);
 }
 
-/// Serving images on \p aWorker other than \p aImage.
+/// How unlike \p aImage the serving images on \p aWorker are, added up. Unlike images leave
+/// little that can fill beside them.
 static double
-CountOtherImages(const Worker& aWorker, ImageId aImage)
+SumUnlikeness(const Worker& aWorker, const PlacementRequest& aRequest)
 {
-  return static_cast<double>(std::count_if(
-    aWorker.m_serving.begin(), aWorker.m_serving.end(), [&](const ServingGroup& aGroup) {
-      return aGroup.m_image != aImage;
-    }));
+  double sum = 0;
+  for (const ServingGroup& group : aWorker.m_serving) {
+    const bool other = group.m_image != aRequest.m_image;
+    sum += !other                ? 0
+           : aRequest.m_pressure ? aRequest.m_pressure->Unlikeness(group.m_image, aRequest.m_image)
+                                 : 1;
+  }
+  return sum;
 }
 
 static double
@@ -159,13 +174,15 @@
           kFillWeight * static_cast<double>(aWorker.m_fillCpu);
   if (step.m_fills && !aWorker.m_serving.empty()) {
     // Workers without serving tasks are left to what presses them everywhere.
-    score += AddedByOne(aWorker, aRequest) < kNegligible ? kHarmlessBonus : -kPressingPenalty;
+    const bool harmless =
+      aRequest.m_pressure && IsHarmless(aWorker, *aRequest.m_pressure, aRequest.m_image);
+    score += harmless ? kHarmlessBonus : -kPressingPenalty;
   }
   if (step.m_lasting) {
     score = -score; // packed together, serving tasks leave whole workers to others
   }
   if (step.m_targetMs > 0) {
-    score -= kSameImageBonus * CountOtherImages(aWorker, aRequest.m_image);
+    score -= kUnlikePenalty * SumUnlikeness(aWorker, aRequest);
     score -= aRequest.m_fewEmptyWorkers && aWorker.m_serving.empty() ? kEmptyWorkerPenalty : 0;
   }
   const std::string& rack = aWorker.m_report.m_rack;
--- a/lib/Scheduler/Pressure.cpp
+++ b/lib/Scheduler/Pressure.cpp
@@ -9,10 +9,26 @@
 static constexpr double kIdleRatio = 0.28;
 static constexpr double kMostUtilization = 0.98;
 
-static constexpr double kLearningRate = 0.25;
-static constexpr double kLeastNorm = 0.01;
 static constexpr double kMostWeight = 12.0;
-static constexpr double kFirstWeight = 0.5; // of a pair that was never seen
+
+// Of a pair that was never seen.
+static constexpr double kFirstWeight = 0.5;
+static constexpr double kFirstVariance = 2.0;
+
+// Of a reported tail, as utilization. Tails are whole milliseconds over half a second.
+static constexpr double kSampleVariance = 0.01;
+
+// Added to the variance with each sample, since weights drift.
+static constexpr double kDriftVariance = 0.0005;
+
+// A sample that is off by more standard deviations than this has some other cause.
+static constexpr double kOutlierDeviations = 4.0;
+
+// Standard deviation up to which a weight is relied on.
+static constexpr double kKnownDeviation = 0.7;
+
+// Weights above this mean that a pair should be kept apart; how far above does not matter.
+static constexpr double kHeavyWeight = 1.2;
 
 // Tails are reported over a span; loads are smoothed to match.
 static constexpr double kSmoothingMs = 350;
@@ -102,11 +118,46 @@
   return 1.0 - (it == m_idleRatio.end() ? kIdleRatio : it->second);
 }
 
+PressureModel::Estimate
+PressureModel::EstimateOf(ImageId aServing, ImageId aFilling) const
+{
+  const auto it = m_weights.find(Pair(aServing, aFilling));
+  return it == m_weights.end() ? Estimate{ kFirstWeight, kFirstVariance } : it->second;
+}
+
 double
 PressureModel::Weight(ImageId aServing, ImageId aFilling) const
 {
-  const auto it = m_weights.find(Pair(aServing, aFilling));
-  return it == m_weights.end() ? kFirstWeight : it->second;
+  return EstimateOf(aServing, aFilling).m_weight;
+}
+
+bool
+PressureModel::IsKnown(ImageId aServing, ImageId aFilling) const
+{
+  return EstimateOf(aServing, aFilling).m_variance <= kKnownDeviation * kKnownDeviation;
+}
+
+double
+PressureModel::Unlikeness(ImageId aOne, ImageId aOther) const
+{
+  if (aOne == aOther) {
+    return 0;
+  }
+  // One unlike and one alike pair stand for what is not known yet.
+  double unlike = 1;
+  double compared = 2;
+  for (const auto& [pair, estimate] : m_weights) {
+    const ImageId filling = static_cast<ImageId>(pair & 0xffff);
+    const bool ofOne = static_cast<ImageId>(pair >> 16) == aOne;
+    if (!ofOne || !IsKnown(aOne, filling) || !IsKnown(aOther, filling)) {
+      continue;
+    }
+    const double difference = std::abs(std::min(estimate.m_weight, kHeavyWeight) -
+                                       std::min(Weight(aOther, filling), kHeavyWeight));
+    unlike += difference / kHeavyWeight;
+    ++compared;
+  }
+  return unlike / compared;
 }
 
 double
@@ -122,14 +173,21 @@
 void
 PressureModel::Learn(ImageId aServing, double aAdded, const std::vector<ImageLoad>& aBeside)
 {
-  double norm = kLeastNorm;
+  double variance = kSampleVariance;
   for (const ImageLoad& load : aBeside) {
-    norm += load.m_share * load.m_share;
+    variance += EstimateOf(aServing, load.m_image).m_variance * load.m_share * load.m_share;
+  }
+  const double error = aAdded - Predict(aServing, aBeside);
+  if (error * error > kOutlierDeviations * kOutlierDeviations * variance) {
+    return;
   }
-  const double step = kLearningRate * (aAdded - Predict(aServing, aBeside)) / norm;
   for (const ImageLoad& load : aBeside) {
-    double& weight = m_weights.emplace(Pair(aServing, load.m_image), kFirstWeight).first->second;
-    weight = std::clamp(weight + step * load.m_share, 0.0, kMostWeight);
+    Estimate estimate = EstimateOf(aServing, load.m_image);
+    const double gain = estimate.m_variance * load.m_share / variance;
+    estimate.m_weight = std::clamp(estimate.m_weight + gain * error, 0.0, kMostWeight);
+    estimate.m_variance *= 1.0 - gain * load.m_share;
+    estimate.m_variance = std::min(estimate.m_variance + kDriftVariance, kFirstVariance);
+    m_weights[Pair(aServing, load.m_image)] = estimate;
   }
 }
 
@@ -141,8 +199,9 @@
     names[image] = &name;
   }
   StoredPressure stored;
-  for (const auto& [pair, weight] : m_weights) {
-    stored.m_pairs.push_back({ *names[pair >> 16], *names[pair & 0xffff], weight });
+  for (const auto& [pair, estimate] : m_weights) {
+    stored.m_pairs.push_back(
+      { *names[pair >> 16], *names[pair & 0xffff], estimate.m_weight, estimate.m_variance });
   }
   return stored;
 }
@@ -152,7 +211,8 @@
 {
   for (const StoredPair& pair : aStored.m_pairs) {
     const ImageId serving = Intern(pair.m_serving);
-    m_weights[Pair(serving, Intern(pair.m_filling))] = pair.m_weight;
+    const double variance = pair.m_variance > 0 ? pair.m_variance : kFirstVariance;
+    m_weights[Pair(serving, Intern(pair.m_filling))] = { pair.m_weight, variance };
   }
 }
 
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -58,8 +58,8 @@
   if (aKey == kClaimKey) {
     return RecordKind::Claim;
   }
-  if (aKey == kPressureKey) {
-    return RecordKind::Pressure;
+  if (aKey == kLearnedKey) {
+    return RecordKind::Learned;
   }
   if (aKey.starts_with(kWorkerPrefix)) {
     return RecordKind::Worker;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -10,7 +10,7 @@
 static constexpr Duration kUrgentBatchGap = std::chrono::milliseconds(10);
 static constexpr Duration kBatchGap = std::chrono::milliseconds(50);
 static constexpr Duration kSweep = std::chrono::milliseconds(100); // leases, stops, occurrences
-static constexpr Duration kPressureEvery = std::chrono::seconds(3);
+static constexpr Duration kLearnedEvery = std::chrono::seconds(3);
 static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
@@ -26,7 +26,7 @@
   , m_createdAt(aNow)
   , m_nextPlaceAt(aNow)
   , m_nextSweepAt(aNow)
-  , m_pressureWrittenAt(aNow)
+  , m_learnedWrittenAt(aNow)
 {
 }
 
@@ -37,7 +37,7 @@
     return;
   }
   const int64_t ageMs = std::max<int64_t>(0, aWallMs - aJob.m_acceptedMs);
-  Job& job = m_book.Add(std::move(aJob), aNow - std::chrono::milliseconds(ageMs));
+  Job& job = m_book.Add(std::move(aJob), m_durations, aNow - std::chrono::milliseconds(ageMs));
   job.m_durable = true;
   job.m_jobWritten = true;
   job.m_recovered = true;
@@ -57,6 +57,13 @@
   ApplyProgress(*job, aProgress);
 }
 
+void
+Scheduler::RestoreLearned(const StoredLearning& aStored)
+{
+  m_pressure.Restore(aStored.m_pressure);
+  m_durations.Restore(aStored.m_durations);
+}
+
 void
 Scheduler::RestoreWorker(const WorkerReport& aReport, Instant aNow)
 {
@@ -92,7 +99,7 @@
   stored.m_terms = std::move(aSubmission.m_terms);
   stored.m_graph = std::move(aSubmission.m_graph);
   stored.m_acceptedMs = aWallMs;
-  Job& job = m_book.Add(std::move(stored), aNow);
+  Job& job = m_book.Add(std::move(stored), m_durations, aNow);
   job.m_submitters.push_back(aRequest);
   m_scheduledJobs.insert(job.m_stored.m_id);
   MarkDirty(job);
@@ -277,9 +284,10 @@
     batch.m_records.push_back({ std::move(key), "" });
   }
   m_dropKeys.clear();
-  if (aNow - m_pressureWrittenAt >= kPressureEvery) {
-    m_pressureWrittenAt = aNow; // with a batch that is written anyway
-    batch.m_records.push_back({ std::string(kPressureKey), PackCompact(m_pressure.Describe()) });
+  if (aNow - m_learnedWrittenAt >= kLearnedEvery) {
+    m_learnedWrittenAt = aNow; // with a batch that is written anyway
+    const StoredLearning learned{ m_pressure.Describe(), m_durations.Describe() };
+    batch.m_records.push_back({ std::string(kLearnedKey), PackCompact(learned) });
   }
   m_urgent = !m_dirty.empty();
   if (batch.m_records.empty()) {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -237,6 +237,8 @@
   run.m_lasting = step.m_lasting;
   run.m_targetMs = step.m_targetMs;
   run.m_image = m_pressure.Intern(step.m_image);
+  run.m_startedAt = aNow;
+  run.m_undisturbed = task.m_checkpoint.empty();
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
   Fleet::AddRun(aWorker, ref, run);
@@ -426,6 +428,7 @@
     }
     if (run.m_pace != aGroup.m_pace) {
       run.m_pace = aGroup.m_pace;
+      run.m_undisturbed = false;
       ++m_counters.m_paces;
       Emit(
         PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, run.m_pace });
--- a/unittests/JobGraph/GraphTest.cpp
+++ b/unittests/JobGraph/GraphTest.cpp
@@ -38,7 +38,7 @@
 TEST_CASE("a valid job has no errors, and its critical path follows the dependencies")
 {
   CHECK(ValidateGraph(TwoSteps()).empty());
-  CHECK(CriticalPathMs(TwoSteps()) == 800);
+  CHECK(CriticalPathMs(TwoSteps(), { 300, 500 }) == 800);
 }
 
 TEST_CASE("all errors of a job are found at once, each with a remedy")
--- a/unittests/Scheduler/PressureTest.cpp
+++ b/unittests/Scheduler/PressureTest.cpp
@@ -43,6 +43,69 @@
   CHECK(load.Peak() < 0.6);
 }
 
+TEST_CASE("a pair that presses is known after a few reports of a single task")
+{
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  const ImageId heavy = model.Intern("heavy");
+  CHECK_FALSE(model.IsKnown(serving, heavy));
+  for (int i = 0; i < 3; ++i) {
+    model.Learn(serving, 0.3, { { heavy, 0.11 } });
+  }
+  CHECK(model.IsKnown(serving, heavy));
+  CHECK(model.Weight(serving, heavy) > 2.0);
+}
+
+TEST_CASE("a neighbour that is known to be harmless takes no blame for a new one")
+{
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  const ImageId heavy = model.Intern("heavy");
+  const ImageId light = model.Intern("light");
+  for (int i = 0; i < 20; ++i) {
+    model.Learn(serving, 0.1, { { light, 0.4 } });
+  }
+  for (int i = 0; i < 3; ++i) {
+    model.Learn(serving, 0.1 + 0.25, { { light, 0.4 }, { heavy, 0.1 } });
+  }
+  CHECK(model.Weight(serving, light) < 0.4);
+  CHECK(model.Weight(serving, heavy) > 1.5);
+}
+
+TEST_CASE("a worker that has turned slow does not spoil what is known of a pair")
+{
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  const ImageId light = model.Intern("light");
+  for (int i = 0; i < 20; ++i) {
+    model.Learn(serving, 0.1, { { light, 0.4 } });
+  }
+  for (int i = 0; i < 20; ++i) {
+    model.Learn(serving, 0.6, { { light, 0.1 } }); // all tails there are several times as long
+  }
+  CHECK(model.Weight(serving, light) < 0.4);
+}
+
+TEST_CASE("serving images that the same work presses are alike")
+{
+  PressureModel model;
+  const ImageId one = model.Intern("one");
+  const ImageId like = model.Intern("like");
+  const ImageId unlike = model.Intern("unlike");
+  CHECK(model.Unlikeness(one, one) == 0);
+  CHECK(model.Unlikeness(one, like) == Approx(0.5)); // nothing is known yet
+  for (int i = 0; i < 6; ++i) {
+    const ImageId filling = model.Intern("filling" + std::to_string(i));
+    for (int j = 0; j < 10; ++j) {
+      model.Learn(one, i < 3 ? 0.3 : 0.02, { { filling, 0.1 } });
+      model.Learn(like, i < 3 ? 0.3 : 0.02, { { filling, 0.1 } });
+      model.Learn(unlike, i < 3 ? 0.02 : 0.3, { { filling, 0.1 } });
+    }
+  }
+  CHECK(model.Unlikeness(one, like) < 0.2);
+  CHECK(model.Unlikeness(one, unlike) > 0.7);
+}
+
 TEST_CASE("a load that has gone fades from the span of a reported tail")
 {
   std::vector<ImageLoad> smoothed;
