Order waiting jobs by what they earn for each core-second that they still need

Change: a module without network, Order, ranks by worth for each remaining core-second; late work counts a quarter; what earns nothing any more comes last. Worth grows with a job's work against the mean of its route, so that large jobs are not starved.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "egretturn/Scheduler/JobBook.h"
+#include "egretturn/Scheduler/Order.h"
 #include "egretturn/Scheduler/Packing.h"
 
 #include <set>
@@ -144,9 +145,7 @@
     Job* m_job;
     OccurrenceRecord* m_occurrence;
     uint16_t m_step;
-    int m_class; ///< 0 within its objective, 1 late, 2 without payoff.
-    Instant m_deadline;
-    double m_work; ///< Core-seconds that the occurrence still needs.
+    OrderRank m_rank;
   };
 
   /// A job as the batch in flight describes it.
@@ -179,6 +178,9 @@
   // Starts.cpp
   void PlaceWaiting(Instant aNow);
   std::vector<WaitingStep> CollectWaiting(Instant aNow);
+  OrderRank RankOccurrence(const Job& aJob,
+                           const OccurrenceRecord& aOccurrence,
+                           Instant aNow) const;
   void PlaceStep(const WaitingStep& aWaiting, Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   void StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
@@ -211,6 +213,7 @@
   JobBook m_book;
   PressureModel m_pressure;
   DurationModel m_durations;
+  WorkMeans m_workMeans;
   std::vector<Action> m_actions;
   std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
   std::unordered_set<GraphId> m_scheduledJobs; ///< Have occurrences to come.
--- /dev/null
+++ b/lib/Scheduler/Order.cpp
@@ -0,0 +1,62 @@
+#include "egretturn/Scheduler/Order.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace egretturn {
+
+// What a job earns: a fixed part, and a part that grows with its work against the mean.
+static constexpr double kFixedWorth = 0.3;
+static constexpr double kWorthOfWork = 0.7;
+static constexpr double kMostWorth = 4.0;
+
+// A job that is late still earns this part, until it is later than so many objectives.
+static constexpr double kLatePart = 0.25;
+static constexpr int kLateLimit = 3;
+
+static constexpr double kLeastWork = 0.5; // core-seconds; what needs less is not told apart
+static constexpr double kMeanGain = 0.05; // weight of a new job in the mean of its route
+
+bool
+OrderRank::operator<(const OrderRank& aOther) const
+{
+  return std::tuple(m_worthless, m_priority, -m_density) <
+         std::tuple(aOther.m_worthless, aOther.m_priority, -aOther.m_density);
+}
+
+OrderRank
+RankOf(const OrderInput& aInput)
+{
+  OrderRank rank;
+  rank.m_priority = aInput.m_priority;
+  if (aInput.m_lasting) {
+    rank.m_density = std::numeric_limits<double>::max(); // each second that it waits is lost
+    return rank;
+  }
+  rank.m_worthless = aInput.m_age > kLateLimit * aInput.m_objective;
+  const double relative = aInput.m_totalWork / std::max(aInput.m_meanWork, kLeastWork);
+  const double worth = std::min(kFixedWorth + kWorthOfWork * relative, kMostWorth);
+  const bool late = aInput.m_age + aInput.m_path > aInput.m_objective;
+  const double work = std::max(aInput.m_remainingWork, kLeastWork);
+  rank.m_density = (late ? kLatePart : 1.0) * worth / work;
+  return rank;
+}
+
+void
+WorkMeans::Note(const std::string& aRoute, double aWork)
+{
+  const auto [it, added] = m_means.emplace(aRoute, aWork);
+  if (!added) {
+    it->second += kMeanGain * (aWork - it->second);
+  }
+}
+
+double
+WorkMeans::Of(const std::string& aRoute, double aWork) const
+{
+  const auto it = m_means.find(aRoute);
+  return it == m_means.end() ? aWork : it->second;
+}
+
+} // namespace egretturn
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -12,7 +12,6 @@
 static constexpr Duration kPlaceGapPerStep = std::chrono::microseconds(150);
 static constexpr Duration kLongestPlaceGap = std::chrono::milliseconds(45);
 static constexpr RunNumber kRunsPerEpoch = 1 << 20; // starts of one task under one epoch
-static constexpr int kLateLimit = 3; // a job later than so many objectives earns nothing
 // With room to spare, a job that has stood still for so long runs even beside what it presses.
 static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
 static constexpr double kPlentyOfRoom = 0.7;
@@ -41,6 +40,25 @@
 // A task that saves its progress moves away when it is paced lower than this.
 static constexpr int kMoveBelowPace = 25;
 
+OrderRank
+Scheduler::RankOccurrence(const Job& aJob,
+                          const OccurrenceRecord& aOccurrence,
+                          Instant aNow) const
+{
+  const RemainingWork remaining = EstimateRemaining(aJob, aOccurrence);
+  const JobTerms& terms = aJob.m_stored.m_terms;
+  OrderInput input;
+  input.m_priority = terms.m_priority;
+  input.m_lasting = aJob.IsLasting();
+  input.m_age = aNow - aJob.m_submittedAt;
+  input.m_objective = aJob.m_objective;
+  input.m_path = remaining.m_path;
+  input.m_totalWork = aJob.TotalWork();
+  input.m_remainingWork = remaining.m_coreSeconds;
+  input.m_meanWork = m_workMeans.Of(terms.m_route, input.m_totalWork);
+  return RankOf(input);
+}
+
 std::vector<Scheduler::WaitingStep>
 Scheduler::CollectWaiting(Instant aNow)
 {
@@ -49,15 +67,8 @@
     Job* job = m_book.Find(*it);
     bool any = false;
     if (job && job->m_durable && !IsEnded(job->m_state)) {
-      const Instant deadline = job->m_submittedAt + job->m_objective;
-      const Instant lastUse = job->m_submittedAt + kLateLimit * job->m_objective;
-      const bool lasting = job->IsLasting();
       for (OccurrenceRecord& occurrence : job->m_occurrences) {
-        const RemainingWork remaining = EstimateRemaining(*job, occurrence);
-        const int lateness = lasting                              ? 0
-                             : aNow > lastUse                     ? 2
-                             : aNow + remaining.m_path > deadline ? 1
-                                                                  : 0;
+        const OrderRank rank = RankOccurrence(*job, occurrence, aNow);
         for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
           if (occurrence.m_steps[s].m_waiting == 0) {
             continue;
@@ -65,31 +76,18 @@
           any = true;
           const bool held = job->m_recovered && !m_recovered;
           if (!held && JobBook::IsReady(*job, occurrence, s)) {
-            waiting.push_back({ job,
-                                &occurrence,
-                                static_cast<uint16_t>(s),
-                                lateness,
-                                deadline,
-                                remaining.m_coreSeconds });
+            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), rank });
           }
         }
       }
     }
     it = any ? std::next(it) : m_waitingJobs.erase(it);
   }
-  std::sort(
-    waiting.begin(), waiting.end(), [](const WaitingStep& aLeft, const WaitingStep& aRight) {
-      const uint32_t left = aLeft.m_job->m_stored.m_terms.m_priority;
-      const uint32_t right = aRight.m_job->m_stored.m_terms.m_priority;
-      const std::tuple leftRank(aLeft.m_class == 2, left, aLeft.m_class);
-      const std::tuple rightRank(aRight.m_class == 2, right, aRight.m_class);
-      if (leftRank != rightRank) {
-        return leftRank < rightRank;
-      }
-      // What can still be in time goes by its deadline; what is late, by what it still needs.
-      return aLeft.m_class == 0 ? aLeft.m_deadline < aRight.m_deadline
-                                : aLeft.m_work < aRight.m_work;
-    });
+  std::sort(waiting.begin(),
+            waiting.end(),
+            [](const WaitingStep& aLeft, const WaitingStep& aRight) {
+              return aLeft.m_rank < aRight.m_rank;
+            });
   return waiting;
 }
 
