Favour large jobs a little; begin with a cautious own load; pace adopted runs anew

Change: adopted runs have an unknown pace, so that the first pass orders it; the own load is taken as 0.6 until peaks were seen; remaining work counts with an exponent of 0.8.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -18,6 +18,8 @@
   Stopping,
 };
 
+constexpr int kUnknownPace = -1;
+
 /// One run on a worker. It counts against the worker's capacity until its end is listed.
 struct WorkerRun
 {
@@ -29,7 +31,7 @@
   bool m_stopAnswered = false; ///< The worker has confirmed the stop.
   int m_percent = 0;
   ImageId m_image = 0;
-  int m_pace = 100;
+  int m_pace = 100;          ///< As last ordered; kUnknownPace for a run of an earlier epoch.
   bool m_undisturbed = true; ///< Started from nothing, and never paced down.
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
@@ -63,7 +65,7 @@
 {
   ImageId m_image = 0;
   uint32_t m_runs = 0;
-  double m_ownLoad = 0.45; ///< Highest utilization of late without neighbours.
+  double m_ownLoad = 0.6; ///< Highest utilization of late without neighbours.
 };
 
 /// One worker. \c m_used and \c m_fillCpu follow from \c m_runs.
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -53,7 +53,7 @@
   };
 
   std::vector<Sample> m_samples;
-  double m_peak = 0.45;
+  double m_peak = 0.6; ///< Until its own peaks have been seen.
   Instant m_peakAt;
 };
 
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -238,6 +238,7 @@
   run.m_run = aRow.m_run;
   run.m_phase = RunPhase::Running;
   run.m_undisturbed = false; // when it started is not known
+  run.m_pace = kUnknownPace;
   run.m_startedAt = aNow;
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
--- a/lib/Scheduler/Order.cpp
+++ b/lib/Scheduler/Order.cpp
@@ -1,6 +1,7 @@
 #include "egretturn/Scheduler/Order.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -15,6 +16,9 @@
 static constexpr double kLatePart = 0.25;
 static constexpr int kLateLimit = 3;
 
+// Below 1 this favours large jobs: they need many places at a time, and some must get through.
+static constexpr double kWorkExponent = 0.8;
+
 static constexpr double kLeastWork = 0.5; // core-seconds; what needs less is not told apart
 static constexpr double kMeanGain = 0.05; // weight of a new job in the mean of its route
 
@@ -39,7 +43,7 @@
   const double worth = std::min(kFixedWorth + kWorthOfWork * relative, kMostWorth);
   const bool late = aInput.m_age + aInput.m_path > aInput.m_objective;
   const double work = std::max(aInput.m_remainingWork, kLeastWork);
-  rank.m_density = (late ? kLatePart : 1.0) * worth / work;
+  rank.m_density = (late ? kLatePart : 1.0) * worth / std::pow(work, kWorkExponent);
   return rank;
 }
 
