--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -102,6 +102,7 @@
 
   uint32_t m_badStreak = 0; ///< Failures in a row.
   Instant m_avoidUntil;     ///< No starts before this.
+  Instant m_slowUntil;      ///< No starts before this either: its runs hardly move.
 };
 
 /// Bounds of the lease protocol.
@@ -130,6 +131,7 @@
   Worker* Find(const WorkerName& aId);
 
   std::vector<std::unique_ptr<Worker>>& All() { return m_workers; }
+  const std::vector<std::unique_ptr<Worker>>& All() const { return m_workers; }
 
   /// Puts a run on \p aWorker; its demand counts from now on. \pre No run of the task is there.
   static WorkerRun& AddRun(Worker& aWorker, const TaskRef& aTask, const WorkerRun& aRun);
--- /dev/null
+++ b/include/egretturn/Scheduler/Progress.h
@@ -0,0 +1,42 @@
+// Tells workers that have turned slow, and runs that stand still, by how far their runs get.
+//
+// A worker may answer and list its runs in good health while they hardly move: the pattern is a
+// machine that runs several times slower for seconds, or one whose tasks hang.
+#pragma once
+
+#include "egretturn/Support/Time.h"
+
+#include <vector>
+
+namespace egretturn {
+
+/// How far a run has got without being paced.
+struct RunProgress
+{
+  Duration m_elapsed{};
+  Duration m_expected{}; ///< For the whole run.
+  int m_percent = 0;
+};
+
+/// How many times longer than expected a run takes, by how far it got; nothing can be said of a
+/// run that has just begun. Thread-safe.
+double SlownessOf(const RunProgress& aProgress);
+
+/// Whether so much can be said of \p aProgress.
+bool IsTelling(const RunProgress& aProgress);
+
+/// What all runs have in common, since expectations may be off for all. Not thread-safe.
+class TypicalPace
+{
+public:
+  /// Notes the slowness of runs on one worker.
+  void Note(double aSlowness);
+
+  /// Whether a worker whose runs show \p aSlownesses is slow. At least two must show it.
+  bool IsSlow(const std::vector<double>& aSlownesses) const;
+
+private:
+  double m_logMean = 0;
+};
+
+} // namespace egretturn
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -5,6 +5,7 @@
 #include "egretturn/Scheduler/JobBook.h"
 #include "egretturn/Scheduler/Order.h"
 #include "egretturn/Scheduler/Packing.h"
+#include "egretturn/Scheduler/Progress.h"
 
 #include <set>
 #include <unordered_set>
@@ -175,6 +176,11 @@
   void EndJob(Job& aJob, JobState aState, Instant aNow);
   void NoteConduct(Worker& aWorker, bool aGood, Instant aNow);
 
+  // Stragglers.cpp
+  void MoveStragglers(Worker& aWorker, Instant aNow);
+  void MoveRun(Worker& aWorker, const TaskRef& aTask, Instant aNow);
+  bool MayAvoidMore(Instant aNow) const;
+
   // Starts.cpp
   void PlaceWaiting(Instant aNow);
   std::vector<WaitingStep> CollectWaiting(Instant aNow);
@@ -187,6 +193,8 @@
   void StopRun(Worker& aWorker, const TaskRef& aTask, Instant aNow);
   void StopAllRuns(Job& aJob, Instant aNow);
   void EvacuateWorker(Worker& aWorker, Instant aNow);
+
+  // Pacing.cpp
   void AdjustPace(Worker& aWorker, Instant aNow);
   void LearnFromTails(Worker& aWorker, Instant aNow);
   double PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow);
@@ -214,6 +222,7 @@
   PressureModel m_pressure;
   DurationModel m_durations;
   WorkMeans m_workMeans;
+  TypicalPace m_typicalPace;
   std::vector<Action> m_actions;
   std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
   std::unordered_set<GraphId> m_scheduledJobs; ///< Have occurrences to come.
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -177,6 +177,8 @@
     return;
   }
   const GraphStep& step = job->m_stored.m_graph.m_steps[aTask.m_step];
+  const std::chrono::milliseconds expected(job->m_stepMs[aTask.m_step]);
+  m_typicalPace.Note(SlownessOf(RunProgress{ aTook, expected, 100 }));
   m_durations.Learn(job->m_stored.m_terms.m_route, step.m_estimateMs, aTook);
   job->NoteDuration(aTask.m_step, ToMillis(aTook));
 }
@@ -281,6 +283,7 @@
   if (run.m_phase == RunPhase::Sent || run.m_phase == RunPhase::Unanswered) {
     run.m_phase = RunPhase::Running;
     run.m_phaseSince = aNow;
+    run.m_progressedAt = aNow;
   }
   if (aRow.m_percent > run.m_percent) {
     run.m_progressedAt = aNow;
@@ -400,6 +403,7 @@
   }
   DropVanished(*worker, aView, aNow);
   AdjustPace(*worker, aNow);
+  MoveStragglers(*worker, aNow);
   if (m_dirty.empty() && !m_batchInFlight) {
     worker->m_endsDurable = worker->m_endsSeen; // nothing of these ends is left to write
   }
@@ -459,6 +463,7 @@
   if (aResult == OrderResult::Accepted) {
     run.m_phase = RunPhase::Running;
     run.m_phaseSince = aNow;
+    run.m_progressedAt = aNow;
     worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow + kLookGap);
     return;
   }
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -33,7 +33,8 @@
 TakesWork(const Worker& aWorker, Instant aNow)
 {
   return aWorker.m_looked && aWorker.m_listed && aWorker.m_record == RecordState::Durable &&
-         !aWorker.m_report.m_draining && aWorker.m_failedLooks == 0 && aWorker.m_avoidUntil <= aNow;
+         !aWorker.m_report.m_draining && aWorker.m_failedLooks == 0 &&
+         aWorker.m_avoidUntil <= aNow && aWorker.m_slowUntil <= aNow;
 }
 
 /// Processor time that tasks that fill can still get on \p aWorker.
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -423,7 +423,9 @@
     if (!worker->m_runs.empty() && aNow >= worker->m_leaseOverAt) {
       LoseAllRuns(*worker, aNow, "lease_over");
     }
-    if (worker->m_runs.empty() && !worker->m_listed && aNow >= worker->m_leaseOverAt) {
+    // A worker that has been looked at holds what m_runs says, so that no lease is waited out.
+    const bool idle = worker->m_runs.empty() && (worker->m_looked || aNow >= worker->m_leaseOverAt);
+    if (idle && !worker->m_listed) {
       gone.push_back(worker->m_report.m_id);
     }
   }
