Let a successor ask the one before it what it had placed

Change: a successor asks its predecessor, which stops deciding and lists the tasks that it had placed, with those whose ends were not durable; only these wait for workers that were not looked at. Without an answer all wait as before.

--- a/include/egretturn/JobGraph/Graph.h
+++ b/include/egretturn/JobGraph/Graph.h
@@ -122,6 +122,15 @@
   uint16_t m_index = 0;
 
   bool operator==(const TaskRef&) const = default;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("job", aSelf.m_job);
+    aVisit("occurrence", aSelf.m_occurrence);
+    aVisit("step", aSelf.m_step);
+    aVisit("index", aSelf.m_index);
+  }
 };
 
 /// Formats \p aTask as JOB.OCCURRENCE.STEP.INDEX. Thread-safe.
--- a/include/egretturn/Node/Decider.h
+++ b/include/egretturn/Node/Decider.h
@@ -42,6 +42,10 @@
 
   void Submit(RequestToken aRequest, Submission aSubmission);
   void Cancel(RequestToken aRequest, GraphId aId);
+
+  /// Takes over what the epoch before had placed when it stopped.
+  void RestorePlaced(const std::vector<PlacedTask>& aPlaced);
+
   std::optional<JobState> StateOf(GraphId aId) { return m_scheduler.StateOf(aId); }
   uint64_t CountPending(const std::string& aRoute) { return m_scheduler.CountPending(aRoute); }
 
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -59,6 +59,8 @@
   void ServeDeciding(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone);
   void ServePing(const std::string& aBody, const PeerCallback& aDone);
   void ServeClaim(const PeerCallback& aDone);
+  PlacedMessage ServePlaced(const std::string& aBody);
+  void AskPredecessor(const StoredClaim& aPredecessor);
   void ServeState(GraphId aId, const PeerCallback& aDone);
   void Begin(PeerOperation aOperation, std::string aBody, Duration aDeadline, PeerCallback aDone);
   void Try(const std::shared_ptr<Call>& aCall);
@@ -98,6 +100,7 @@
   Succession m_succession;
   std::shared_ptr<TopicFollower> m_announcements;
   std::shared_ptr<Decider> m_decider;
+  PlacedMessage m_lastPlaced; ///< Of the epoch under which this instance decided last.
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< By id: those that pinged this leader.
   std::set<std::shared_ptr<Call>> m_calls;       ///< Callers that wait for an answer.
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -14,7 +14,8 @@
   State,
   Pending,
   Ping,
-  Claim, ///< The deciding instance stops and asks the receiver to succeed it.
+  Claim,  ///< The deciding instance stops and asks the receiver to succeed it.
+  Placed, ///< A successor asks the one before it which tasks may run where.
 };
 
 /// Path of \p aOperation on the peer address.
@@ -67,6 +68,32 @@
   }
 };
 
+/// A successor's question to the instance that decided before it.
+struct SuccessorMessage
+{
+  uint64_t m_epoch = 0; ///< The successor's.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("epoch", aSelf.m_epoch);
+  }
+};
+
+/// What the instance that decided under \c m_epoch had placed when it stopped.
+struct PlacedMessage
+{
+  uint64_t m_epoch = 0; ///< 0 if nothing can be said.
+  std::vector<PlacedTask> m_tasks;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("epoch", aSelf.m_epoch);
+    aVisit("tasks", aSelf.m_tasks);
+  }
+};
+
 enum class PeerOutcome : uint8_t
 {
   Ok,      ///< Done, or the state or count that was asked for.
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -174,6 +174,20 @@
   std::string m_reason;
 };
 
+/// A task that may run, or may have ended, on a worker without the store knowing of it.
+struct PlacedTask
+{
+  WorkerName m_worker;
+  TaskRef m_task;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("worker", aSelf.m_worker);
+    aVisit("task", aSelf.m_task);
+  }
+};
+
 using Action =
   std::variant<StartTask, StopTask, PaceTask, LookAtWorker, AppendRecords, AnswerRequest, StepDown>;
 
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -88,12 +88,13 @@
   uint64_t m_lookNumber = 0; ///< Of the look in flight.
   Instant m_lookSentAt;
   Instant m_lookDueAt;
-  uint32_t m_failedLooks = 0;      ///< In a row.
-  uint64_t m_endsSeen = 0;         ///< Highest number of an end that was processed.
-  uint64_t m_endsDurable = 0;      ///< Highest number whose effects are in the store.
-  uint64_t m_endsInBatch = 0;      ///< Highest number covered by the batch in flight.
-  uint64_t m_endsAcknowledged = 0; ///< Highest number that the worker may have forgotten.
-  uint64_t m_acknowledging = 0;    ///< What the look in flight acknowledges.
+  uint32_t m_failedLooks = 0;            ///< In a row.
+  uint64_t m_endsSeen = 0;               ///< Highest number of an end that was processed.
+  uint64_t m_endsDurable = 0;            ///< Highest number whose effects are in the store.
+  std::vector<EndedRow> m_undurableEnds; ///< Those above m_endsDurable.
+  uint64_t m_endsInBatch = 0;            ///< Highest number covered by the batch in flight.
+  uint64_t m_endsAcknowledged = 0;       ///< Highest number that the worker may have forgotten.
+  uint64_t m_acknowledging = 0;          ///< What the look in flight acknowledges.
 
   std::vector<FillGroup> m_filling;
   std::vector<ServingGroup> m_serving;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -78,6 +78,14 @@
   /// Takes over what an earlier epoch has learned. Call before RestoreJob().
   void RestoreLearned(const StoredLearning& aStored);
 
+  /// All tasks that may run on workers, or have ended there without the store knowing of it.
+  /// Nothing before IsRecovered().
+  std::optional<std::vector<PlacedTask>> DescribePlaced() const;
+
+  /// Takes over what DescribePlaced() of the epoch before has said after its last order. Other
+  /// tasks run nowhere, so that they need not wait until each worker has been looked at.
+  void RestorePlaced(const std::vector<PlacedTask>& aPlaced);
+
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the answer follows as an AnswerRequest.
@@ -187,6 +195,7 @@
   OrderRank RankOccurrence(const Job& aJob,
                            const OccurrenceRecord& aOccurrence,
                            Instant aNow) const;
+  static TaskRef RefOf(const WaitingStep& aWaiting, size_t aIndex);
   void PlaceStep(const WaitingStep& aWaiting, Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   void StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
@@ -211,6 +220,8 @@
   void RetryStops(Instant aNow);
   void CheckLeases(Instant aNow);
   void CheckRecovery(Instant aNow);
+  bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
+  void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
   void OpenOccurrences(int64_t aWallMs);
   void ForgetEnded(int64_t aWallMs);
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
@@ -238,6 +249,9 @@
   bool m_storeAvailable = true;
   bool m_directoryComplete = false;
   bool m_recovered = false;
+  bool m_placedKnown = false; ///< m_placedBefore is complete.
+  /// Workers by task, as the epoch before has placed it.
+  std::unordered_map<TaskRef, std::vector<WorkerName>, TaskRefHash> m_placedBefore;
   Instant m_createdAt;
   int64_t m_wallMs = 0;
   bool m_placeNeeded = false;
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -83,6 +83,19 @@
   Wake();
 }
 
+void
+Decider::RestorePlaced(const std::vector<PlacedTask>& aPlaced)
+{
+  if (m_stopped) {
+    return;
+  }
+  Log(LogLine(LogLevel::Info, "placed_known")
+        .Add("epoch", m_claim.m_epoch)
+        .Add("tasks", uint64_t{ aPlaced.size() }));
+  m_scheduler.RestorePlaced(aPlaced);
+  Wake();
+}
+
 void
 Decider::Stop()
 {
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -13,6 +13,7 @@
 static constexpr double kMuchStronger = 2.0;
 static constexpr Duration kSettledLeader = std::chrono::seconds(1); // before it passes on
 
+static constexpr Duration kPlacedTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration kPeerFresh = std::chrono::seconds(2);
 static constexpr Duration kFreshClaim = std::chrono::milliseconds(1800);
 static constexpr Duration kAnnouncementWait = std::chrono::seconds(5);
@@ -20,13 +21,14 @@
 static constexpr size_t kPeerAnswerBytes = 64 * 1024;
 static constexpr size_t kPeerBodyBytes = 1024 * 1024;
 
-static constexpr EnumTable<PeerOperation, 6> kPaths{ {
+static constexpr EnumTable<PeerOperation, 7> kPaths{ {
   { PeerOperation::Submit, "/v1/peer/submit" },
   { PeerOperation::Cancel, "/v1/peer/cancel" },
   { PeerOperation::State, "/v1/peer/state" },
   { PeerOperation::Pending, "/v1/peer/pending" },
   { PeerOperation::Ping, "/v1/peer/ping" },
   { PeerOperation::Claim, "/v1/peer/claim" },
+  { PeerOperation::Placed, "/v1/peer/placed" },
 } };
 
 std::string_view
@@ -73,6 +75,11 @@
         aReply->Send(MakeResponse(404, "text/plain", "no such operation between instances"));
         return;
       }
+      if (*operation == PeerOperation::Placed) {
+        const PlacedMessage placed = ServePlaced(aRequest.body());
+        aReply->Send(MakeResponse(200, "application/msgpack", PackCompact(placed)));
+        return;
+      }
       Serve(*operation, aRequest.body(), [aReply](const PeerAnswer& aAnswer) {
         aReply->Send(MakeResponse(200, "application/msgpack", PackCompact(aAnswer)));
       });
@@ -204,6 +211,7 @@
     return;
   }
   const StoredClaim& claim = *aOutcome.m_own;
+  const std::optional<StoredClaim> predecessor = m_succession.Leader();
   Log(LogLine(LogLevel::Info, "deciding")
         .Add("epoch", claim.m_epoch)
         .Add("jobs", uint64_t{ aOutcome.m_state.m_jobs.size() }));
@@ -225,6 +233,9 @@
   m_decider = std::make_shared<Decider>(
     m_io, m_store, m_workers, m_decoder, m_settings.m_limits, claim, std::move(callbacks));
   m_decider->Start(std::move(aOutcome.m_state));
+  if (predecessor && predecessor->m_epoch + 1 == claim.m_epoch) {
+    AskPredecessor(*predecessor);
+  }
   m_store.Append(
     Topic::Leader, { { std::string(kClaimKey), PackCompact(claim) } }, [](AppendResult) {});
 }
@@ -256,10 +267,50 @@
   done(answer);
 }
 
+void
+Node::AskPredecessor(const StoredClaim& aPredecessor)
+{
+  const SuccessorMessage message{ aPredecessor.m_epoch + 1 };
+  m_client.Send(
+    aPredecessor.m_address,
+    MakeRequest(
+      boost::beast::http::verb::post, PathOf(PeerOperation::Placed), PackCompact(message)),
+    kPlacedTimeout,
+    [self = shared_from_this(), decider = m_decider, epoch = aPredecessor.m_epoch](
+      const ClientAnswer& aAnswer) {
+      PlacedMessage placed;
+      if (aAnswer.m_result != ClientResult::Answered ||
+          !UnpackCompact(aAnswer.m_response.body(), placed) || placed.m_epoch != epoch) {
+        return; // then each worker is looked at first
+      }
+      decider->RestorePlaced(placed.m_tasks);
+    });
+}
+
+/// What this instance had placed. It stops deciding first, so that this is its last word.
+PlacedMessage
+Node::ServePlaced(const std::string& aBody)
+{
+  SuccessorMessage message;
+  if (!UnpackCompact(aBody, message)) {
+    return {};
+  }
+  if (m_decider && m_decider->Claim().m_epoch < message.m_epoch) {
+    OnStepDown("a successor asks what was placed");
+    DropDecider();
+  }
+  return m_lastPlaced.m_epoch + 1 == message.m_epoch ? m_lastPlaced : PlacedMessage();
+}
+
 void
 Node::DropDecider()
 {
   m_decider->Stop();
+  const std::optional<std::vector<PlacedTask>> placed = m_decider->Core().DescribePlaced();
+  m_lastPlaced = {};
+  if (placed) {
+    m_lastPlaced = { m_decider->Claim().m_epoch, *placed };
+  }
   m_decider.reset();
   std::unordered_map<RequestToken, PeerCallback> requests = std::exchange(m_requests, {});
   for (auto& [token, done] : requests) {
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -337,6 +337,7 @@
   aWorker.m_report.m_incarnation = aIncarnation;
   aWorker.m_endsSeen = 0;
   aWorker.m_endsDurable = 0;
+  aWorker.m_undurableEnds.clear();
   aWorker.m_endsInBatch = 0;
   aWorker.m_endsAcknowledged = 0;
   aWorker.m_acknowledging = 0;
@@ -396,6 +397,7 @@
     if (row.m_number > worker->m_endsSeen) {
       HandleEnd(*worker, row, aNow);
       worker->m_endsSeen = row.m_number;
+      worker->m_undurableEnds.push_back(row);
     }
   }
   for (const RunningRow& row : aView.m_running) {
@@ -405,7 +407,7 @@
   AdjustPace(*worker, aNow);
   MoveStragglers(*worker, aNow);
   if (m_dirty.empty() && !m_batchInFlight) {
-    worker->m_endsDurable = worker->m_endsSeen; // nothing of these ends is left to write
+    SetEndsDurable(*worker, worker->m_endsSeen); // nothing of these ends is left to write
   }
   const bool undurable = worker->m_endsSeen > worker->m_endsDurable;
   const bool unacknowledged = worker->m_endsDurable > worker->m_endsAcknowledged;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -345,7 +345,7 @@
       m_placeNeeded = true;
     }
     if (worker->m_endsInBatch > worker->m_endsDurable) {
-      worker->m_endsDurable = worker->m_endsInBatch;
+      SetEndsDurable(*worker, worker->m_endsInBatch);
       worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
     }
   }
@@ -425,7 +425,7 @@
     }
     // A worker that has been looked at holds what m_runs says, so that no lease is waited out.
     const bool idle = worker->m_runs.empty() && (worker->m_looked || aNow >= worker->m_leaseOverAt);
-    if (idle && !worker->m_listed) {
+    if (idle && !worker->m_listed && worker->m_undurableEnds.empty()) {
       gone.push_back(worker->m_report.m_id);
     }
   }
@@ -435,6 +435,65 @@
   }
 }
 
+void
+Scheduler::SetEndsDurable(Worker& aWorker, uint64_t aNumber)
+{
+  aWorker.m_endsDurable = aNumber;
+  std::vector<EndedRow>& ends = aWorker.m_undurableEnds;
+  ends.erase(std::remove_if(ends.begin(),
+                            ends.end(),
+                            [&](const EndedRow& aRow) { return aRow.m_number <= aNumber; }),
+             ends.end());
+}
+
+std::optional<std::vector<PlacedTask>>
+Scheduler::DescribePlaced() const
+{
+  if (!m_recovered) {
+    return std::nullopt;
+  }
+  std::vector<PlacedTask> placed;
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    for (const auto& [task, run] : worker->m_runs) {
+      placed.push_back({ worker->m_report.m_id, task });
+    }
+    for (const EndedRow& row : worker->m_undurableEnds) {
+      placed.push_back({ worker->m_report.m_id, row.m_task });
+    }
+  }
+  return placed;
+}
+
+void
+Scheduler::RestorePlaced(const std::vector<PlacedTask>& aPlaced)
+{
+  m_placedKnown = true;
+  m_placeNeeded = true;
+  for (const PlacedTask& placed : aPlaced) {
+    m_placedBefore[placed.m_task].push_back(placed.m_worker);
+  }
+}
+
+/// Whether an earlier epoch may have started \p aTask on a worker that was not looked at yet.
+bool
+Scheduler::MayRunElsewhere(const Job& aJob, const TaskRef& aTask)
+{
+  if (m_recovered || !aJob.m_recovered) {
+    return false;
+  }
+  if (!m_placedKnown) {
+    return true;
+  }
+  const auto it = m_placedBefore.find(aTask);
+  if (it == m_placedBefore.end()) {
+    return false;
+  }
+  return std::any_of(it->second.begin(), it->second.end(), [&](const WorkerName& aName) {
+    const Worker* worker = m_fleet.Find(aName);
+    return !worker || !worker->m_looked;
+  });
+}
+
 void
 Scheduler::CheckRecovery(Instant aNow)
 {
@@ -447,6 +506,7 @@
     }
   }
   m_recovered = true;
+  m_placedBefore.clear();
   m_placeNeeded = true;
   Log(LogLine(LogLevel::Info, "recovered")
         .Add("epoch", m_epoch)
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -53,7 +53,7 @@
             continue;
           }
           any = true;
-          const bool held = job->m_recovered && !m_recovered;
+          const bool held = job->m_recovered && !m_recovered && !m_placedKnown;
           if (!held && JobBook::IsReady(*job, occurrence, s)) {
             waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), rank });
           }
@@ -99,6 +99,15 @@
   }
 }
 
+TaskRef
+Scheduler::RefOf(const WaitingStep& aWaiting, size_t aIndex)
+{
+  return { aWaiting.m_job->m_stored.m_id,
+           aWaiting.m_occurrence->m_number,
+           aWaiting.m_step,
+           static_cast<uint16_t>(aIndex) };
+}
+
 void
 Scheduler::PlaceStep(const WaitingStep& aWaiting, Instant aNow)
 {
@@ -126,7 +135,8 @@
   }
   for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
     const TaskRecord& task = record.m_tasks[i];
-    if (task.m_done || !task.m_runs.empty()) {
+    const TaskRef ref = RefOf(aWaiting, i);
+    if (task.m_done || !task.m_runs.empty() || MayRunElsewhere(*aWaiting.m_job, ref)) {
       continue;
     }
     request.m_avoid = task.m_avoid;
@@ -146,6 +156,11 @@
   if (record.m_waiting < record.m_tasks.size()) {
     return; // members of the last run are still being stopped
   }
+  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
+    if (MayRunElsewhere(*aWaiting.m_job, RefOf(aWaiting, i))) {
+      return;
+    }
+  }
   // Room is taken on trial, member by member, so that members on one worker add up.
   std::vector<Worker*> chosen;
   std::vector<const Worker*> siblings;
@@ -192,10 +207,7 @@
   const GraphStep& step = job.m_stored.m_graph.m_steps[aWaiting.m_step];
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   TaskRecord& task = record.m_tasks[aIndex];
-  const TaskRef ref{ job.m_stored.m_id,
-                     aWaiting.m_occurrence->m_number,
-                     aWaiting.m_step,
-                     static_cast<uint16_t>(aIndex) };
+  const TaskRef ref = RefOf(aWaiting, aIndex);
   if (aWorker.m_runs.count(ref) > 0) {
     return; // a run of the task is still being stopped there
   }
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -113,6 +113,11 @@
 void
 SchedulerWorld::TakeOver(bool aOldLives)
 {
+  std::optional<std::vector<PlacedTask>> placed;
+  if (!m_deciders.empty() && m_random.Unit() < 0.5) {
+    m_deciders.back()->m_stopped = true; // it answers its successor, and gives no order afterwards
+    placed = m_deciders.back()->m_scheduler->DescribePlaced();
+  }
   if (!aOldLives) {
     m_deciders.clear();
   }
@@ -140,6 +145,9 @@
   for (const auto& [id, one] : progress) {
     decider->m_scheduler->RestoreProgress(id, one);
   }
+  if (placed) {
+    decider->m_scheduler->RestorePlaced(*placed);
+  }
   m_deciders.push_back(decider);
   ReadDirectory(decider);
 }
