--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -65,7 +65,9 @@
 {
   ImageId m_image = 0;
   uint32_t m_runs = 0;
-  double m_ownLoad = 0.6; ///< Highest utilization of late without neighbours.
+  double m_ownLoad = kUnseenOwnLoad; ///< Highest utilization of late without neighbours.
+  double m_added = 0;                ///< By neighbours, summed over m_samples.
+  uint32_t m_samples = 0;            ///< Tails in the last look that tell of neighbours.
 };
 
 /// One worker. \c m_used and \c m_fillCpu follow from \c m_runs.
@@ -100,6 +102,7 @@
   std::vector<ServingGroup> m_serving;
   std::vector<ImageLoad> m_loads; ///< Of images that fill, over the span of a reported tail.
   Instant m_loadsAt;
+  Instant m_learnedAt; ///< When its tails were last learned from.
 
   uint32_t m_badStreak = 0; ///< Failures in a row.
   Instant m_avoidUntil;     ///< No starts before this.
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -28,6 +28,9 @@
                  const std::vector<ImageLoad>& aLoads,
                  Duration aSince);
 
+/// The highest own load of a serving job, until it was seen.
+constexpr double kUnseenOwnLoad = 0.6;
+
 /// The load that the tasks of one serving job have in common. Not thread-safe.
 class ServingLoad
 {
@@ -53,7 +56,7 @@
   };
 
   std::vector<Sample> m_samples;
-  double m_peak = 0.6; ///< Until its own peaks have been seen.
+  double m_peak = kUnseenOwnLoad;
   Instant m_peakAt;
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -205,6 +205,7 @@
 
   // Pacing.cpp
   void AdjustPace(Worker& aWorker, Instant aNow);
+  void NoteTails(Worker& aWorker, Instant aNow);
   void LearnFromTails(Worker& aWorker, Instant aNow);
   double PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow);
   void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -5,9 +5,11 @@
 #include "egretturn/Support/Log.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace egretturn {
 
+static constexpr Duration kLearnEvery = std::chrono::milliseconds(250);
 static constexpr Duration kPaceEvery = std::chrono::milliseconds(450); // tails cover half a second
 
 // Utilization kept free below the target, so that pacing starts before the target is missed.
@@ -49,11 +51,25 @@
   return loads;
 }
 
+/// The group of \p aImage. \pre A run of the image is on the worker.
+static ServingGroup&
+GroupOf(Worker& aWorker, ImageId aImage)
+{
+  const auto it =
+    std::find_if(aWorker.m_serving.begin(),
+                 aWorker.m_serving.end(),
+                 [&](const ServingGroup& aGroup) { return aGroup.m_image == aImage; });
+  assert(it != aWorker.m_serving.end() && "each serving run is counted in a group");
+  return *it;
+}
+
 void
-Scheduler::LearnFromTails(Worker& aWorker, Instant aNow)
+Scheduler::NoteTails(Worker& aWorker, Instant aNow)
 {
   for (ServingGroup& group : aWorker.m_serving) {
     group.m_ownLoad = 0;
+    group.m_added = 0;
+    group.m_samples = 0;
   }
   for (auto& [ref, run] : aWorker.m_runs) {
     Job* job = run.m_targetMs > 0 ? m_book.Find(ref.m_job) : nullptr;
@@ -66,13 +82,30 @@
     const uint32_t number = (uint32_t{ ref.m_step } << 16) | ref.m_index;
     ServingLoad& load = job->m_servingLoad;
     load.Note(number, run.m_utilization, aNow);
-    if (load.IsTelling(aNow) && !aWorker.m_loads.empty()) {
-      m_pressure.Learn(run.m_image, run.m_utilization - load.Own(aNow), aWorker.m_loads);
+    ServingGroup& group = GroupOf(aWorker, run.m_image);
+    group.m_ownLoad = std::max(group.m_ownLoad, load.Peak());
+    if (load.IsTelling(aNow)) {
+      group.m_added += run.m_utilization - load.Own(aNow);
+      ++group.m_samples;
     }
-    for (ServingGroup& group : aWorker.m_serving) {
-      if (group.m_image == run.m_image) {
-        group.m_ownLoad = std::max(group.m_ownLoad, load.Peak());
-      }
+  }
+  for (ServingGroup& group : aWorker.m_serving) {
+    group.m_ownLoad = group.m_ownLoad > 0 ? group.m_ownLoad : kUnseenOwnLoad;
+  }
+}
+
+void
+Scheduler::LearnFromTails(Worker& aWorker, Instant aNow)
+{
+  NoteTails(aWorker, aNow);
+  // Tails of one worker at one time have their errors in common, and they cover half a second.
+  if (aWorker.m_loads.empty() || aNow - aWorker.m_learnedAt < kLearnEvery) {
+    return;
+  }
+  aWorker.m_learnedAt = aNow;
+  for (const ServingGroup& group : aWorker.m_serving) {
+    if (group.m_samples > 0) {
+      m_pressure.Learn(group.m_image, group.m_added / group.m_samples, aWorker.m_loads);
     }
   }
 }
