Take over paces by use, resume what was halted when its neighbours go, count late work by half

Change: an adopted run that uses less than 60% of its demand counts as paced to that; all workers that hold fill groups are paced; late work counts half.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -18,8 +18,6 @@
   Stopping,
 };
 
-constexpr int kUnknownPace = -1;
-
 /// One run on a worker. It counts against the worker's capacity until its end is listed.
 struct WorkerRun
 {
@@ -31,7 +29,7 @@
   bool m_stopAnswered = false; ///< The worker has confirmed the stop.
   int m_percent = 0;
   ImageId m_image = 0;
-  int m_pace = 100;          ///< As last ordered; kUnknownPace for a run of an earlier epoch.
+  int m_pace = 100;          ///< As last ordered; by its use for a run of an earlier epoch.
   bool m_undisturbed = true; ///< Started from nothing, and never paced down.
   int64_t m_usage = 0;
   int64_t m_targetMs = 0;
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -13,6 +13,7 @@
 static constexpr Duration kLongestLookRetry = std::chrono::milliseconds(1000);
 static constexpr Duration kUndurableLook = std::chrono::milliseconds(400);
 static constexpr Duration kBrieflyAvoided = std::chrono::milliseconds(300);
+static constexpr int kUnpacedUse = 60;    // percent of its demand that a task uses at least
 static constexpr uint32_t kBadStreak = 3; // failures in a row after which a worker is avoided
 static constexpr Duration kFirstAvoidance = std::chrono::seconds(1);
 static constexpr uint32_t kLongestAvoidance = 3; // doublings of the first one
@@ -228,6 +229,15 @@
   }
 }
 
+/// The pace that an earlier epoch has most likely ordered for a task that uses \p aUsedMilli of the
+/// \p aDemandMilli that it asks for.
+static int
+PaceByUse(int64_t aUsedMilli, int64_t aDemandMilli)
+{
+  const int percent = static_cast<int>(100 * aUsedMilli / std::max<int64_t>(1, aDemandMilli));
+  return percent >= kUnpacedUse ? 100 : percent;
+}
+
 void
 Scheduler::AdoptRun(Worker& aWorker, const RunningRow& aRow, Instant aNow)
 {
@@ -240,7 +250,6 @@
   run.m_run = aRow.m_run;
   run.m_phase = RunPhase::Running;
   run.m_undisturbed = false; // when it started is not known
-  run.m_pace = kUnknownPace;
   run.m_startedAt = aNow;
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
@@ -252,7 +261,13 @@
     run.m_targetMs = step.m_targetMs;
     run.m_image = m_pressure.Intern(step.m_image);
   }
+  run.m_pace = run.m_fills ? PaceByUse(aRow.m_usage, run.m_demand.m_cpuMilli) : 100;
   Fleet::AddRun(aWorker, aRow.m_task, run);
+  for (FillGroup& group : aWorker.m_filling) {
+    if (group.m_image == run.m_image && run.m_fills) {
+      group.m_pace = std::min(group.m_pace, run.m_pace);
+    }
+  }
   const bool wanted = task && !task->m_done && task->m_runs.empty();
   LogRun(wanted ? "run_adopted" : "run_unwanted", aWorker, aRow.m_task, aRow.m_run, "listed");
   if (!wanted) {
--- a/lib/Scheduler/Order.cpp
+++ b/lib/Scheduler/Order.cpp
@@ -12,8 +12,8 @@
 static constexpr double kWorthOfWork = 0.7;
 static constexpr double kMostWorth = 4.0;
 
-// A job that is late still earns this part, until it is later than so many objectives.
-static constexpr double kLatePart = 0.25;
+// Late work counts this part, and nothing once it is later than so many objectives.
+static constexpr double kLatePart = 0.5;
 static constexpr int kLateLimit = 3;
 
 // Below 1 this favours large jobs: they need many places at a time, and some must get through.
--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -185,9 +185,6 @@
 {
   SmoothLoads(aWorker.m_loads, DescribeLoads(aWorker), aNow - aWorker.m_loadsAt);
   aWorker.m_loadsAt = aNow;
-  if (aWorker.m_serving.empty()) {
-    return;
-  }
   LearnFromTails(aWorker, aNow);
   for (FillGroup& group : aWorker.m_filling) {
     if (aNow - group.m_pacedAt >= kPaceEvery) {
