Split recovery and batches out of Scheduler.cpp, and the hand-over out of Node.cpp

Also: one function says when a batch is due; answers between instances may be as long as bodies (a list of 5,000 placed tasks takes about 150 KB and would have been cut off at 64 KB); a reserve of zero for short tasks is gone.

--- a/include/egretturn/Scheduler/Order.h
+++ b/include/egretturn/Scheduler/Order.h
@@ -20,10 +20,10 @@
   bool m_lasting = false;
   Duration m_age{};
   Duration m_objective{};
-  Duration m_path{};         ///< The least time until it is done.
-  double m_totalWork = 0;    ///< Core-seconds of the whole job.
+  Duration m_path{};          ///< The least time until it is done.
+  double m_totalWork = 0;     ///< Core-seconds of the whole job.
   double m_remainingWork = 0; ///< Core-seconds that it still needs.
-  double m_meanWork = 0;     ///< Of the jobs of its route, core-seconds.
+  double m_meanWork = 0;      ///< Of the jobs of its route, core-seconds.
 };
 
 /// A job's place. Smaller comes first.
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -15,8 +15,6 @@
   const PressureModel* m_pressure = nullptr;
   ImageId m_image = 0;
   bool m_fewEmptyWorkers = false; ///< Few workers are left without serving tasks.
-  bool m_mayUseReserve =
-    false; ///< Lasting tasks leave a reserve for short ones unless this is set.
 };
 
 /// Whether \p aWorker may get new work at all at \p aNow.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -210,19 +210,24 @@
   double PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow);
   void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
 
-  // Scheduler.cpp
+  // Batches.cpp
   void MarkDirty(Job& aJob) { m_dirty.insert(aJob.m_stored.m_id); }
-  void WriteBatch(Instant aNow);
   bool HasToWrite() const;
+  Instant BatchDueAt() const;
+  void WriteBatch(Instant aNow);
   void AppendWorkerRecords(AppendRecords& aBatch);
   bool AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes);
+  void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
+
+  // Recovery.cpp
+  void CheckRecovery(Instant aNow);
+  bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
+
+  // Scheduler.cpp
   void SendLooks(Instant aNow);
   void SendLook(Worker& aWorker, Instant aNow);
   void RetryStops(Instant aNow);
   void CheckLeases(Instant aNow);
-  void CheckRecovery(Instant aNow);
-  bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
-  void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
   void OpenOccurrences(int64_t aWallMs);
   void ForgetEnded(int64_t aWallMs);
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -9,17 +9,11 @@
 static constexpr Duration kTick = std::chrono::milliseconds(150);
 static constexpr Duration kPingEvery = std::chrono::milliseconds(500);
 static constexpr Duration kPingTimeout = std::chrono::milliseconds(1700);
-// A leader passes on to an instance with so many times its share of a processor.
-static constexpr double kMuchStronger = 2.0;
-static constexpr Duration kSettledLeader = std::chrono::seconds(1); // before it passes on
 
-static constexpr Duration kPlacedTimeout = std::chrono::milliseconds(1500);
-static constexpr Duration kPeerFresh = std::chrono::seconds(2);
 static constexpr Duration kFreshClaim = std::chrono::milliseconds(1800);
 static constexpr Duration kAnnouncementWait = std::chrono::seconds(5);
 static constexpr Duration kAnnouncementRetry = std::chrono::milliseconds(250);
-static constexpr size_t kPeerAnswerBytes = 64 * 1024;
-static constexpr size_t kPeerBodyBytes = 1024 * 1024;
+static constexpr size_t kPeerBodyBytes = 1024 * 1024; // either way; lists of placed tasks are long
 
 static constexpr EnumTable<PeerOperation, 7> kPaths{ {
   { PeerOperation::Submit, "/v1/peer/submit" },
@@ -53,7 +47,7 @@
   , m_store(aStore)
   , m_workers(aWorkers)
   , m_decoder(std::move(aDecoder))
-  , m_client(aIo, kPeerAnswerBytes)
+  , m_client(aIo, kPeerBodyBytes)
   , m_timer(aIo)
   , m_succession({ m_settings.m_id, m_settings.m_weight }, NowWithSuspend())
   , m_startedAt(NowWithSuspend())
@@ -267,41 +261,6 @@
   done(answer);
 }
 
-void
-Node::AskPredecessor(const StoredClaim& aPredecessor)
-{
-  const SuccessorMessage message{ aPredecessor.m_epoch + 1 };
-  m_client.Send(
-    aPredecessor.m_address,
-    MakeRequest(
-      boost::beast::http::verb::post, PathOf(PeerOperation::Placed), PackCompact(message)),
-    kPlacedTimeout,
-    [self = shared_from_this(), decider = m_decider, epoch = aPredecessor.m_epoch](
-      const ClientAnswer& aAnswer) {
-      PlacedMessage placed;
-      if (aAnswer.m_result != ClientResult::Answered ||
-          !UnpackCompact(aAnswer.m_response.body(), placed) || placed.m_epoch != epoch) {
-        return; // then each worker is looked at first
-      }
-      decider->RestorePlaced(placed.m_tasks);
-    });
-}
-
-/// What this instance had placed. It stops deciding first, so that this is its last word.
-PlacedMessage
-Node::ServePlaced(const std::string& aBody)
-{
-  SuccessorMessage message;
-  if (!UnpackCompact(aBody, message)) {
-    return {};
-  }
-  if (m_decider && m_decider->Claim().m_epoch < message.m_epoch) {
-    OnStepDown("a successor asks what was placed");
-    DropDecider();
-  }
-  return m_lastPlaced.m_epoch + 1 == message.m_epoch ? m_lastPlaced : PlacedMessage();
-}
-
 void
 Node::DropDecider()
 {
@@ -338,62 +297,6 @@
   m_succession.OnClaimFailed(now);
 }
 
-void
-Node::HandOver()
-{
-  m_leaving = true;
-  if (!m_decider) {
-    return;
-  }
-  PassOn(StrongestPeer());
-}
-
-const Node::Peer*
-Node::StrongestPeer() const
-{
-  const Instant now = NowWithSuspend();
-  const Peer* best = nullptr;
-  for (const auto& [id, peer] : m_peers) {
-    const bool fresh = now - peer.m_heardAt < kPeerFresh;
-    if (fresh && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
-      best = &peer;
-    }
-  }
-  return best;
-}
-
-void
-Node::PassOn(const Peer* aTo)
-{
-  const std::string address = aTo ? aTo->m_ping.m_address : std::string();
-  Log(LogLine(LogLevel::Info, "hand_over")
-        .Add("epoch", m_decider->Claim().m_epoch)
-        .Add("to", aTo ? aTo->m_ping.m_instance : "nobody"));
-  DropDecider();
-  const Instant now = NowWithSuspend();
-  m_succession.OnLeaderGone(now);
-  m_succession.OnClaimFailed(now); // the successor goes first
-  if (!address.empty()) {
-    m_client.Send(address,
-                  MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Claim), ""),
-                  kPingTimeout,
-                  [](const ClientAnswer&) {});
-  }
-}
-
-void
-Node::YieldToStronger()
-{
-  if (!m_decider || m_leaving || !m_decider->IsStoreAvailable()) {
-    return;
-  }
-  const bool settled = NowWithSuspend() - m_decidingSince >= kSettledLeader;
-  const Peer* strongest = settled && m_decider->Core().IsRecovered() ? StrongestPeer() : nullptr;
-  if (strongest && strongest->m_ping.m_weight >= kMuchStronger * m_settings.m_weight) {
-    PassOn(strongest);
-  }
-}
-
 PeerAnswer
 Node::NotDeciding() const
 {
@@ -439,16 +342,6 @@
   aDone(answer);
 }
 
-void
-Node::ServeClaim(const PeerCallback& aDone)
-{
-  m_succession.OnHandOver(NowWithSuspend());
-  if (!m_decider && !m_leaving) {
-    Claim();
-  }
-  aDone(NotDeciding());
-}
-
 void
 Node::ServeState(GraphId aId, const PeerCallback& aDone)
 {
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -7,9 +7,6 @@
 // The share of their reservation that lasting tasks use on average.
 static constexpr double kLastingUse = 0.45;
 
-// The share of a worker's processors that lasting tasks leave to short ones.
-static constexpr double kShortTaskReserve = 0.0;
-
 // A task that fills starts only where it gets at least this share of its demand.
 static constexpr double kLeastFillShare = 0.6;
 
@@ -108,11 +105,7 @@
     return !WouldPress(aWorker, aRequest) &&
            SpareForFill(aWorker) >= kLeastFillShare * static_cast<double>(demand);
   }
-  int64_t capacity = aWorker.m_report.m_capacity.m_cpuMilli;
-  if (step.m_lasting && !aRequest.m_mayUseReserve) {
-    capacity -= static_cast<int64_t>(kShortTaskReserve * static_cast<double>(capacity));
-  }
-  return aWorker.m_used.m_cpuMilli + demand <= capacity;
+  return aWorker.m_used.m_cpuMilli + demand <= aWorker.m_report.m_capacity.m_cpuMilli;
 }
 
 static bool
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -7,10 +7,7 @@
 
 namespace egretturn {
 
-static constexpr Duration kUrgentBatchGap = std::chrono::milliseconds(10);
-static constexpr Duration kBatchGap = std::chrono::milliseconds(50);
 static constexpr Duration kSweep = std::chrono::milliseconds(100); // leases, stops, occurrences
-static constexpr Duration kLearnedEvery = std::chrono::seconds(3);
 static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
@@ -30,50 +27,6 @@
 {
 }
 
-void
-Scheduler::RestoreJob(StoredJob aJob, Instant aNow, int64_t aWallMs)
-{
-  if (m_book.Find(aJob.m_id)) {
-    return;
-  }
-  const int64_t ageMs = std::max<int64_t>(0, aWallMs - aJob.m_acceptedMs);
-  Job& job = m_book.Add(std::move(aJob), m_durations, aNow - std::chrono::milliseconds(ageMs));
-  job.m_durable = true;
-  job.m_jobWritten = true;
-  job.m_recovered = true;
-  m_waitingJobs.insert(job.m_stored.m_id);
-  m_scheduledJobs.insert(job.m_stored.m_id);
-  m_placeNeeded = true;
-}
-
-void
-Scheduler::RestoreProgress(GraphId aId, const StoredProgress& aProgress)
-{
-  Job* job = m_book.Find(aId);
-  if (!job) {
-    m_dropKeys.push_back(ProgressKey(aId));
-    return;
-  }
-  ApplyProgress(*job, aProgress);
-}
-
-void
-Scheduler::RestoreLearned(const StoredLearning& aStored)
-{
-  m_pressure.Restore(aStored.m_pressure);
-  m_durations.Restore(aStored.m_durations);
-}
-
-void
-Scheduler::RestoreWorker(const WorkerReport& aReport, Instant aNow)
-{
-  m_fleet.Update(aReport, aNow);
-  Worker* worker = m_fleet.Find(aReport.m_id);
-  worker->m_record = RecordState::Durable;
-  worker->m_listed = false; // until the directory says so
-  m_fleet.ExtendLease(*worker, aNow);
-}
-
 void
 Scheduler::Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs)
 {
@@ -209,148 +162,6 @@
   m_directoryComplete = true;
 }
 
-bool
-Scheduler::AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes)
-{
-  const GraphId id = aJob.m_stored.m_id;
-  KeyedRecord progress{ ProgressKey(id), PackCompact(DescribeProgress(aJob)) };
-  KeyedRecord job;
-  if (!aJob.m_jobWritten) {
-    job = { JobKey(id), PackCompact(aJob.m_stored) };
-  }
-  const size_t bytes =
-    progress.m_key.size() + progress.m_value.size() + job.m_key.size() + job.m_value.size();
-  if (aBytes + bytes > m_limits.m_batchBytes && aBytes > 0) {
-    return false;
-  }
-  aBytes += bytes;
-  if (!aJob.m_jobWritten) {
-    aJob.m_jobWritten = true;
-    aBatch.m_records.push_back(std::move(job));
-    if (aJob.m_state == JobState::Queued) {
-      return true; // nothing has happened to it yet
-    }
-  }
-  aBatch.m_records.push_back(std::move(progress));
-  return true;
-}
-
-void
-Scheduler::AppendWorkerRecords(AppendRecords& aBatch)
-{
-  if (!m_workersUnwritten) {
-    return;
-  }
-  m_workersUnwritten = false;
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (worker->m_record == RecordState::Missing) {
-      worker->m_record = RecordState::InBatch;
-      aBatch.m_records.push_back(
-        { WorkerKey(worker->m_report.m_id), PackCompact(worker->m_report) });
-    }
-  }
-}
-
-bool
-Scheduler::HasToWrite() const
-{
-  return !m_dirty.empty() || !m_dropKeys.empty() || m_workersUnwritten;
-}
-
-void
-Scheduler::WriteBatch(Instant aNow)
-{
-  if (m_batchInFlight || !HasToWrite()) {
-    return;
-  }
-  const Instant due = m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap);
-  if (aNow < due) {
-    return;
-  }
-  AppendRecords batch;
-  batch.m_batch = ++m_batch;
-  AppendWorkerRecords(batch);
-  size_t bytes = 0;
-  while (!m_dirty.empty()) {
-    Job* job = m_book.Find(*m_dirty.begin());
-    if (job && !AppendJobRecords(*job, batch, bytes)) {
-      break;
-    }
-    if (job) {
-      m_batchJobs.push_back({ job->m_stored.m_id, job->m_state });
-    }
-    m_dirty.erase(m_dirty.begin());
-  }
-  for (std::string& key : m_dropKeys) {
-    batch.m_records.push_back({ std::move(key), "" });
-  }
-  m_dropKeys.clear();
-  if (aNow - m_learnedWrittenAt >= kLearnedEvery) {
-    m_learnedWrittenAt = aNow; // with a batch that is written anyway
-    const StoredLearning learned{ m_pressure.Describe(), m_durations.Describe() };
-    batch.m_records.push_back({ std::string(kLearnedKey), PackCompact(learned) });
-  }
-  m_urgent = !m_dirty.empty();
-  if (batch.m_records.empty()) {
-    m_batchJobs.clear();
-    return;
-  }
-  // With all changes in this batch, the ends seen until now are durable once it is.
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    worker->m_endsInBatch = m_dirty.empty() ? worker->m_endsSeen : worker->m_endsDurable;
-  }
-  m_batchInFlight = true;
-  ++m_counters.m_batches;
-  Emit(std::move(batch));
-}
-
-void
-Scheduler::OnAppended(uint64_t aBatch, Instant aNow)
-{
-  if (aBatch != m_batch || !m_batchInFlight) {
-    return;
-  }
-  m_batchInFlight = false;
-  m_nextBatchAt = aNow + kUrgentBatchGap;
-  for (const BatchedJob& batched : m_batchJobs) {
-    Job* job = m_book.Find(batched.m_id);
-    if (!job) {
-      continue;
-    }
-    if (!job->m_durable) {
-      job->m_durable = true;
-      ++m_counters.m_accepted;
-      m_waitingJobs.insert(batched.m_id);
-      m_placeNeeded = true;
-      Log(LogLine(LogLevel::Info, "job_accepted")
-            .Add("job", FormatGraphId(batched.m_id))
-            .Add("route", job->m_stored.m_terms.m_route)
-            .Add("objective_ms", ToMillis(job->m_objective))
-            .Add("epoch", m_epoch));
-    }
-    job->m_durableState = batched.m_state;
-    for (RequestToken request : std::exchange(job->m_submitters, {})) {
-      Emit(AnswerRequest{ request, SubmitResult::Accepted });
-    }
-    if (IsEnded(batched.m_state)) {
-      for (RequestToken request : std::exchange(job->m_cancellers, {})) {
-        Emit(AnswerRequest{ request, SubmitResult::Accepted });
-      }
-    }
-  }
-  m_batchJobs.clear();
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (worker->m_record == RecordState::InBatch) {
-      worker->m_record = RecordState::Durable;
-      m_placeNeeded = true;
-    }
-    if (worker->m_endsInBatch > worker->m_endsDurable) {
-      SetEndsDurable(*worker, worker->m_endsInBatch);
-      worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow);
-    }
-  }
-}
-
 void
 Scheduler::SendLook(Worker& aWorker, Instant aNow)
 {
@@ -435,86 +246,6 @@
   }
 }
 
-void
-Scheduler::SetEndsDurable(Worker& aWorker, uint64_t aNumber)
-{
-  aWorker.m_endsDurable = aNumber;
-  std::vector<EndedRow>& ends = aWorker.m_undurableEnds;
-  ends.erase(std::remove_if(ends.begin(),
-                            ends.end(),
-                            [&](const EndedRow& aRow) { return aRow.m_number <= aNumber; }),
-             ends.end());
-}
-
-std::optional<std::vector<PlacedTask>>
-Scheduler::DescribePlaced() const
-{
-  if (!m_recovered) {
-    return std::nullopt;
-  }
-  std::vector<PlacedTask> placed;
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    for (const auto& [task, run] : worker->m_runs) {
-      placed.push_back({ worker->m_report.m_id, task });
-    }
-    for (const EndedRow& row : worker->m_undurableEnds) {
-      placed.push_back({ worker->m_report.m_id, row.m_task });
-    }
-  }
-  return placed;
-}
-
-void
-Scheduler::RestorePlaced(const std::vector<PlacedTask>& aPlaced)
-{
-  m_placedKnown = true;
-  m_placeNeeded = true;
-  for (const PlacedTask& placed : aPlaced) {
-    m_placedBefore[placed.m_task].push_back(placed.m_worker);
-  }
-}
-
-/// Whether an earlier epoch may have started \p aTask on a worker that was not looked at yet.
-bool
-Scheduler::MayRunElsewhere(const Job& aJob, const TaskRef& aTask)
-{
-  if (m_recovered || !aJob.m_recovered) {
-    return false;
-  }
-  if (!m_placedKnown) {
-    return true;
-  }
-  const auto it = m_placedBefore.find(aTask);
-  if (it == m_placedBefore.end()) {
-    return false;
-  }
-  return std::any_of(it->second.begin(), it->second.end(), [&](const WorkerName& aName) {
-    const Worker* worker = m_fleet.Find(aName);
-    return !worker || !worker->m_looked;
-  });
-}
-
-void
-Scheduler::CheckRecovery(Instant aNow)
-{
-  if (m_recovered || !m_directoryComplete) {
-    return;
-  }
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (!worker->m_looked && aNow < worker->m_leaseOverAt) {
-      return;
-    }
-  }
-  m_recovered = true;
-  m_placedBefore.clear();
-  m_placeNeeded = true;
-  Log(LogLine(LogLevel::Info, "recovered")
-        .Add("epoch", m_epoch)
-        .Add("jobs", uint64_t{ m_book.All().size() })
-        .Add("workers", uint64_t{ m_fleet.All().size() })
-        .Add("ms", ToMillis(aNow - m_createdAt)));
-}
-
 void
 Scheduler::OpenOccurrences(int64_t aWallMs)
 {
@@ -572,7 +303,7 @@
     wake = std::min(wake, m_nextPlaceAt);
   }
   if (!m_batchInFlight && HasToWrite()) {
-    wake = std::min(wake, m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchGap - kUrgentBatchGap));
+    wake = std::min(wake, BatchDueAt());
   }
   for (const std::unique_ptr<Worker>& worker : const_cast<Fleet&>(m_fleet).All()) {
     if (!worker->m_lookInFlight) {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -19,8 +19,6 @@
 // Of the processors, kept without serving tasks for work that would press them.
 static constexpr double kShareKeptEmpty = 0.15;
 
-static constexpr Duration kReserveHeld = std::chrono::seconds(1);
-
 OrderRank
 Scheduler::RankOccurrence(const Job& aJob, const OccurrenceRecord& aOccurrence, Instant aNow) const
 {
@@ -128,7 +126,6 @@
   request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(step.m_image);
   request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
-  request.m_mayUseReserve = aNow - aWaiting.m_job->m_submittedAt > kReserveHeld;
   if (step.m_gang) {
     PlaceGang(aWaiting, request, aNow);
     return;
