Start nothing that fills beside a serving task that is over its target

Cause: runs of an image that was held to be harmless were started beside a pressed serving task and worked at full pace until the next look, one after the other. Change: a worker whose last look showed a serving task over its target gets no fill work.

--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -66,6 +66,7 @@
 void
 Scheduler::NoteTails(Worker& aWorker, Instant aNow)
 {
+  aWorker.m_pressed = false;
   for (ServingGroup& group : aWorker.m_serving) {
     group.m_ownLoad = 0;
     group.m_added = 0;
@@ -79,6 +80,7 @@
     const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
     run.m_utilization = m_pressure.UtilizationOf(run.m_image, ratio);
     run.m_overSince = ratio > 1.0 ? std::optional(run.m_overSince.value_or(aNow)) : std::nullopt;
+    aWorker.m_pressed = aWorker.m_pressed || run.m_overSince;
     const uint32_t number = (uint32_t{ ref.m_step } << 16) | ref.m_index;
     ServingLoad& load = job->m_servingLoad;
     load.Note(number, run.m_utilization, aNow);
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -102,7 +102,7 @@
   const GraphStep& step = *aRequest.m_step;
   const int64_t demand = step.m_demand.m_cpuMilli;
   if (step.m_fills) {
-    return !WouldPress(aWorker, aRequest) &&
+    return !aWorker.m_pressed && !WouldPress(aWorker, aRequest) &&
            SpareForFill(aWorker) >= kLeastFillShare * static_cast<double>(demand);
   }
   return aWorker.m_used.m_cpuMilli + demand <= aWorker.m_report.m_capacity.m_cpuMilli;
