--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -98,7 +98,7 @@
 
   std::vector<FillGroup> m_filling;
   std::vector<ServingGroup> m_serving;
-  bool m_pressed = false;         ///< A serving task was over its target in the last look.
+  bool m_pressed = false; ///< A serving task was near its target or over it in the last look.
   std::vector<ImageLoad> m_loads; ///< Of images that fill, over the span of a reported tail.
   Instant m_loadsAt;
   Instant m_learnedAt; ///< When its tails were last learned from.
--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -18,6 +18,9 @@
 // An image that adds less than this to the utilization of a serving task is not paced for it.
 static constexpr double kLeastPart = 0.03;
 
+// Of a tail to its target; above it nothing more is put beside the task.
+static constexpr double kPressedRatio = 0.85;
+
 // A serving task over its target for so long halts everything that fills beside it.
 static constexpr Duration kPressedTooLong = std::chrono::milliseconds(1800);
 
@@ -80,7 +83,7 @@
     const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
     run.m_utilization = m_pressure.UtilizationOf(run.m_image, ratio);
     run.m_overSince = ratio > 1.0 ? std::optional(run.m_overSince.value_or(aNow)) : std::nullopt;
-    aWorker.m_pressed = aWorker.m_pressed || run.m_overSince;
+    aWorker.m_pressed = aWorker.m_pressed || ratio > kPressedRatio;
     const uint32_t number = (uint32_t{ ref.m_step } << 16) | ref.m_index;
     ServingLoad& load = job->m_servingLoad;
     load.Note(number, run.m_utilization, aNow);
--- a/unittests/Scheduler/PaceTest.cpp
+++ b/unittests/Scheduler/PaceTest.cpp
@@ -68,7 +68,7 @@
   CHECK(*haltedAfter < kBound - std::chrono::seconds(1)); // the tail takes a while to come down
 }
 
-TEST_CASE("nothing that fills starts beside a serving task that is over its target")
+TEST_CASE("nothing that fills starts beside a serving task that is near its target")
 {
   Instant now(std::chrono::hours(1));
   Scheduler scheduler(SchedulerLimits(), 1, now);
@@ -94,7 +94,7 @@
         scheduler.OnAppended(append->m_batch, now);
       } else if (const StartTask* start = std::get_if<StartTask>(&action)) {
         fillStarts += start->m_task.m_job == 2 ? 1 : 0;
-        running.push_back({ start->m_task, start->m_run, "", 50, 40 }); // over the target of 18
+        running.push_back({ start->m_task, start->m_run, "", 50, 16 }); // the target is 18
         scheduler.OnStart("w", start->m_task, start->m_run, OrderResult::Accepted, now);
       } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&action)) {
         WorkerView view;
