--- a/unittests/Node/ForwardingTest.cpp
+++ b/unittests/Node/ForwardingTest.cpp
@@ -85,7 +85,8 @@
   }
 
   /// A peer that answers each request but pings with \p aAnswer, or not at all.
-  std::unique_ptr<HttpServer> MakePeer(const char* aAddress, std::optional<PeerAnswer> aAnswer)
+  std::unique_ptr<HttpServer> MakePeer(const char* aAddress,
+                                       const std::optional<PeerAnswer>& aAnswer)
   {
     std::unique_ptr<HttpServer> server = std::make_unique<HttpServer>(
       m_io,
