--- a/include/egretturn/Scheduler/Durations.h
+++ b/include/egretturn/Scheduler/Durations.h
@@ -45,6 +45,7 @@
   /// The expected duration of a task of \p aRoute, in milliseconds.
   int64_t Expect(const std::string& aRoute, int64_t aDeclaredMs) const;
 
+  /// What was learned so far, for the store.
   std::vector<StoredDurations> Describe() const;
 
   /// Takes over what an earlier epoch has learned.
--- a/include/egretturn/Scheduler/Order.h
+++ b/include/egretturn/Scheduler/Order.h
@@ -31,18 +31,19 @@
 {
   bool m_worthless = false; ///< Too late to earn anything.
   uint32_t m_priority = 0;
-  double m_density = 0; ///< What it earns for each core-second; the highest comes first.
+  double m_density = 0; ///< Worth for each core-second still needed; the highest comes first.
 
   bool operator<(const OrderRank& aOther) const;
 };
 
-/// Thread-safe.
+/// The place of a job described by \p aInput. Thread-safe.
 OrderRank RankOf(const OrderInput& aInput);
 
 /// The mean work of the jobs of each route. Not thread-safe.
 class WorkMeans
 {
 public:
+  /// Notes a new job of \p aRoute that needs \p aWork core-seconds.
   void Note(const std::string& aRoute, double aWork);
 
   /// The mean, or \p aWork for a route that was not seen.
--- a/include/egretturn/Scheduler/Progress.h
+++ b/include/egretturn/Scheduler/Progress.h
@@ -18,18 +18,19 @@
   int m_percent = 0;
 };
 
-/// How many times longer than expected a run takes, by how far it got; nothing can be said of a
-/// run that has just begun. Thread-safe.
-double SlownessOf(const RunProgress& aProgress);
-
-/// Whether so much can be said of \p aProgress.
+/// Whether a run has gone on for long enough to judge its pace. Thread-safe.
 bool IsTelling(const RunProgress& aProgress);
 
-/// What all runs have in common, since expectations may be off for all. Not thread-safe.
+/// How many times longer than expected a run takes, by how far it got. \pre IsTelling(), or the run
+/// is done. Thread-safe.
+double SlownessOf(const RunProgress& aProgress);
+
+/// The slowness that runs on sound workers show, since expectations may be off for all of them.
+/// Not thread-safe.
 class TypicalPace
 {
 public:
-  /// Notes the slowness of runs on one worker.
+  /// Notes the slowness of a run that is done.
   void Note(double aSlowness);
 
   /// Whether a worker whose runs show \p aSlownesses is slow. At least two must show it.
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -28,7 +28,10 @@
       PlacedMessage placed;
       if (aAnswer.m_result != ClientResult::Answered ||
           !UnpackCompact(aAnswer.m_response.body(), placed) || placed.m_epoch != epoch) {
-        return; // then each worker is looked at first
+        Log(LogLine(LogLevel::Info, "placed_unknown")
+              .Add("predecessor_epoch", epoch)
+              .Add("effect", "earlier jobs wait until each worker was looked at"));
+        return;
       }
       decider->RestorePlaced(placed.m_tasks);
     });
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -178,7 +178,7 @@
     return;
   }
   const GraphStep& step = job->m_stored.m_graph.m_steps[aTask.m_step];
-  const std::chrono::milliseconds expected(job->m_stepMs[aTask.m_step]);
+  const std::chrono::milliseconds expected(job->m_stepMs[aTask.m_step]); // before this run
   m_typicalPace.Note(SlownessOf(RunProgress{ aTook, expected, 100 }));
   m_durations.Learn(job->m_stored.m_terms.m_route, step.m_estimateMs, aTook);
   job->NoteDuration(aTask.m_step, ToMillis(aTook));
