--- a/benchmarks/PolicyWorld.cpp
+++ b/benchmarks/PolicyWorld.cpp
@@ -166,7 +166,8 @@
   {
     double slowdown = 1;
     int64_t used = 0;
-    for (const auto& [attempt, run] : Runs(aWorker)) {
+    for (const std::pair<const TaskAttempt, egretturn::Run>& runEntry : Runs(aWorker)) {
+      const egretturn::Run& run = runEntry.second;
       for (const KindTruth& kind : kKinds) {
         if (run.m_kind == kind.m_name && run.m_phase == RunPhase::Running && !run.m_over) {
           const double throttled = run.m_throttle / 100.0;
@@ -183,7 +184,8 @@
   {
     static const std::map<TaskAttempt, egretturn::Run> kNone;
     const WorkerId id = WorkerIdOf(m_addresses[aWorker]);
-    for (const auto& [name, rack] : m_core.Racks().Racks()) {
+    for (const std::pair<const std::string, RackRun>& rackEntry : m_core.Racks().Racks()) {
+      const RackRun& rack = rackEntry.second;
       const std::map<WorkerId, WorkerRun>::const_iterator it = rack.m_workers.find(id);
       if (it != rack.m_workers.end()) {
         return it->second.m_runs;
@@ -223,7 +225,8 @@
   {
     if (m_scenario.m_batch) {
       std::map<std::string, size_t> open;
-      for (const auto& [id, job] : m_core.State().m_replica.Jobs().All()) {
+      for (const std::pair<const JobId, Job>& jobEntry : m_core.State().m_replica.Jobs().All()) {
+        const Job& job = jobEntry.second;
         open[job.m_spec.m_kind] +=
           job.m_ended < job.m_tasks.size() ? job.m_tasks.size() - job.m_ended - job.m_started : 0;
       }
@@ -255,7 +258,9 @@
     });
     At(kWarmUp + 2 * aLength / 3, [this] { m_logDown = false; });
     At(kWarmUp + aLength / 2, [this] {
-      for (const auto& [id, job] : m_core.State().m_replica.Jobs().All()) {
+      for (const std::pair<const JobId, Job>& jobEntry : m_core.State().m_replica.Jobs().All()) {
+        const uint64_t id = jobEntry.first;
+        const Job& job = jobEntry.second;
         if (m_scenario.m_cancelWave && id / kMaxBatchEntries % 2 == 0 &&
             job.m_ended < job.m_tasks.size()) {
           m_toCancel.push_back(id);
--- a/benchmarks/ScaleBench.cpp
+++ b/benchmarks/ScaleBench.cpp
@@ -80,7 +80,9 @@
   const uint64_t wanted = uint64_t{ aJobs } * aTasks;
   const auto finished = [&] {
     uint64_t done = 0;
-    for (const auto& [id, job] : world.NodeCore(0)->State().m_replica.Jobs().All()) {
+    for (const std::pair<const JobId, Job>& jobEntry :
+         world.NodeCore(0)->State().m_replica.Jobs().All()) {
+      const Job& job = jobEntry.second;
       done += job.m_finished;
     }
     return done >= wanted;
--- a/lib/Config/Document.cpp
+++ b/lib/Config/Document.cpp
@@ -63,7 +63,9 @@
     return tl::unexpected<Errors>(std::move(errors));
   }
   Document document;
-  for (const auto& [kindName, node] : parsed.table()) {
+  for (auto it = parsed.table().cbegin(); it != parsed.table().cend(); ++it) {
+    const toml::key& kindName = it->first;
+    const toml::node& node = it->second;
     const std::optional<ObjectKind> kind = ParseObjectKind(kindName.str());
     std::ostringstream where;
     where << aFile << ':' << node.source().begin.line << ": " << kindName.str();
@@ -74,7 +76,9 @@
                "use [zone.NAME], pool, service, kind, team, rule, drain or policy" });
       continue;
     }
-    for (const auto& [name, object] : *node.as_table()) {
+    for (auto inner = node.as_table()->cbegin(); inner != node.as_table()->cend(); ++inner) {
+      const toml::key& name = inner->first;
+      const toml::node& object = inner->second;
       if (!object.is_table()) {
         errors.push_back(Error{ ErrorKind::BadInput,
                                 where.str() + "." + std::string(name.str()) + ": is not a table",
@@ -95,7 +99,9 @@
 PrintDocument(const Document& aDocument)
 {
   toml::table root;
-  for (const auto& [key, body] : aDocument.m_objects) {
+  for (const std::pair<const ObjectKey, std::string>& bodyEntry : aDocument.m_objects) {
+    const ObjectKey& key = bodyEntry.first;
+    const std::string& body = bodyEntry.second;
     toml::parse_result object = toml::parse(body);
     if (!object) {
       continue; // bodies are canonical text; one that does not parse was refused before
@@ -112,12 +118,15 @@
 Difference(const Document& aFrom, const Document& aTo)
 {
   std::vector<ObjectChange> changes;
-  for (const auto& [key, body] : aFrom.m_objects) {
+  for (const std::pair<const ObjectKey, std::string>& keyEntry : aFrom.m_objects) {
+    const ObjectKey& key = keyEntry.first;
     if (!aTo.m_objects.contains(key)) {
       changes.push_back(ObjectChange{ key.m_kind, key.m_name, std::nullopt });
     }
   }
-  for (const auto& [key, body] : aTo.m_objects) {
+  for (const std::pair<const ObjectKey, std::string>& bodyEntry : aTo.m_objects) {
+    const ObjectKey& key = bodyEntry.first;
+    const std::string& body = bodyEntry.second;
     const std::map<ObjectKey, std::string>::const_iterator it = aFrom.m_objects.find(key);
     if (it == aFrom.m_objects.end() || it->second != body) {
       changes.push_back(ObjectChange{ key.m_kind, key.m_name, body });
@@ -176,7 +185,9 @@
     aReader.Reject("requests", "names no request", "add [service." + aName + ".requests.NAME]");
     return;
   }
-  for (const auto& [name, node] : *requests) {
+  for (auto it = requests->cbegin(); it != requests->cend(); ++it) {
+    const toml::key& name = it->first;
+    const toml::node& node = it->second;
     if (!node.is_table()) {
       aReader.Reject("requests", "holds something other than tables", "write requests as tables");
       continue;
@@ -273,7 +284,9 @@
 {
   Model model;
   Errors errors;
-  for (const auto& [key, body] : aDocument.m_objects) {
+  for (const std::pair<const ObjectKey, std::string>& bodyEntry : aDocument.m_objects) {
+    const ObjectKey& key = bodyEntry.first;
+    const std::string& body = bodyEntry.second;
     const toml::parse_result parsed = toml::parse(body);
     if (!parsed) {
       errors.push_back(Error{ ErrorKind::BadInput,
--- a/lib/Config/Parse.cpp
+++ b/lib/Config/Parse.cpp
@@ -163,7 +163,8 @@
 void
 FieldReader::RejectUnknown()
 {
-  for (const auto& [key, node] : m_table) {
+  for (auto it = m_table.cbegin(); it != m_table.cend(); ++it) {
+    const toml::key& key = it->first;
     if (!m_known.contains(key.str())) {
       Reject(key.str(), "is not a known key", "remove it or correct its spelling");
     }
--- a/lib/Config/Validate.cpp
+++ b/lib/Config/Validate.cpp
@@ -49,7 +49,9 @@
 {
   std::map<WorkerId, std::string> places;
   std::map<std::string, std::string> rackZones;
-  for (const auto& [name, pool] : aModel.m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : aModel.m_pools) {
+    const std::string& name = poolEntry.first;
+    const Pool& pool = poolEntry.second;
     CheckReference(aModel.m_zones, "zone", pool.m_zone, "pool." + name + ".zone", aErrors);
     const auto [rack, added] = rackZones.emplace(pool.m_rack, pool.m_zone);
     if (!added && rack->second != pool.m_zone) {
@@ -126,12 +128,15 @@
 CheckReserves(const Model& aModel, Errors& aErrors)
 {
   std::map<std::string, Resources> reserved;
-  for (const auto& [name, service] : aModel.m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : aModel.m_services) {
+    const Service& service = serviceEntry.second;
     for (const std::string& pool : service.m_pools) {
       reserved[pool] += service.m_reserve;
     }
   }
-  for (const auto& [name, pool] : aModel.m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : aModel.m_pools) {
+    const std::string& name = poolEntry.first;
+    const Pool& pool = poolEntry.second;
     if (!reserved[name].FitsIn(pool.m_size)) {
       Reject(aErrors,
              "pool." + name,
@@ -144,7 +149,9 @@
 static void
 CheckTeams(const Model& aModel, Errors& aErrors)
 {
-  for (const auto& [name, team] : aModel.m_teams) {
+  for (const std::pair<const std::string, Team>& teamEntry : aModel.m_teams) {
+    const std::string& name = teamEntry.first;
+    const Team& team = teamEntry.second;
     const std::string place = "team." + name + ".parent";
     if (team.m_parent.empty() ||
         !CheckReference(aModel.m_teams, "team", team.m_parent, place, aErrors)) {
@@ -166,10 +173,13 @@
 CheckDrains(const Model& aModel, Errors& aErrors)
 {
   std::set<std::string> workers;
-  for (const auto& [name, pool] : aModel.m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : aModel.m_pools) {
+    const Pool& pool = poolEntry.second;
     workers.insert(pool.m_workers.begin(), pool.m_workers.end());
   }
-  for (const auto& [name, drain] : aModel.m_drains) {
+  for (const std::pair<const std::string, Drain>& drainEntry : aModel.m_drains) {
+    const std::string& name = drainEntry.first;
+    const Drain& drain = drainEntry.second;
     if (!workers.contains(drain.m_worker)) {
       Reject(aErrors,
              "drain." + name + ".worker",
@@ -183,13 +193,19 @@
 ValidateReferences(const Model& aModel, Errors& aErrors)
 {
   CheckPools(aModel, aErrors);
-  for (const auto& [name, service] : aModel.m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : aModel.m_services) {
+    const std::string& name = serviceEntry.first;
+    const Service& service = serviceEntry.second;
     CheckSize(aModel, service.m_pools, service.m_reserve, "service." + name, aErrors);
   }
-  for (const auto& [name, kind] : aModel.m_kinds) {
+  for (const std::pair<const std::string, BatchKind>& kindEntry : aModel.m_kinds) {
+    const std::string& name = kindEntry.first;
+    const BatchKind& kind = kindEntry.second;
     CheckSize(aModel, kind.m_pools, kind.m_size, "kind." + name, aErrors);
   }
-  for (const auto& [name, rule] : aModel.m_rules) {
+  for (const std::pair<const std::string, PlacementRule>& ruleEntry : aModel.m_rules) {
+    const std::string& name = ruleEntry.first;
+    const PlacementRule& rule = ruleEntry.second;
     CheckReference(
       aModel.m_services, "service", rule.m_service, "rule." + name + ".service", aErrors);
     for (const std::string& zone : rule.m_spillZones) {
--- a/lib/Core/Claims.cpp
+++ b/lib/Core/Claims.cpp
@@ -15,7 +15,8 @@
 RackController::ZoneRacks() const
 {
   std::set<std::string> racks;
-  for (const auto& [name, pool] : m_context.Config().m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : m_context.Config().m_pools) {
+    const Pool& pool = poolEntry.second;
     if (pool.m_zone == m_context.m_settings.m_zone) {
       racks.insert(pool.m_rack);
     }
@@ -40,7 +41,9 @@
   }
   const std::map<std::string, std::string> desired =
     DesiredOwners(ZoneRacks(), m_context.m_members.Eligible(m_context.m_now, m_context.m_leaving));
-  for (const auto& [rack, owner] : desired) {
+  for (const std::pair<const std::string, std::string>& ownerEntry : desired) {
+    const std::string& rack = ownerEntry.first;
+    const std::string& owner = ownerEntry.second;
     ConsiderClaim(rack, owner);
   }
 }
@@ -142,7 +145,9 @@
   }
   const std::map<std::string, std::string> desired =
     DesiredOwners(ZoneRacks(), m_context.m_members.Eligible(m_context.m_now, true));
-  for (auto& [name, rack] : m_racks) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    const std::string& name = rackEntry.first;
+    RackRun& rack = rackEntry.second;
     const std::map<std::string, std::string>::const_iterator it = desired.find(name);
     Release(rack, it == desired.end() ? "" : it->second, "shutdown");
   }
@@ -169,7 +174,9 @@
   }
   const std::map<std::string, std::string> desired = DesiredOwners(ZoneRacks(), heirs);
   std::vector<std::string> given;
-  for (const auto& [name, rack] : m_racks) {
+  for (const std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    const std::string& name = rackEntry.first;
+    const RackRun& rack = rackEntry.second;
     const std::map<std::string, std::string>::const_iterator it = desired.find(name);
     if (it != desired.end()) {
       m_context.Do(SendPeer{ it->second, HandOver{ name, rack.m_epoch } });
@@ -260,7 +267,8 @@
                   .Add("epoch", aEpoch)
                   .Add("wait_ms", aWaitOut ? ToMillis(wait) : int64_t{ 0 }));
   SyncWorkers(rack);
-  for (auto& [id, worker] : rack.m_workers) {
+  for (std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+    WorkerRun& worker = workerEntry.second;
     worker.m_sharedSlots = aWaitOut;
   }
   ++m_changes;
--- a/lib/Core/Core.cpp
+++ b/lib/Core/Core.cpp
@@ -242,7 +242,9 @@
   heartbeat.m_configVersion = m_context.m_replica.ConfigVersion();
   heartbeat.m_zoneOffset = m_context.m_replica.AppliedTo(Stream::Zone);
   heartbeat.m_services = m_requests.Room();
-  for (const auto& [id, member] : m_context.m_members.All()) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_context.m_members.All()) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     const bool local = m_context.m_members.IsLocal(member);
     if (!local && !far) {
       continue;
@@ -287,7 +289,9 @@
     if (m_following[static_cast<size_t>(stream)].m_caughtUp && !behind) {
       continue;
     }
-    for (const auto& [id, member] : m_context.m_members.All()) {
+    for (const std::pair<const std::string, Member>& memberEntry : m_context.m_members.All()) {
+      const std::string& id = memberEntry.first;
+      const Member& member = memberEntry.second;
       const bool first = m_context.m_startedAt == m_context.m_now;
       const bool local = m_context.m_members.IsLocal(member);
       if (local || (stream != Stream::Zone && !first)) {
@@ -442,7 +446,8 @@
   if (m_context.m_writer.Waiting() > 0 && since < kLeaveWithoutLog) {
     return;
   }
-  for (const auto& [id, member] : m_context.m_members.All()) {
+  for (const std::pair<const std::string, Member>& idEntry : m_context.m_members.All()) {
+    const std::string& id = idEntry.first;
     m_context.Do(SendPeer{ id, Goodbye{} });
   }
   m_context.Log(LogLine(LogLevel::Info, "shutdown_done"));
--- a/lib/Core/Forwarding.cpp
+++ b/lib/Core/Forwarding.cpp
@@ -12,7 +12,9 @@
   if (aPeer.m_settings.m_region == m_context.m_settings.m_region) {
     return true;
   }
-  for (const auto& [name, rule] : m_context.Config().m_rules) {
+  for (const std::pair<const std::string, PlacementRule>& ruleEntry : m_context.Config().m_rules) {
+    const std::string& name = ruleEntry.first;
+    const PlacementRule& rule = ruleEntry.second;
     if (rule.m_service != aState.m_request.m_service) {
       continue;
     }
@@ -32,14 +34,17 @@
 RequestController::ChoosePeer(const RequestState& aState, bool aOwnZone)
 {
   std::set<std::string> spill;
-  for (const auto& [name, rule] : m_context.Config().m_rules) {
+  for (const std::pair<const std::string, PlacementRule>& ruleEntry : m_context.Config().m_rules) {
+    const PlacementRule& rule = ruleEntry.second;
     if (rule.m_service == aState.m_request.m_service) {
       spill.insert(rule.m_spillZones.begin(), rule.m_spillZones.end());
     }
   }
   std::string best;
   int64_t bestRoom = 0;
-  for (const auto& [id, member] : m_context.m_members.All()) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_context.m_members.All()) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     const bool local = m_context.m_members.IsLocal(member);
     const bool allowed = aOwnZone ? local : !local && spill.contains(member.m_settings.m_zone);
     if (!allowed || !m_context.m_members.IsAlive(id, m_context.m_now) || !member.m_last.m_ready) {
--- a/lib/Core/Lists.cpp
+++ b/lib/Core/Lists.cpp
@@ -105,7 +105,9 @@
     ReadListedRun(aRack, aWorker, run);
   }
   std::vector<TaskAttempt> missing;
-  for (const auto& [attempt, run] : aWorker.m_runs) {
+  for (const std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    const Run& run = runEntry.second;
     if (listed.contains(attempt) || run.m_endToken != 0 || !run.m_recorded) {
       continue;
     }
--- a/lib/Core/Operators.cpp
+++ b/lib/Core/Operators.cpp
@@ -367,8 +367,11 @@
 OperatorController::WorkersJson() const
 {
   Json rows = Json::array();
-  for (const auto& [name, rack] : m_racks.Racks()) {
-    for (const auto& [id, worker] : rack.m_workers) {
+  for (const std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+    const std::string& name = rackEntry.first;
+    const RackRun& rack = rackEntry.second;
+    for (const std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      const WorkerRun& worker = workerEntry.second;
       const Resources free = worker.m_ledger.Free();
       rows.push_back(Json{ { "worker", worker.m_address },
                            { "rack", name },
@@ -395,7 +398,9 @@
                        { "leaving", m_context.m_leaving },
                        { "config_version", m_context.m_replica.ConfigVersion() },
                        { "address", m_context.m_settings.m_listen } });
-  for (const auto& [id, member] : m_context.m_members.All()) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_context.m_members.All()) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     rows.push_back(Json{ { "id", id },
                          { "zone", member.m_settings.m_zone },
                          { "alive", m_context.m_members.IsAlive(id, m_context.m_now) },
--- a/lib/Core/Racks.cpp
+++ b/lib/Core/Racks.cpp
@@ -29,7 +29,8 @@
 WorkerRun*
 RackController::FindWorker(WorkerId aWorker)
 {
-  for (auto& [name, rack] : m_racks) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    RackRun& rack = rackEntry.second;
     const std::map<WorkerId, WorkerRun>::iterator it = rack.m_workers.find(aWorker);
     if (it != rack.m_workers.end()) {
       return &it->second;
@@ -52,7 +53,8 @@
 ServiceReserve(const Model& aModel, const std::string& aPool)
 {
   Resources reserve;
-  for (const auto& [name, service] : aModel.m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : aModel.m_services) {
+    const Service& service = serviceEntry.second;
     if (std::find(service.m_pools.begin(), service.m_pools.end(), aPool) != service.m_pools.end()) {
       reserve += service.m_reserve;
     }
@@ -64,11 +66,14 @@
 RackController::SyncWorkers(RackRun& aRack)
 {
   const Model& model = m_context.Config();
-  for (auto& [id, worker] : aRack.m_workers) {
+  for (std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+    WorkerRun& worker = workerEntry.second;
     worker.m_removed = true;
     worker.m_drained = false;
   }
-  for (const auto& [name, pool] : model.m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : model.m_pools) {
+    const std::string& name = poolEntry.first;
+    const Pool& pool = poolEntry.second;
     if (pool.m_rack != aRack.m_rack) {
       continue;
     }
@@ -87,7 +92,8 @@
       worker.m_ledger.SetSize(pool.m_size, ServiceReserve(model, name));
     }
   }
-  for (const auto& [name, drain] : model.m_drains) {
+  for (const std::pair<const std::string, Drain>& drainEntry : model.m_drains) {
+    const Drain& drain = drainEntry.second;
     const std::map<WorkerId, WorkerRun>::iterator it =
       aRack.m_workers.find(WorkerIdOf(drain.m_worker));
     if (it != aRack.m_workers.end()) {
@@ -130,11 +136,13 @@
 void
 RackController::Refresh()
 {
-  for (auto& [name, rack] : m_racks) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    RackRun& rack = rackEntry.second;
     SyncWorkers(rack);
   }
   size_t workers = 0;
-  for (const auto& [name, pool] : m_context.Config().m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : m_context.Config().m_pools) {
+    const Pool& pool = poolEntry.second;
     workers += pool.m_workers.size();
   }
   m_health.SetEjectShare(m_context.Config().m_policy.m_ejectShare);
@@ -293,8 +301,10 @@
 void
 RackController::OnPaused()
 {
-  for (auto& [name, rack] : m_racks) {
-    for (auto& [id, worker] : rack.m_workers) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    RackRun& rack = rackEntry.second;
+    for (std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      WorkerRun& worker = workerEntry.second;
       worker.m_fresh = false;
       worker.m_listCall = 0;
       worker.m_listSentAt = Instant{};    // due at once
@@ -311,12 +321,16 @@
   m_adopting.clear();
   const OwnershipTable& table = m_context.m_replica.Racks();
   std::vector<std::string> lost;
-  for (auto& [name, rack] : m_racks) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    const std::string& name = rackEntry.first;
+    RackRun& rack = rackEntry.second;
     if (!rack.m_acting && !table.Allows(name, rack.m_epoch, m_context.m_self)) {
       lost.push_back(name);
     }
-    for (auto& [id, worker] : rack.m_workers) {
-      for (auto& [attempt, run] : worker.m_runs) {
+    for (std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      WorkerRun& worker = workerEntry.second;
+      for (std::pair<const TaskAttempt, Run>& runEntry : worker.m_runs) {
+        Run& run = runEntry.second;
         run.m_endToken = 0; // recorded again at the next list, if it still counts
       }
     }
@@ -330,8 +344,10 @@
 RackController::OnInstanceList(const InstanceListArrived& aList)
 {
   m_listedLeaving = std::set<std::string>(aList.m_leaving.begin(), aList.m_leaving.end());
-  for (auto& [name, rack] : m_racks) {
-    for (auto& [id, worker] : rack.m_workers) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    RackRun& rack = rackEntry.second;
+    for (std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      WorkerRun& worker = workerEntry.second;
       if (m_listedLeaving.contains(worker.m_address) && !worker.m_leaving) {
         worker.m_leaving = true;
         ++m_changes;
@@ -344,7 +360,8 @@
 RackController::Tick()
 {
   TickClaims();
-  for (auto& [name, rack] : m_racks) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks) {
+    RackRun& rack = rackEntry.second;
     TickRack(rack);
   }
   std::erase_if(m_calls, [this](const auto& aRow) {
@@ -360,7 +377,8 @@
   }
   if (aRack.m_phase == RackPhase::WaitingOut) {
     aRack.m_phase = RackPhase::Listing;
-    for (auto& [id, worker] : aRack.m_workers) {
+    for (std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+      WorkerRun& worker = workerEntry.second;
       worker.m_heardAt = m_context.m_now;
       worker.m_extendedAt = m_context.m_now;
     }
@@ -370,7 +388,8 @@
     AdoptRecorded(aRack);
   }
   bool settled = true;
-  for (auto& [id, worker] : aRack.m_workers) {
+  for (std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+    WorkerRun& worker = workerEntry.second;
     TickWorker(aRack, worker);
     settled = settled && (worker.m_listed || worker.m_lapsed);
   }
@@ -420,7 +439,9 @@
 {
   aWorker.m_renewedAt = m_context.m_now;
   RenewCall renew{ {}, ToMillis(m_context.Times().m_taskLease) };
-  for (const auto& [attempt, run] : aWorker.m_runs) {
+  for (const std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    const Run& run = runEntry.second;
     if (run.m_phase == RunPhase::Running && run.m_endToken == 0) {
       renew.m_runs.push_back(attempt);
     }
@@ -434,7 +455,9 @@
 void
 RackController::SendAgain(RackRun& aRack, WorkerRun& aWorker)
 {
-  for (auto& [attempt, run] : aWorker.m_runs) {
+  for (std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    Run& run = runEntry.second;
     if (run.m_endToken != 0 || m_context.m_now - run.m_sentAt < kSendAgain) {
       continue;
     }
@@ -454,7 +477,9 @@
   if (!aWorker.m_leaving && !aWorker.m_drained && !aWorker.m_removed) {
     return;
   }
-  for (const auto& [attempt, run] : aWorker.m_runs) {
+  for (const std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    const Run& run = runEntry.second;
     if (run.m_phase != RunPhase::Stopping && run.m_endToken == 0) {
       StopRun(aRack, aWorker, attempt, TaskEndReason::Evicted);
     }
@@ -488,7 +513,9 @@
 void
 RackController::EndLapsed(RackRun& aRack, WorkerRun& aWorker)
 {
-  for (const auto& [attempt, run] : aWorker.m_runs) {
+  for (const std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    const Run& run = runEntry.second;
     if (run.m_recorded) {
       RecordEnd(aRack, aWorker, attempt, TaskEndReason::Lapsed, "");
     }
--- a/lib/Core/Reactions.cpp
+++ b/lib/Core/Reactions.cpp
@@ -81,14 +81,18 @@
     return;
   }
   m_reactedAt = m_context.m_now;
-  for (const auto& [name, router] : m_routers) {
+  for (const std::pair<const std::string, Router>& routerEntry : m_routers) {
+    const std::string& name = routerEntry.first;
+    const Router& router = routerEntry.second;
     BaselineUs(name, router);
   }
   m_racks.Interference().Fade();
   const SlowdownLimits limits = LimitsFor(m_context.Config().m_policy.m_tailWeight);
-  for (auto& [name, rack] : m_racks.Racks()) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+    RackRun& rack = rackEntry.second;
     ChooseSpare(rack);
-    for (auto& [id, worker] : rack.m_workers) {
+    for (std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      WorkerRun& worker = workerEntry.second;
       if (worker.m_listed && !worker.m_lapsed) {
         ReactOn(rack, worker, ObserveWorker(worker), limits);
       }
@@ -101,7 +105,8 @@
 TaskController::NoiseOf(const WorkerRun& aWorker) const
 {
   double noise = 0;
-  for (const auto& [name, service] : m_context.Config().m_services) {
+  for (const std::pair<const std::string, Service>& nameEntry : m_context.Config().m_services) {
+    const std::string& name = nameEntry.first;
     // By the band of a moderate load, whether or not requests come there now.
     noise += m_racks.Interference().Predict(name, 1, aWorker.m_mix.Now()) - 1;
   }
@@ -115,9 +120,12 @@
 {
   double outstanding = 0;
   double slots = 0;
-  for (const auto& [name, service] : m_context.Config().m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : m_context.Config().m_services) {
+    const std::string& name = serviceEntry.first;
+    const Service& service = serviceEntry.second;
     const RouterMap::const_iterator router = m_routers.find(name);
-    for (const auto& [id, worker] : aRack.m_workers) {
+    for (const std::pair<const WorkerId, WorkerRun>& idEntry : aRack.m_workers) {
+      const uint32_t id = idEntry.first;
       const Target* target = router == m_routers.end() ? nullptr : router->second.Find(id);
       outstanding += target ? target->m_outstanding : 0;
       slots += target ? service.m_slots : 0;
@@ -129,7 +137,8 @@
   const double room = std::max(0.0, 1 - load / kLoadOfServing);
   const size_t count = static_cast<size_t>(room * static_cast<double>(aRack.m_workers.size()));
   std::vector<std::pair<double, WorkerRun*>> byNoise;
-  for (auto& [id, worker] : aRack.m_workers) {
+  for (std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+    WorkerRun& worker = workerEntry.second;
     byNoise.emplace_back(NoiseOf(worker) + (worker.m_spare ? kStaySpare : 0), &worker);
   }
   std::sort(byNoise.begin(), byNoise.end(), [](const auto& aLeft, const auto& aRight) {
@@ -138,7 +147,8 @@
   });
   for (size_t i = 0; i < byNoise.size(); ++i) {
     byNoise[i].second->m_spare = i < count;
-    for (auto& [name, router] : m_routers) {
+    for (std::pair<const std::string, Router>& routerEntry : m_routers) {
+      Router& router = routerEntry.second;
       router.SetSpare(byNoise[i].second->m_id, i < count);
     }
   }
@@ -198,7 +208,9 @@
 void
 TaskController::ThrottleAll(RackRun& aRack, WorkerRun& aWorker, uint32_t aPercent)
 {
-  for (auto& [attempt, run] : aWorker.m_runs) {
+  for (std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    Run& run = runEntry.second;
     if (run.m_phase == RunPhase::Running && !run.m_urgent && run.m_throttle != aPercent) {
       run.m_throttle = aPercent;
       m_racks.Call(aRack, aWorker, ThrottleCall{ attempt, aPercent });
@@ -218,7 +230,9 @@
   const TaskAttempt* noisiest = nullptr;
   double most = -1;
   Instant newest{};
-  for (const auto& [attempt, run] : aWorker.m_runs) {
+  for (const std::pair<const TaskAttempt, Run>& runEntry : aWorker.m_runs) {
+    const TaskAttempt& attempt = runEntry.first;
+    const Run& run = runEntry.second;
     const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
       model.m_kinds.find(run.m_kind);
     if (run.m_phase != RunPhase::Running || run.m_urgent || kind == model.m_kinds.end() ||
--- a/lib/Core/Replica.cpp
+++ b/lib/Core/Replica.cpp
@@ -195,7 +195,8 @@
       state.m_keys = m_keys.All();
       break;
     case Stream::Zone:
-      for (const auto& [name, rack] : m_racks.All()) {
+      for (const std::pair<const std::string, RackOwner>& rackEntry : m_racks.All()) {
+        const RackOwner& rack = rackEntry.second;
         state.m_racks.push_back(rack);
       }
       state.m_rackNames = m_jobs.RackNames();
--- a/lib/Core/Requests.cpp
+++ b/lib/Core/Requests.cpp
@@ -201,7 +201,8 @@
 void
 RequestController::ServeQueues()
 {
-  for (auto& [service, queue] : m_queues) {
+  for (std::pair<const std::string, std::deque<uint64_t>>& queueEntry : m_queues) {
+    std::deque<uint64_t>& queue = queueEntry.second;
     while (!queue.empty()) {
       RequestState* state = Find(queue.front());
       if (state && state->m_phase == RequestPhase::Queued && !RouteToWorker(*state) &&
@@ -454,7 +455,8 @@
   }
   // After a take-over without release, requests of the former owner may still run.
   bool foreign = false;
-  for (auto& [name, router] : m_routers) {
+  for (std::pair<const std::string, Router>& routerEntry : m_routers) {
+    Router& router = routerEntry.second;
     router.ReportBusy(aWorker, aBusySlots);
     const Target* target = router.Find(aWorker);
     foreign = foreign || (target && target->m_foreign > 0);
@@ -474,10 +476,16 @@
                 [&model](const auto& aRow) { return !model.m_services.contains(aRow.first); });
   m_retryBudget.SetShare(model.m_policy.m_retryShare);
   m_hedgeBudget.SetShare(model.m_policy.m_hedgeShare);
-  for (const auto& [name, service] : model.m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : model.m_services) {
+    const std::string& name = serviceEntry.first;
+    const Service& service = serviceEntry.second;
     std::vector<Target> targets;
-    for (const auto& [rackName, rack] : m_racks.Racks()) {
-      for (const auto& [id, worker] : rack.m_workers) {
+    for (const std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+      const std::string& rackName = rackEntry.first;
+      const RackRun& rack = rackEntry.second;
+      for (const std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+        const uint32_t id = workerEntry.first;
+        const WorkerRun& worker = workerEntry.second;
         const bool serves =
           std::find(service.m_pools.begin(), service.m_pools.end(), worker.m_pool) !=
           service.m_pools.end();
@@ -500,7 +508,9 @@
 RequestController::Room() const
 {
   std::vector<ServiceRoom> rooms;
-  for (const auto& [name, router] : m_routers) {
+  for (const std::pair<const std::string, Router>& routerEntry : m_routers) {
+    const std::string& name = routerEntry.first;
+    const Router& router = routerEntry.second;
     const uint32_t free = m_context.m_leaving ? 0 : router.FreeSlots(m_context.m_now);
     rooms.push_back(ServiceRoom{ name, free });
   }
--- a/lib/Core/Tasks.cpp
+++ b/lib/Core/Tasks.cpp
@@ -36,9 +36,12 @@
 TaskController::Room() const
 {
   std::vector<RackRoom> rooms;
-  for (const auto& [name, rack] : m_racks.Racks()) {
+  for (const std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+    const std::string& name = rackEntry.first;
+    const RackRun& rack = rackEntry.second;
     RackRoom room{ name, 0 };
-    for (const auto& [id, worker] : rack.m_workers) {
+    for (const std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      const WorkerRun& worker = workerEntry.second;
       if (worker.TakesWork() && RackController::IsSettled(rack)) {
         room.m_freeMilliCores += std::max<int64_t>(0, worker.m_ledger.Free().m_milliCores);
       }
@@ -53,10 +56,14 @@
 {
   m_usage.clear();
   int64_t owned = 0;
-  for (const auto& [name, rack] : m_racks.Racks()) {
-    for (const auto& [id, worker] : rack.m_workers) {
+  for (const std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+    const RackRun& rack = rackEntry.second;
+    for (const std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+      const WorkerRun& worker = workerEntry.second;
       owned += worker.m_size.m_milliCores;
-      for (const auto& [attempt, run] : worker.m_runs) {
+      for (const std::pair<const TaskAttempt, Run>& runEntry : worker.m_runs) {
+        const TaskAttempt& attempt = runEntry.first;
+        const Run& run = runEntry.second;
         const std::map<TaskAttempt, Resources>::const_iterator held =
           worker.m_ledger.Held().find(attempt);
         m_usage[run.m_team] += held == worker.m_ledger.Held().end() ? 0 : held->second.m_milliCores;
@@ -64,7 +71,8 @@
     }
   }
   int64_t all = 0;
-  for (const auto& [name, pool] : m_context.Config().m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : m_context.Config().m_pools) {
+    const Pool& pool = poolEntry.second;
     all += pool.m_size.m_milliCores * static_cast<int64_t>(pool.m_workers.size());
   }
   m_ownedShare = all > 0 ? static_cast<double>(owned) / static_cast<double>(all) : 0;
@@ -97,7 +105,8 @@
   if (!m_context.LogFresh()) {
     SendUnrecorded();
   }
-  for (auto& [name, rack] : m_racks.Racks()) {
+  for (std::pair<const std::string, RackRun>& rackEntry : m_racks.Racks()) {
+    RackRun& rack = rackEntry.second;
     if (RackController::IsSettled(rack) && !rack.m_acting) {
       ScheduleRack(rack);
     }
@@ -109,7 +118,8 @@
 void
 TaskController::SendUnrecorded()
 {
-  for (auto& [token, pending] : m_pending) {
+  for (std::pair<const uint64_t, PendingStart>& pendingEntry : m_pending) {
+    PendingStart& pending = pendingEntry.second;
     const Job* job = m_context.m_replica.Jobs().Find(pending.m_attempt.m_task.m_job);
     RackRun* rack = m_racks.Find(pending.m_rack);
     WorkerRun* worker = rack ? m_racks.FindWorker(pending.m_worker) : nullptr;
@@ -196,7 +206,9 @@
 TaskController::LoadsOn(const WorkerRun& aWorker) const
 {
   std::vector<ServiceLoad> loads;
-  for (const auto& [name, service] : m_context.Config().m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : m_context.Config().m_services) {
+    const std::string& name = serviceEntry.first;
+    const Service& service = serviceEntry.second;
     const std::vector<std::string>& pools = service.m_pools;
     if (std::find(pools.begin(), pools.end(), aWorker.m_pool) == pools.end()) {
       continue;
@@ -234,7 +246,9 @@
     model.m_kinds.find(aJob.m_spec.m_kind);
   std::vector<WorkerView> views;
   views.reserve(aRack.m_workers.size());
-  for (const auto& [id, worker] : aRack.m_workers) {
+  for (const std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+    const uint32_t id = workerEntry.first;
+    const WorkerRun& worker = workerEntry.second;
     WorkerView view;
     view.m_worker = id;
     view.m_size = worker.m_size;
@@ -342,13 +356,17 @@
   const Model& model = m_context.Config();
   WorkerRun* best = nullptr;
   std::vector<TaskAttempt> bestVictims;
-  for (auto& [id, worker] : aRack.m_workers) {
+  for (std::pair<const WorkerId, WorkerRun>& workerEntry : aRack.m_workers) {
+    const uint32_t id = workerEntry.first;
+    WorkerRun& worker = workerEntry.second;
     if (!worker.TakesWork() || !m_racks.Health().Usable(id, m_context.m_now, 0)) {
       continue;
     }
     Resources room = worker.m_ledger.Free();
     std::vector<TaskAttempt> victims;
-    for (const auto& [attempt, run] : worker.m_runs) {
+    for (const std::pair<const TaskAttempt, Run>& runEntry : worker.m_runs) {
+      const TaskAttempt& attempt = runEntry.first;
+      const Run& run = runEntry.second;
       const std::map<std::string, BatchKind, std::less<>>::const_iterator kind =
         model.m_kinds.find(run.m_kind);
       const bool movable =
@@ -393,7 +411,9 @@
     }
   }
   std::vector<RackRoom> rooms = Room();
-  for (const auto& [id, member] : m_context.m_members.All()) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_context.m_members.All()) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     if (m_context.m_members.IsLocal(member) && m_context.m_members.IsAlive(id, m_context.m_now)) {
       rooms.insert(rooms.end(), member.m_last.m_racks.begin(), member.m_last.m_racks.end());
     }
@@ -510,7 +530,8 @@
   m_pending.clear();
   m_moves.clear();
   m_busy.clear();
-  for (const auto& [token, start] : pending) {
+  for (const std::pair<const uint64_t, PendingStart>& startEntry : pending) {
+    const PendingStart& start = startEntry.second;
     const TaskState* task = m_context.m_replica.Jobs().FindTask(start.m_attempt.m_task);
     Resolve(start,
             task && task->m_phase == TaskPhase::Started &&
--- a/lib/Daemon/Api.cpp
+++ b/lib/Daemon/Api.cpp
@@ -107,7 +107,8 @@
 static Expected<void>
 CheckMembers(const Json& aBody, std::initializer_list<std::string_view> aKnown)
 {
-  for (const auto& [name, value] : aBody.items()) {
+  for (auto it = aBody.begin(); it != aBody.end(); ++it) {
+    const std::string& name = it.key();
     if (std::find(aKnown.begin(), aKnown.end(), name) == aKnown.end()) {
       return Fail(
         ErrorKind::BadInput, name + ": is not a known field", "remove it or correct its spelling");
--- a/lib/Jobs/JobTable.cpp
+++ b/lib/Jobs/JobTable.cpp
@@ -309,7 +309,9 @@
 {
   std::vector<SpecRow> rows;
   rows.reserve(m_jobs.size());
-  for (const auto& [id, job] : m_jobs) {
+  for (const std::pair<const JobId, Job>& jobEntry : m_jobs) {
+    const uint64_t id = jobEntry.first;
+    const Job& job = jobEntry.second;
     rows.push_back(SpecRow{ id, job.m_spec });
   }
   return rows;
@@ -319,7 +321,9 @@
 JobTable::Tasks() const
 {
   std::vector<TasksRow> rows;
-  for (const auto& [id, job] : m_jobs) {
+  for (const std::pair<const JobId, Job>& jobEntry : m_jobs) {
+    const uint64_t id = jobEntry.first;
+    const Job& job = jobEntry.second;
     if (job.m_local) {
       rows.push_back(TasksRow{ id, job.m_cancelled, job.m_failReason, job.m_tasks });
     }
--- a/lib/Journal/Reader.cpp
+++ b/lib/Journal/Reader.cpp
@@ -85,7 +85,8 @@
     }
     whole = Snapshot{};
     whole->m_covers = part->m_covers;
-    for (const auto& [index, bytes] : gathering.m_parts) {
+    for (const std::pair<const uint32_t, std::string>& bytesEntry : gathering.m_parts) {
+      const std::string& bytes = bytesEntry.second;
       whole->m_bytes += bytes;
     }
     m_gathering.erase(aBatch.m_batch.m_writer);
@@ -117,7 +118,8 @@
 StreamReader::Marks() const
 {
   std::vector<WriterMark> all;
-  for (const auto& [id, marks] : m_marks) {
+  for (const std::pair<const std::string, std::vector<WriterMark>>& marksEntry : m_marks) {
+    const std::vector<WriterMark>& marks = marksEntry.second;
     all.insert(all.end(), marks.begin(), marks.end());
   }
   return all;
--- a/lib/Membership/Members.cpp
+++ b/lib/Membership/Members.cpp
@@ -72,7 +72,9 @@
   if (aHeartbeat.m_echoIncarnation != m_self.m_incarnation) {
     return true;
   }
-  for (const auto& [sequence, sentAt] : member.m_sentAt) {
+  for (const std::pair<uint64_t, Instant>& sent : member.m_sentAt) {
+    const uint64_t sequence = sent.first;
+    const Instant sentAt = sent.second;
     if (sequence == aHeartbeat.m_echo) {
       member.m_consentUntil = std::max(member.m_consentUntil, sentAt + m_timing.m_authority);
     }
@@ -116,7 +118,8 @@
   }
   // The time in which a claim of a silent peer would have shown in the log.
   const Duration settled = m_timing.m_suspect + m_timing.m_authority + m_timing.m_messageDelay;
-  for (auto& [id, member] : m_members) {
+  for (std::pair<const std::string, Member>& memberEntry : m_members) {
+    Member& member = memberEntry.second;
     if (member.m_counted && aNow - member.m_lastHeard > settled) {
       member.m_counted = false;
     }
@@ -127,7 +130,8 @@
 Members::ConsentUntil(Instant aNow) const
 {
   Instant until = Instant::max();
-  for (const auto& [id, member] : m_members) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_members) {
+    const Member& member = memberEntry.second;
     if (!IsLocal(member) || !member.m_counted) {
       continue;
     }
@@ -167,7 +171,9 @@
   if (!aSelfLeaving) {
     ids.push_back(m_self.m_id);
   }
-  for (const auto& [id, member] : m_members) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_members) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     if (IsLocal(member) && IsAlive(id, aNow) && member.m_last.m_ready && !member.m_last.m_leaving) {
       ids.push_back(id);
     }
@@ -179,7 +185,9 @@
 bool
 Members::PeerReadsLog(Instant aNow) const
 {
-  for (const auto& [id, member] : m_members) {
+  for (const std::pair<const std::string, Member>& memberEntry : m_members) {
+    const std::string& id = memberEntry.first;
+    const Member& member = memberEntry.second;
     if (IsLocal(member) && IsAlive(id, aNow) && member.m_last.m_logFresh) {
       return true;
     }
--- a/lib/Membership/Ownership.cpp
+++ b/lib/Membership/Ownership.cpp
@@ -23,7 +23,8 @@
 bool
 OwnershipTable::IsSupersededUnaware(const InstanceId& aPeer, Offset aApplied) const
 {
-  for (const auto& [name, rack] : m_racks) {
+  for (const std::pair<const std::string, RackOwner>& rackEntry : m_racks) {
+    const RackOwner& rack = rackEntry.second;
     if (rack.m_previous == aPeer && aApplied <= rack.m_claimedAt) {
       return true;
     }
--- a/lib/Node/Claimer.cpp
+++ b/lib/Node/Claimer.cpp
@@ -142,7 +142,9 @@
   Outcome outcome;
   outcome.m_own = m_identity;
   outcome.m_state.m_end = m_end;
-  for (const auto& [key, value] : m_values) {
+  for (const std::pair<const std::string, std::string>& valueEntry : m_values) {
+    const std::string& key = valueEntry.first;
+    const std::string& value = valueEntry.second;
     GraphId id = 0;
     const RecordKind kind = ClassifyKey(key, id);
     if (value.empty() || kind == RecordKind::Claim) {
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -42,7 +42,9 @@
   for (StoredJob& job : aState.m_jobs) {
     m_scheduler.RestoreJob(std::move(job), now, wallMs);
   }
-  for (const auto& [id, progress] : aState.m_progress) {
+  for (const std::pair<GraphId, StoredProgress>& progressEntry : aState.m_progress) {
+    const GraphId id = progressEntry.first;
+    const StoredProgress& progress = progressEntry.second;
     m_scheduler.RestoreProgress(id, progress);
   }
   for (const WorkerReport& report : aState.m_workers) {
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -67,7 +67,8 @@
 {
   const Instant now = NowWithSuspend();
   const Peer* best = nullptr;
-  for (const auto& [id, peer] : m_peers) {
+  for (const std::pair<const std::string, Peer>& peerEntry : m_peers) {
+    const Peer& peer = peerEntry.second;
     const bool fresh = now - peer.m_heardAt < kPeerFresh;
     if (fresh && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
       best = &peer;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -272,7 +272,9 @@
   }
   m_decider.reset();
   std::unordered_map<RequestToken, PeerCallback> requests = std::exchange(m_requests, {});
-  for (auto& [token, done] : requests) {
+  for (std::pair<const RequestToken, std::function<void(const PeerAnswer&)>>& doneEntry :
+       requests) {
+    std::function<void(const PeerAnswer&)>& done = doneEntry.second;
     PeerAnswer answer;
     answer.m_outcome = PeerOutcome::Unknown;
     done(answer);
@@ -405,6 +407,13 @@
   return !m_leaving && (m_decider || m_succession.HasLeader(NowWithSuspend()));
 }
 
+/// A counter and its name.
+struct MetricRow
+{
+  const char* m_name;
+  uint64_t m_value;
+};
+
 std::string
 Node::Metrics()
 {
@@ -413,7 +422,7 @@
     return text;
   }
   const SchedulerCounters& counters = m_decider->Core().Counters();
-  const std::pair<const char*, uint64_t> rows[] = {
+  const MetricRow rows[] = {
     { "egretturn_jobs", m_decider->Core().JobCount() },
     { "egretturn_jobs_accepted_total", counters.m_accepted },
     { "egretturn_jobs_refused_total", counters.m_refused },
@@ -426,8 +435,8 @@
     { "egretturn_looks_total", counters.m_looks },
     { "egretturn_batches_total", counters.m_batches },
   };
-  for (const auto& [name, value] : rows) {
-    text.append(name).append(1, ' ').append(std::to_string(value)).append(1, '\n');
+  for (const MetricRow& row : rows) {
+    text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
   }
   return text;
 }
--- a/lib/Placement/Interference.cpp
+++ b/lib/Placement/Interference.cpp
@@ -94,7 +94,9 @@
 InterferenceModel::Predict(const std::string& aService, size_t aBand, const TaskMix& aMix) const
 {
   double slowdown = 1;
-  for (const auto& [kind, count] : aMix) {
+  for (const std::pair<const std::string, uint32_t>& countEntry : aMix) {
+    const std::string& kind = countEntry.first;
+    const uint32_t count = countEntry.second;
     slowdown += count * Added(aService, aBand, kind);
   }
   return slowdown;
@@ -107,7 +109,8 @@
                            double aSlowdown)
 {
   double norm = 0;
-  for (const auto& [kind, count] : aMix) {
+  for (const std::pair<const std::string, uint32_t>& countEntry : aMix) {
+    const uint32_t count = countEntry.second;
     norm += static_cast<double>(count) * count;
   }
   if (norm <= 0) {
@@ -115,7 +118,9 @@
   }
   // Normalized least mean squares: the error is shared out by how many tasks of each kind ran.
   const double error = aSlowdown - Predict(aService, aBand, aMix);
-  for (const auto& [kind, count] : aMix) {
+  for (const std::pair<const std::string, uint32_t>& countEntry : aMix) {
+    const std::string& kind = countEntry.first;
+    const uint32_t count = countEntry.second;
     const double before = Added(aService, aBand, kind);
     const auto [it, fresh] = m_pairs.try_emplace(PairKey(aService, kind));
     Pair& pair = it->second;
@@ -130,7 +135,8 @@
 void
 InterferenceModel::Fade()
 {
-  for (auto& [key, pair] : m_pairs) {
+  for (std::pair<const std::pair<std::string, std::string>, Pair>& pairEntry : m_pairs) {
+    Pair& pair = pairEntry.second;
     for (double& added : pair.m_added) {
       added += kFadePerSecond * (kPriorAdded - added);
     }
--- a/lib/Standin/WorkerModel.cpp
+++ b/lib/Standin/WorkerModel.cpp
@@ -26,7 +26,8 @@
 WorkerModel::Reserved() const
 {
   Resources sum;
-  for (const auto& [task, entry] : m_entries) {
+  for (const std::pair<const TaskId, Entry>& entryEntry : m_entries) {
+    const Entry& entry = entryEntry.second;
     if (entry.m_state == RunState::Running) {
       sum += entry.m_size;
     }
@@ -145,7 +146,8 @@
 void
 WorkerModel::Advance(Instant aNow)
 {
-  for (auto& [task, entry] : m_entries) {
+  for (std::pair<const TaskId, Entry>& entryEntry : m_entries) {
+    Entry& entry = entryEntry.second;
     if (entry.m_state != RunState::Running) {
       continue;
     }
@@ -161,7 +163,8 @@
 WorkerModel::Reboot(uint64_t aBoot, Instant aNow)
 {
   Advance(aNow);
-  for (auto& [task, entry] : m_entries) {
+  for (std::pair<const TaskId, Entry>& entryEntry : m_entries) {
+    Entry& entry = entryEntry.second;
     if (entry.m_state == RunState::Running) {
       End(entry, RunState::Stopped, aNow);
     }
@@ -177,7 +180,9 @@
   reply.m_boot = m_boot;
   reply.m_leaving = m_leaving;
   reply.m_busySlots = m_busySlots;
-  for (const auto& [task, entry] : m_entries) {
+  for (const std::pair<const TaskId, Entry>& entryEntry : m_entries) {
+    const TaskId& task = entryEntry.first;
+    const Entry& entry = entryEntry.second;
     if (entry.m_forgotten) {
       continue;
     }
--- a/tools/egretturn-standin/Main.cpp
+++ b/tools/egretturn-standin/Main.cpp
@@ -69,16 +69,19 @@
     return FailWith(model.error().front());
   }
   uint32_t slots = 0;
-  for (const auto& [name, service] : model->m_services) {
+  for (const std::pair<const std::string, Service>& serviceEntry : model->m_services) {
+    const Service& service = serviceEntry.second;
     slots = std::max(slots, service.m_slots);
   }
   std::vector<std::string> kinds;
-  for (const auto& [name, kind] : model->m_kinds) {
+  for (const std::pair<const std::string, BatchKind>& nameEntry : model->m_kinds) {
+    const std::string& name = nameEntry.first;
     kinds.push_back(name);
   }
   boost::asio::io_context io(1);
   std::vector<std::unique_ptr<TargetServer>> servers;
-  for (const auto& [name, pool] : model->m_pools) {
+  for (const std::pair<const std::string, Pool>& poolEntry : model->m_pools) {
+    const Pool& pool = poolEntry.second;
     for (const std::string& address : pool.m_workers) {
       servers.push_back(
         std::make_unique<TargetServer>(io, address, pool.m_size, slots, aOptions, kinds));
--- a/tools/egretturn/Output.cpp
+++ b/tools/egretturn/Output.cpp
@@ -47,7 +47,9 @@
 void
 PrintObject(const Json& aObject)
 {
-  for (const auto& [name, value] : aObject.items()) {
+  for (auto it = aObject.begin(); it != aObject.end(); ++it) {
+    const std::string& name = it.key();
+    const Json& value = it.value();
     if (!value.is_array()) {
       std::cout << std::left << std::setw(18) << name << CellText(aObject, name) << '\n';
     }
--- a/unittests/Fuzz/Oracle.cpp
+++ b/unittests/Fuzz/Oracle.cpp
@@ -46,7 +46,9 @@
     std::vector<std::pair<size_t, size_t>>& runs = m_runsOf[record.m_run.m_task];
     const std::string name =
       std::to_string(record.m_run.m_task.m_job) + "/" + std::to_string(record.m_run.m_task.m_index);
-    for (const auto& [otherWorker, otherRecord] : runs) {
+    for (const std::pair<uint64_t, uint64_t>& otherRecordEntry : runs) {
+      const uint64_t otherWorker = otherRecordEntry.first;
+      const uint64_t otherRecord = otherRecordEntry.second;
       FakeWorker& elsewhere = m_workers[otherWorker];
       elsewhere.m_model.Advance(m_now);
       const RunRecord& other = elsewhere.m_model.History()[otherRecord];
@@ -101,7 +103,9 @@
     if (std::any_of(m_jobs.begin(), m_jobs.end(), [&jobs](JobId aId) { return !jobs.Find(aId); })) {
       return false;
     }
-    for (const auto& [id, job] : node.m_core->State().m_replica.Jobs().All()) {
+    for (const std::pair<const JobId, Job>& jobEntry :
+         node.m_core->State().m_replica.Jobs().All()) {
+      const Job& job = jobEntry.second;
       if (job.m_local && job.m_ended < job.m_tasks.size()) {
         return false;
       }
@@ -127,7 +131,9 @@
     text << (state.m_ready ? "" : "not ready (" + state.m_notReadyReason + ") ") << "waiting "
          << node.m_waiting.size() << " entries " << state.m_writer.Waiting()
          << (state.LogFresh() ? "" : " log stale");
-    for (const auto& [id, job] : state.m_replica.Jobs().All()) {
+    for (const std::pair<const JobId, Job>& jobEntry : state.m_replica.Jobs().All()) {
+      const uint64_t id = jobEntry.first;
+      const Job& job = jobEntry.second;
       if (job.m_local && job.m_ended < job.m_tasks.size()) {
         text << " job " << id << ' ' << egretturn::NameOf(job.Phase()) << ' ' << job.m_ended << '/'
              << job.m_tasks.size();
@@ -143,9 +149,13 @@
         }
       }
     }
-    for (const auto& [name, rack] : node.m_core->Racks().Racks()) {
-      for (const auto& [id, worker] : rack.m_workers) {
-        for (const auto& [attempt, run] : worker.m_runs) {
+    for (const std::pair<const std::string, RackRun>& rackEntry : node.m_core->Racks().Racks()) {
+      const RackRun& rack = rackEntry.second;
+      for (const std::pair<const WorkerId, WorkerRun>& workerEntry : rack.m_workers) {
+        const WorkerRun& worker = workerEntry.second;
+        for (const std::pair<const TaskAttempt, Run>& runEntry : worker.m_runs) {
+          const TaskAttempt& attempt = runEntry.first;
+          const Run& run = runEntry.second;
           text << " {" << worker.m_address << ' ' << attempt.m_task.m_index << " phase "
                << static_cast<int>(run.m_phase) << (run.m_recorded ? " recorded" : "")
                << (run.m_adopted ? " adopted" : "") << (run.m_endToken != 0 ? " ending" : "")
--- a/unittests/Fuzz/World.cpp
+++ b/unittests/Fuzz/World.cpp
@@ -333,7 +333,9 @@
 {
   Node& node = m_nodes[aNode];
   if (!node.m_lingering) {
-    for (const auto& [id, told] : node.m_waiting) {
+    for (const std::pair<const uint64_t, std::function<void(const AnswerRequest&)>>& idEntry :
+         node.m_waiting) {
+      const uint64_t id = idEntry.first;
       const Instant since = std::max(node.m_arrivedAt[id], node.m_pausedUntil);
       if (m_now - since > kArriving) {
         Violate(Promise::GracefulStop, "an instance ended its work with a request unanswered");
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -19,11 +19,14 @@
 {
   const std::vector<std::string> racks = Names("rack", 30);
   std::map<std::string, size_t> load;
-  for (const auto& [rack, owner] : DesiredOwners(racks, Names("i", 6))) {
+  for (const std::pair<const std::string, std::string>& ownerEntry :
+       DesiredOwners(racks, Names("i", 6))) {
+    const std::string& owner = ownerEntry.second;
     ++load[owner];
   }
   CHECK(load.size() == 6);
-  for (const auto& [owner, count] : load) {
+  for (const std::pair<const std::string, uint64_t>& countEntry : load) {
+    const uint64_t count = countEntry.second;
     CHECK(count <= 7); // a quarter above 30 / 6
   }
 }
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -105,7 +105,8 @@
 FakeWorker::InUse() const
 {
   Demand used;
-  for (const auto& [key, run] : m_runs) {
+  for (const std::pair<const std::string, std::pair<TaskRef, Run>>& runEntry : m_runs) {
+    const std::pair<TaskRef, Run>& run = runEntry.second;
     used.m_cpuMilli += run.second.m_demand.m_cpuMilli;
     used.m_memoryMb += run.second.m_demand.m_memoryMb;
   }
@@ -194,7 +195,8 @@
   }
   aView.m_clockMs = ClockMs(aNow);
   aView.m_incarnation = m_report.m_incarnation;
-  for (const auto& [key, run] : m_runs) {
+  for (const std::pair<const std::string, std::pair<TaskRef, Run>>& runEntry : m_runs) {
+    const std::pair<TaskRef, Run>& run = runEntry.second;
     aView.m_running.push_back({ run.first, run.second.m_run, "", 50, 0 });
   }
   aView.m_ended = m_ended;
@@ -216,14 +218,17 @@
 FakeWorker::Advance(Instant aNow)
 {
   std::vector<std::pair<TaskRef, RunEnd>> ending;
-  for (const auto& [key, run] : m_runs) {
+  for (const std::pair<const std::string, std::pair<TaskRef, Run>>& runEntry : m_runs) {
+    const std::pair<TaskRef, Run>& run = runEntry.second;
     if (run.second.m_endsAt <= aNow) {
       ending.emplace_back(run.first, run.second.m_end);
     } else if (ClockMs(aNow) >= m_leaseMs) {
       ending.emplace_back(run.first, RunEnd::Lapsed);
     }
   }
-  for (const auto& [task, end] : ending) {
+  for (const std::pair<TaskRef, RunEnd>& endEntry : ending) {
+    const TaskRef& task = endEntry.first;
+    const RunEnd& end = endEntry.second;
     End(task, end);
   }
 }
@@ -232,7 +237,8 @@
 FakeWorker::Restart(Instant aNow)
 {
   Advance(aNow);
-  for (const auto& [key, run] : m_runs) {
+  for (const std::pair<const std::string, std::pair<TaskRef, Run>>& runEntry : m_runs) {
+    const std::pair<TaskRef, Run>& run = runEntry.second;
     m_oracle.OnEnded(run.first, m_report.m_id, RunEnd::Lapsed);
   }
   m_runs.clear();
--- a/unittests/Scheduler/ProgressTest.cpp
+++ b/unittests/Scheduler/ProgressTest.cpp
@@ -77,7 +77,9 @@
     for (const Action& action : m_scheduler.TakeActions()) {
       Carry(action);
     }
-    for (auto& [worker, view] : m_views) {
+    for (std::pair<const std::string, WorkerView>& viewEntry : m_views) {
+      const std::string& worker = viewEntry.first;
+      WorkerView& view = viewEntry.second;
       for (RunningRow& row : view.m_running) {
         row.m_percent += worker == "hangs" ? 0 : 2;
       }
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -80,7 +80,9 @@
     }
     world.Advance(milliseconds(world.m_random.Below(600)));
   }
-  for (const auto& [id, truth] : world.m_oracle.m_jobs) {
+  for (const std::pair<const GraphId, JobTruth>& truthEntry : world.m_oracle.m_jobs) {
+    const GraphId id = truthEntry.first;
+    const JobTruth& truth = truthEntry.second;
     if (truth.m_submission.m_graph.m_steps[0].m_lasting) {
       world.Cancel(id);
     }
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -128,7 +128,9 @@
   decider->m_scheduler = std::make_unique<Scheduler>(limits, decider->m_epoch, m_now);
   decider->m_end = ++m_storeEnd; // the claim
   std::vector<std::pair<GraphId, StoredProgress>> progress;
-  for (const auto& [key, value] : m_store) {
+  for (const std::pair<const std::string, std::string>& valueEntry : m_store) {
+    const std::string& key = valueEntry.first;
+    const std::string& value = valueEntry.second;
     GraphId id = 0;
     const RecordKind kind = ClassifyKey(key, id);
     StoredJob job;
@@ -142,7 +144,9 @@
       decider->m_scheduler->RestoreWorker(report, m_now);
     }
   }
-  for (const auto& [id, one] : progress) {
+  for (const std::pair<GraphId, StoredProgress>& oneEntry : progress) {
+    const GraphId id = oneEntry.first;
+    const StoredProgress& one = oneEntry.second;
     decider->m_scheduler->RestoreProgress(id, one);
   }
   if (placed) {
@@ -321,7 +325,8 @@
   if (it == aDecider->m_requests.end()) {
     return;
   }
-  const auto [id, cancel] = it->second;
+  const GraphId id = it->second.first;
+  const bool cancel = it->second.second;
   aDecider->m_requests.erase(it);
   JobTruth& job = m_oracle.m_jobs[id];
   if (cancel && aAnswer.m_result == SubmitResult::Accepted && !job.m_cancelled) {
@@ -373,7 +378,9 @@
 void
 SchedulerWorld::CheckEnd()
 {
-  for (const auto& [id, job] : m_oracle.m_jobs) {
+  for (const std::pair<const GraphId, JobTruth>& jobEntry : m_oracle.m_jobs) {
+    const GraphId id = jobEntry.first;
+    const JobTruth& job = jobEntry.second;
     if (!job.m_accepted) {
       continue;
     }
