--- a/tools/egretturn-load/Main.cpp
+++ b/tools/egretturn-load/Main.cpp
@@ -1,11 +1,11 @@
 // Load tool: sends requests over a number of connections and prints what became of them.
+#include "egretturn/CommandLine/CommandLine.h"
 #include "egretturn/Http/Http.h"
 #include "egretturn/Support/Fields.h"
 #include "egretturn/Support/Latency.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <docopt/docopt.h>
 #include <iostream>
 
 static constexpr const char* kUsage =
@@ -164,29 +164,49 @@
   LatencyHistogram m_latency;
 };
 
+/// Errors: bad_input for an option that is no number.
+Expected<LoadOptions>
+ReadOptions(const Arguments& aArguments)
+{
+  const Expected<double> connections = NumberOption(aArguments, "--connections");
+  const Expected<double> seconds = NumberOption(aArguments, "--seconds");
+  const Expected<double> bodyBytes = NumberOption(aArguments, "--body-bytes");
+  const Expected<double> rate = NumberOption(aArguments, "--rate");
+  for (const Expected<double>* number : { &connections, &seconds, &bodyBytes, &rate }) {
+    if (!*number) {
+      return tl::unexpected<Error>(number->error());
+    }
+  }
+  LoadOptions options;
+  std::istringstream targets(aArguments.at("--target").asString());
+  for (std::string target; std::getline(targets, target, ',');) {
+    options.m_targets.push_back(target);
+  }
+  options.m_path = aArguments.at("--path").asString();
+  options.m_connections = static_cast<size_t>(*connections);
+  options.m_length = Duration(static_cast<int64_t>(*seconds * 1e6));
+  options.m_body = std::string(static_cast<size_t>(*bodyBytes), 'x');
+  options.m_rate = *rate;
+  const docopt::value& key = aArguments.at("--key");
+  options.m_key = key ? key.asString() : "";
+  return options;
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
-  std::map<std::string, docopt::value> arguments =
-    docopt::docopt(kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true);
-  const auto number = [&arguments](const char* aName) {
-    return std::stod(arguments[aName].asString());
-  };
-  LoadOptions options;
-  std::istringstream targets(arguments["--target"].asString());
-  for (std::string target; std::getline(targets, target, ',');) {
-    options.m_targets.push_back(target);
+  const tl::expected<Arguments, int> arguments = ParseCommandLine(kUsage, aCount, aArguments);
+  if (!arguments) {
+    return arguments.error();
+  }
+  Expected<LoadOptions> options = ReadOptions(*arguments);
+  if (!options) {
+    return RefuseArguments(options.error());
   }
-  options.m_path = arguments["--path"].asString();
-  options.m_connections = static_cast<size_t>(number("--connections"));
-  options.m_length = Duration(static_cast<int64_t>(number("--seconds") * 1e6));
-  options.m_body = std::string(static_cast<size_t>(number("--body-bytes")), 'x');
-  options.m_rate = number("--rate");
-  options.m_key = arguments["--key"] ? arguments["--key"].asString() : "";
   boost::asio::io_context io(1);
-  Load load(io, std::move(options));
+  Load load(io, std::move(*options));
   load.Start();
   io.run();
   load.Print();
--- a/tools/egretturn-standin/Main.cpp
+++ b/tools/egretturn-standin/Main.cpp
@@ -1,11 +1,11 @@
 // Stand-ins for the platform: the log service, the list of instances and the workers.
 #include "Platform.h"
 #include "Targets.h"
+#include "egretturn/CommandLine/CommandLine.h"
 #include "egretturn/Config/Document.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -99,13 +99,20 @@
 int
 main(int aCount, char** aArguments)
 {
-  std::map<std::string, docopt::value> arguments =
-    docopt::docopt(kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true);
-  if (arguments["platform"].asBool()) {
-    return RunPlatform(arguments["--listen"].asString());
+  const tl::expected<Arguments, int> arguments = ParseCommandLine(kUsage, aCount, aArguments);
+  if (!arguments) {
+    return arguments.error();
+  }
+  if (arguments->at("platform").asBool()) {
+    return RunPlatform(arguments->at("--listen").asString());
+  }
+  const Expected<double> serviceUs = NumberOption(*arguments, "--service-us");
+  const Expected<double> taskMs = NumberOption(*arguments, "--task-ms");
+  if (!serviceUs || !taskMs) {
+    return RefuseArguments(serviceUs ? taskMs.error() : serviceUs.error());
   }
   TargetOptions options;
-  options.m_serviceUs = std::stoll(arguments["--service-us"].asString());
-  options.m_taskMs = std::stoll(arguments["--task-ms"].asString());
-  return RunWorkers(arguments["--config"].asString(), options);
+  options.m_serviceUs = static_cast<int64_t>(*serviceUs);
+  options.m_taskMs = static_cast<int64_t>(*taskMs);
+  return RunWorkers(arguments->at("--config").asString(), options);
 }
--- a/tools/egretturn/Commands.h
+++ b/tools/egretturn/Commands.h
@@ -3,15 +3,12 @@
 
 #include "Client.h"
 
-#include <docopt/docopt.h>
-#include <map>
+#include "egretturn/CommandLine/CommandLine.h"
+
 #include <string>
 
 namespace egretturn {
 
-/// The parsed command line.
-using Arguments = std::map<std::string, docopt::value>;
-
 ExitCode RunConfig(Arguments& aArguments);
 ExitCode RunJob(Arguments& aArguments);
 ExitCode RunRequest(Arguments& aArguments);
--- a/tools/egretturn/Main.cpp
+++ b/tools/egretturn/Main.cpp
@@ -93,16 +93,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  egretturn::Arguments arguments;
-  try {
-    arguments = docopt::docopt_parse(
-      kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true, false);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
-    return egretturn::ExitOk;
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\nsee egretturn --help\n";
-    return egretturn::ExitUsage;
-  }
-  return RunCommand(arguments);
+  tl::expected<egretturn::Arguments, int> arguments =
+    egretturn::ParseCommandLine(kUsage, aCount, aArguments);
+  return arguments ? RunCommand(*arguments) : arguments.error();
 }
--- a/tools/egretturnd/Main.cpp
+++ b/tools/egretturnd/Main.cpp
@@ -1,8 +1,8 @@
 // The daemon: one entry instance.
+#include "egretturn/CommandLine/CommandLine.h"
 #include "egretturn/Config/Settings.h"
 #include "egretturn/Daemon/Shell.h"
 
-#include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -33,7 +33,6 @@
 namespace {
 
 constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
 
 /// A number that no earlier run of this instance has used; 53 bits, so that JSON keeps it whole.
 uint64_t
@@ -50,7 +49,7 @@
   std::ifstream in(aFile);
   if (!in) {
     std::cerr << aFile << ": cannot be read; check the path and its permissions\n";
-    return kExitUsage;
+    return egretturn::kExitUsage;
   }
   std::ostringstream text;
   text << in.rdbuf();
@@ -60,7 +59,7 @@
     for (const egretturn::Error& error : settings.error()) {
       std::cerr << error.Text() << '\n';
     }
-    return kExitUsage;
+    return egretturn::kExitUsage;
   }
   if (aCheckOnly) {
     std::cout << aFile << ": ok\n";
@@ -85,19 +84,10 @@
 int
 main(int aCount, char** aArguments)
 {
-  std::map<std::string, docopt::value> arguments;
-  try {
-    arguments = docopt::docopt_parse(
-      kUsage, std::vector<std::string>(aArguments + 1, aArguments + aCount), true, true);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << EGRETTURN_VERSION << '\n';
-    return 0;
-  } catch (const std::exception&) {
-    std::cerr << kUsage;
-    return kExitUsage;
+  const tl::expected<egretturn::Arguments, int> arguments =
+    egretturn::ParseCommandLine(kUsage, aCount, aArguments);
+  if (!arguments) {
+    return arguments.error();
   }
-  return RunDaemon(arguments["--settings"].asString(), arguments["--check"].asBool());
+  return RunDaemon(arguments->at("--settings").asString(), arguments->at("--check").asBool());
 }
