--- a/unittests/Scheduler/PaceTest.cpp
+++ b/unittests/Scheduler/PaceTest.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-/// One worker whose tasks show given tails and make no progress, and what was ordered of it.
+/// One worker whose serving task shows a given tail, and what was ordered of it.
 struct OneWorker
 {
   explicit OneWorker(int64_t aTailMs)
@@ -47,6 +47,9 @@
   void Advance()
   {
     m_now += milliseconds(10);
+    for (RunningRow& row : m_running) {
+      row.m_percent = static_cast<int>((m_now - m_startedAt) / kPerPercent); // no straggler
+    }
     m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
     for (const Action& action : m_scheduler.TakeActions()) {
       Carry(action);
@@ -60,7 +63,7 @@
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
       const bool filling = start->m_task.m_job == kFilling;
       m_fillStarts += filling ? 1 : 0;
-      m_running.push_back({ start->m_task, start->m_run, "", 50, filling ? 2000 : m_tailMs });
+      m_running.push_back({ start->m_task, start->m_run, "", 0, filling ? 2000 : m_tailMs });
       m_scheduler.OnStart("w", start->m_task, start->m_run, OrderResult::Accepted, m_now);
     } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
       WorkerView view;
@@ -74,9 +77,11 @@
 
   static constexpr GraphId kServing = 1;
   static constexpr GraphId kFilling = 2;
+  static constexpr Duration kPerPercent = milliseconds(200);
 
   int64_t m_tailMs; ///< Of the serving task.
   Instant m_now{ std::chrono::hours(1) };
+  const Instant m_startedAt = m_now;
   Scheduler m_scheduler;
   std::vector<RunningRow> m_running;
   int m_fillStarts = 0;
