Log and count what keeps waiting tasks from each worker, and what is learned of pairs of images

Change: once a second a line for each image with waiting tasks, with the tasks that were not tried and the workers by obstacle; a line when a pair's weight has moved by 0.25; two gauges. Fits() became FindObstacle(), with the same tests. Decisions are as before. A step that found no room keeps steps of other images from being tried.

--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -3,8 +3,34 @@
 
 #include "egretturn/Scheduler/JobBook.h"
 
+#include <array>
+#include <string_view>
+
 namespace egretturn {
 
+/// What keeps a task from a worker.
+enum class Obstacle : uint8_t
+{
+  None,
+  Unavailable, ///< Not looked at, draining, out of contact, avoided or slow.
+  OtherService,
+  Label,
+  Spread, ///< The step's limit for one worker.
+  Memory, ///< Memory or accelerators.
+  Processors,
+  Pressed,    ///< A serving task there is near its target.
+  OnTrial,    ///< Another image there is on trial, and this one would be.
+  WouldPress, ///< By what was learned, or is assumed, of the images.
+};
+
+constexpr size_t kObstacles = static_cast<size_t>(Obstacle::WouldPress) + 1;
+
+/// Workers by obstacle.
+using ObstacleCounts = std::array<uint32_t, kObstacles>;
+
+/// The stable name of \p aObstacle. Thread-safe.
+std::string_view NameOf(Obstacle aObstacle);
+
 /// What a placement must respect besides the worker's own state.
 struct PlacementRequest
 {
@@ -20,8 +46,11 @@
 /// Whether \p aWorker may get new work at all at \p aNow.
 bool TakesWork(const Worker& aWorker, Instant aNow);
 
-/// Whether \p aWorker has room for one more task of \p aRequest.
-bool Fits(const Worker& aWorker, const PlacementRequest& aRequest);
+/// What keeps one more task of \p aRequest from \p aWorker, if that takes work at all.
+Obstacle FindObstacle(const Worker& aWorker, const PlacementRequest& aRequest);
+
+/// What keeps one more task of \p aRequest from each worker.
+ObstacleCounts CountObstacles(const Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow);
 
 /// The best worker for \p aRequest, or nullptr if none fits.
 Worker* ChooseWorker(Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow);
--- a/include/egretturn/Scheduler/Pressure.h
+++ b/include/egretturn/Scheduler/Pressure.h
@@ -98,6 +98,9 @@
   /// A small number for \p aImage; the same one each time.
   ImageId Intern(const std::string& aImage);
 
+  /// The image that Intern() has given this number. \pre There is one.
+  const std::string& NameOf(ImageId aImage) const { return *m_names[aImage]; }
+
   /// The utilization of a task of \p aServing whose tail is \p aRatio times its target.
   double UtilizationOf(ImageId aServing, double aRatio);
 
@@ -123,6 +126,9 @@
   /// What was learned so far.
   StoredPressure Describe() const;
 
+  /// Logs a line for each pair whose weight has moved much since it was last logged.
+  void LogChanges();
+
   /// Takes over what an earlier epoch has learned.
   void Restore(const StoredPressure& aStored);
 
@@ -132,8 +138,11 @@
   {
     double m_weight = 0;
     double m_variance = 0;
+    double m_loggedWeight = 0;
+    bool m_loggedKnown = false;
   };
 
+  static bool IsReliable(const Estimate& aEstimate);
   Estimate EstimateOf(ImageId aServing, ImageId aFilling) const;
 
   static uint32_t Pair(ImageId aServing, ImageId aFilling)
@@ -142,6 +151,7 @@
   }
 
   std::unordered_map<std::string, ImageId> m_images;
+  std::vector<const std::string*> m_names;         ///< The keys of m_images, by number.
   std::unordered_map<ImageId, double> m_idleRatio; ///< Lowest ratio of tail to target.
   std::unordered_map<uint32_t, Estimate> m_weights;
 };
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -6,6 +6,7 @@
 #include "egretturn/Scheduler/Order.h"
 #include "egretturn/Scheduler/Packing.h"
 #include "egretturn/Scheduler/Progress.h"
+#include "egretturn/Scheduler/Waiting.h"
 
 #include <set>
 #include <unordered_set>
@@ -56,6 +57,8 @@
   uint64_t m_paces = 0;
   uint64_t m_looks = 0;
   uint64_t m_batches = 0;
+  uint64_t m_tasksWaiting = 0;    ///< Ready, but without a worker; as of the last report.
+  uint64_t m_tasksPassedOver = 0; ///< Those of them that were not tried.
 };
 
 /// Not thread-safe. Each event method may add actions; fetch them with TakeActions().
@@ -211,7 +214,12 @@
                            const OccurrenceRecord& aOccurrence,
                            Instant aNow) const;
   static TaskRef RefOf(const WaitingStep& aWaiting, size_t aIndex);
+  static const GraphStep& StepOf(const WaitingStep& aWaiting);
   void PlaceStep(const WaitingStep& aWaiting, Instant aNow);
+  /// Gathers why tasks wait, for the report that is due.
+  void ReportPassedOver(const WaitingStep& aWaiting, Instant aNow);
+  void ReportNoRoom(const WaitingStep& aWaiting, const PlacementRequest& aRequest, Instant aNow);
+  void FinishReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   void StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
   void StopRun(Worker& aWorker, const TaskRef& aTask, Instant aNow);
@@ -275,6 +283,8 @@
   int64_t m_wallMs = 0;
   bool m_placeNeeded = false;
   Instant m_nextPlaceAt;
+  Instant m_nextReportAt;                 ///< Of why tasks wait.
+  std::optional<WaitingReport> m_waiting; ///< While a report is gathered.
   Instant m_nextSweepAt;
   Instant m_learnedWrittenAt;
   SchedulerCounters m_counters;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -434,6 +434,8 @@
     { "egretturn_paces_total", counters.m_paces },
     { "egretturn_looks_total", counters.m_looks },
     { "egretturn_batches_total", counters.m_batches },
+    { "egretturn_tasks_waiting", counters.m_tasksWaiting },
+    { "egretturn_tasks_passed_over", counters.m_tasksPassedOver },
   };
   for (const MetricRow& row : rows) {
     text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -1,9 +1,30 @@
 #include "egretturn/Scheduler/Packing.h"
 
+#include "egretturn/Support/EnumTable.h"
+
 #include <algorithm>
 
 namespace egretturn {
 
+static constexpr EnumTable<Obstacle, kObstacles> kObstacleNames{ {
+  { Obstacle::None, "none" },
+  { Obstacle::Unavailable, "unavailable" },
+  { Obstacle::OtherService, "other_service" },
+  { Obstacle::Label, "label" },
+  { Obstacle::Spread, "spread" },
+  { Obstacle::Memory, "memory" },
+  { Obstacle::Processors, "processors" },
+  { Obstacle::Pressed, "pressed" },
+  { Obstacle::OnTrial, "on_trial" },
+  { Obstacle::WouldPress, "would_press" },
+} };
+
+std::string_view
+NameOf(Obstacle aObstacle)
+{
+  return NameIn(kObstacleNames, aObstacle);
+}
+
 // The share of their reservation that lasting tasks use on average.
 static constexpr double kLastingUse = 0.45;
 
@@ -66,11 +87,14 @@
 }
 
 /// Whether one more task of \p aRequest would press a serving task on \p aWorker too hard.
-static bool
-WouldPress(const Worker& aWorker, const PlacementRequest& aRequest)
+static Obstacle
+FindPressure(const Worker& aWorker, const PlacementRequest& aRequest)
 {
+  if (aWorker.m_pressed) {
+    return Obstacle::Pressed;
+  }
   if (!aRequest.m_pressure) {
-    return false;
+    return Obstacle::None;
   }
   const PressureModel& pressure = *aRequest.m_pressure;
   const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
@@ -78,7 +102,7 @@
   for (const ServingGroup& serving : aWorker.m_serving) {
     const bool known = pressure.IsKnown(serving.m_image, aRequest.m_image);
     if (!known && IsOnTrial(aWorker, pressure, serving.m_image)) {
-      return true; // one at a time, so that the tail tells which of them presses
+      return Obstacle::OnTrial; // one at a time, so that the tail tells which of them presses
     }
     const double weight = pressure.Weight(serving.m_image, aRequest.m_image);
     if (known && weight < kHarmlessWeight) {
@@ -90,20 +114,18 @@
                capacity;
     }
     if (serving.m_ownLoad + added > pressure.TargetUtilization(serving.m_image) - kHeadroom) {
-      return true;
+      return Obstacle::WouldPress;
     }
   }
-  return false;
+  return Obstacle::None;
 }
 
 static bool
-FitsProcessors(const Worker& aWorker, const PlacementRequest& aRequest)
+HasProcessors(const Worker& aWorker, const GraphStep& aStep)
 {
-  const GraphStep& step = *aRequest.m_step;
-  const int64_t demand = step.m_demand.m_cpuMilli;
-  if (step.m_fills) {
-    return !aWorker.m_pressed && !WouldPress(aWorker, aRequest) &&
-           SpareForFill(aWorker) >= kLeastFillShare * static_cast<double>(demand);
+  const int64_t demand = aStep.m_demand.m_cpuMilli;
+  if (aStep.m_fills) {
+    return SpareForFill(aWorker) >= kLeastFillShare * static_cast<double>(demand);
   }
   return aWorker.m_used.m_cpuMilli + demand <= aWorker.m_report.m_capacity.m_cpuMilli;
 }
@@ -125,21 +147,41 @@
     std::count(aRequest.m_siblings->begin(), aRequest.m_siblings->end(), &aWorker));
 }
 
-bool
-Fits(const Worker& aWorker, const PlacementRequest& aRequest)
+Obstacle
+FindObstacle(const Worker& aWorker, const PlacementRequest& aRequest)
 {
   const GraphStep& step = *aRequest.m_step;
   const Demand& demand = step.m_demand;
   const Demand& capacity = aWorker.m_report.m_capacity;
+  if (aWorker.m_report.m_service != *aRequest.m_service) {
+    return Obstacle::OtherService;
+  }
   if (aWorker.m_used.m_memoryMb + demand.m_memoryMb > capacity.m_memoryMb ||
       aWorker.m_used.m_accelerators + demand.m_accelerators > capacity.m_accelerators) {
-    return false;
+    return Obstacle::Memory;
+  }
+  if (!HasProcessors(aWorker, step)) {
+    return Obstacle::Processors;
+  }
+  if (!HasLabel(aWorker, step.m_label)) {
+    return Obstacle::Label;
+  }
+  if (step.m_maxPerWorker > 0 && CountSiblings(aWorker, aRequest) >= step.m_maxPerWorker) {
+    return Obstacle::Spread;
   }
-  if (!FitsProcessors(aWorker, aRequest) || aWorker.m_report.m_service != *aRequest.m_service) {
-    return false;
+  return step.m_fills ? FindPressure(aWorker, aRequest) : Obstacle::None;
+}
+
+ObstacleCounts
+CountObstacles(const Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow)
+{
+  ObstacleCounts counts{};
+  for (const std::unique_ptr<Worker>& worker : aFleet.All()) {
+    const Obstacle obstacle =
+      TakesWork(*worker, aNow) ? FindObstacle(*worker, aRequest) : Obstacle::Unavailable;
+    ++counts[static_cast<size_t>(obstacle)];
   }
-  return HasLabel(aWorker, step.m_label) &&
-         (step.m_maxPerWorker == 0 || CountSiblings(aWorker, aRequest) < step.m_maxPerWorker);
+  return counts;
 }
 
 /// How unlike \p aImage the serving images on \p aWorker are, added up. Unlike images leave
@@ -196,7 +238,7 @@
   Worker* best = nullptr;
   double bestScore = 0;
   for (const std::unique_ptr<Worker>& worker : aFleet.All()) {
-    if (!TakesWork(*worker, aNow) || !Fits(*worker, aRequest)) {
+    if (!TakesWork(*worker, aNow) || FindObstacle(*worker, aRequest) != Obstacle::None) {
       continue;
     }
     const double score = Score(*worker, aRequest);
--- a/lib/Scheduler/Pressure.cpp
+++ b/lib/Scheduler/Pressure.cpp
@@ -1,5 +1,7 @@
 #include "egretturn/Scheduler/Pressure.h"
 
+#include "egretturn/Support/Log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -34,7 +36,8 @@
 static constexpr double kSmoothingMs = 350;
 
 static constexpr Duration kSampleAge = std::chrono::milliseconds(1200);
-static constexpr double kPeakFade = 0.02; // of a peak, in a second
+static constexpr double kLoggedChange = 0.25; // of a weight; smaller changes are not logged
+static constexpr double kPeakFade = 0.02;     // of a peak, in a second
 
 void
 SmoothLoads(std::vector<ImageLoad>& aSmoothed,
@@ -98,7 +101,11 @@
 ImageId
 PressureModel::Intern(const std::string& aImage)
 {
-  return m_images.emplace(aImage, static_cast<ImageId>(m_images.size())).first->second;
+  const auto [it, added] = m_images.emplace(aImage, static_cast<ImageId>(m_images.size()));
+  if (added) {
+    m_names.push_back(&it->first);
+  }
+  return it->second;
 }
 
 double
@@ -122,7 +129,8 @@
 PressureModel::EstimateOf(ImageId aServing, ImageId aFilling) const
 {
   const auto it = m_weights.find(Pair(aServing, aFilling));
-  return it == m_weights.end() ? Estimate{ kFirstWeight, kFirstVariance } : it->second;
+  return it == m_weights.end() ? Estimate{ kFirstWeight, kFirstVariance, kFirstWeight, false }
+                               : it->second;
 }
 
 double
@@ -131,10 +139,16 @@
   return EstimateOf(aServing, aFilling).m_weight;
 }
 
+bool
+PressureModel::IsReliable(const Estimate& aEstimate)
+{
+  return aEstimate.m_variance <= kKnownDeviation * kKnownDeviation;
+}
+
 bool
 PressureModel::IsKnown(ImageId aServing, ImageId aFilling) const
 {
-  return EstimateOf(aServing, aFilling).m_variance <= kKnownDeviation * kKnownDeviation;
+  return IsReliable(EstimateOf(aServing, aFilling));
 }
 
 double
@@ -196,29 +210,46 @@
 StoredPressure
 PressureModel::Describe() const
 {
-  std::vector<const std::string*> names(m_images.size());
-  for (const std::pair<const std::string, uint16_t>& imageEntry : m_images) {
-    const std::string& name = imageEntry.first;
-    const uint16_t image = imageEntry.second;
-    names[image] = &name;
-  }
   StoredPressure stored;
   for (const std::pair<const uint32_t, Estimate>& estimateEntry : m_weights) {
     const uint32_t pair = estimateEntry.first;
     const Estimate& estimate = estimateEntry.second;
     stored.m_pairs.push_back(
-      { *names[pair >> 16], *names[pair & 0xffff], estimate.m_weight, estimate.m_variance });
+      { *m_names[pair >> 16], *m_names[pair & 0xffff], estimate.m_weight, estimate.m_variance });
   }
   return stored;
 }
 
+void
+PressureModel::LogChanges()
+{
+  for (std::pair<const uint32_t, Estimate>& estimateEntry : m_weights) {
+    Estimate& estimate = estimateEntry.second;
+    const bool known = IsReliable(estimate);
+    if (known == estimate.m_loggedKnown &&
+        std::abs(estimate.m_weight - estimate.m_loggedWeight) < kLoggedChange) {
+      continue;
+    }
+    estimate.m_loggedWeight = estimate.m_weight;
+    estimate.m_loggedKnown = known;
+    Log(LogLine(LogLevel::Info, "pressure_learned")
+          .Add("serving", *m_names[estimateEntry.first >> 16])
+          .Add("filling", *m_names[estimateEntry.first & 0xffff])
+          .Add("weight", estimate.m_weight)
+          .Add("deviation", std::sqrt(estimate.m_variance))
+          .Add("known", known ? 1 : 0));
+  }
+}
+
 void
 PressureModel::Restore(const StoredPressure& aStored)
 {
   for (const StoredPair& pair : aStored.m_pairs) {
     const ImageId serving = Intern(pair.m_serving);
     const double variance = pair.m_variance > 0 ? pair.m_variance : kFirstVariance;
-    m_weights[Pair(serving, Intern(pair.m_filling))] = { pair.m_weight, variance };
+    m_weights[Pair(serving, Intern(pair.m_filling))] = {
+      pair.m_weight, variance, kFirstWeight, false
+    };
   }
 }
 
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -16,6 +16,8 @@
 static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
 static constexpr double kPlentyOfRoom = 0.7;
 
+static constexpr Duration kReportEvery = std::chrono::seconds(1);
+
 // Of the processors, kept without serving tasks for work that would press them.
 static constexpr double kShareKeptEmpty = 0.15;
 
@@ -77,9 +79,12 @@
   const std::vector<WaitingStep> steps = CollectWaiting(aNow);
   m_nextPlaceAt =
     aNow + kPlaceGap + std::min<Duration>(kPlaceGapPerStep * steps.size(), kLongestPlaceGap);
+  if (aNow >= m_nextReportAt) {
+    m_waiting.emplace();
+  }
   std::vector<const GraphStep*> noRoom;
   for (const WaitingStep& waiting : steps) {
-    const GraphStep& step = waiting.m_job->m_stored.m_graph.m_steps[waiting.m_step];
+    const GraphStep& step = StepOf(waiting);
     const bool hopeless = std::any_of(noRoom.begin(), noRoom.end(), [&](const GraphStep* aOther) {
       return aOther->m_fills == step.m_fills && aOther->m_lasting == step.m_lasting &&
              aOther->m_demand.m_cpuMilli <= step.m_demand.m_cpuMilli &&
@@ -87,6 +92,7 @@
              aOther->m_demand.m_accelerators <= step.m_demand.m_accelerators;
     });
     if (hopeless) {
+      ReportPassedOver(waiting, aNow);
       continue;
     }
     PlaceStep(waiting, aNow);
@@ -95,6 +101,53 @@
       noRoom.push_back(&step);
     }
   }
+  FinishReport(aNow);
+}
+
+void
+Scheduler::ReportPassedOver(const WaitingStep& aWaiting, Instant aNow)
+{
+  if (!m_waiting) {
+    return;
+  }
+  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  const ImageId image = m_pressure.Intern(StepOf(aWaiting).m_image);
+  m_waiting->NotePassedOver(image, record.m_waiting, aNow - aWaiting.m_job->m_submittedAt);
+}
+
+void
+Scheduler::ReportNoRoom(const WaitingStep& aWaiting, const PlacementRequest& aRequest, Instant aNow)
+{
+  if (!m_waiting) {
+    return;
+  }
+  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  m_waiting->NoteNoRoom(aRequest.m_image,
+                        record.m_waiting,
+                        aNow - aWaiting.m_job->m_submittedAt,
+                        CountObstacles(m_fleet, aRequest, aNow));
+}
+
+void
+Scheduler::FinishReport(Instant aNow)
+{
+  if (!m_waiting) {
+    return;
+  }
+  m_nextReportAt = aNow + kReportEvery;
+  m_counters.m_tasksWaiting = m_waiting->CountTasks();
+  m_counters.m_tasksPassedOver = m_waiting->CountPassedOver();
+  if (LogEnabled(LogLevel::Info)) {
+    m_waiting->LogLines(m_pressure);
+    m_pressure.LogChanges();
+  }
+  m_waiting.reset();
+}
+
+const GraphStep&
+Scheduler::StepOf(const WaitingStep& aWaiting)
+{
+  return aWaiting.m_job->m_stored.m_graph.m_steps[aWaiting.m_step];
 }
 
 TaskRef
@@ -109,7 +162,7 @@
 void
 Scheduler::PlaceStep(const WaitingStep& aWaiting, Instant aNow)
 {
-  const GraphStep& step = aWaiting.m_job->m_stored.m_graph.m_steps[aWaiting.m_step];
+  const GraphStep& step = StepOf(aWaiting);
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   std::vector<const Worker*> siblings;
   for (const TaskRecord& task : record.m_tasks) {
@@ -139,6 +192,7 @@
     request.m_avoid = task.m_avoid;
     Worker* worker = ChooseWorker(m_fleet, request, aNow);
     if (!worker) {
+      ReportNoRoom(aWaiting, request, aNow);
       return;
     }
     StartRun(aWaiting, i, *worker, aNow);
@@ -201,7 +255,7 @@
 Scheduler::StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow)
 {
   Job& job = *aWaiting.m_job;
-  const GraphStep& step = job.m_stored.m_graph.m_steps[aWaiting.m_step];
+  const GraphStep& step = StepOf(aWaiting);
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   TaskRecord& task = record.m_tasks[aIndex];
   const TaskRef ref = RefOf(aWaiting, aIndex);
--- /dev/null
+++ b/lib/Scheduler/Waiting.cpp
@@ -0,0 +1,74 @@
+#include "egretturn/Scheduler/Waiting.h"
+
+#include "egretturn/Support/Log.h"
+
+#include <algorithm>
+
+namespace egretturn {
+
+WaitingImage&
+WaitingReport::Note(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  WaitingImage& image = m_images[aImage];
+  ++image.m_steps;
+  image.m_tasks += aTasks;
+  image.m_oldest = std::max(image.m_oldest, aAge);
+  return image;
+}
+
+void
+WaitingReport::NotePassedOver(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  Note(aImage, aTasks, aAge).m_passedOver += aTasks;
+}
+
+void
+WaitingReport::NoteNoRoom(ImageId aImage,
+                          uint32_t aTasks,
+                          Duration aAge,
+                          const ObstacleCounts& aWorkers)
+{
+  Note(aImage, aTasks, aAge).m_workers = aWorkers;
+}
+
+uint64_t
+WaitingReport::CountTasks() const
+{
+  uint64_t tasks = 0;
+  for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
+    tasks += imageEntry.second.m_tasks;
+  }
+  return tasks;
+}
+
+uint64_t
+WaitingReport::CountPassedOver() const
+{
+  uint64_t tasks = 0;
+  for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
+    tasks += imageEntry.second.m_passedOver;
+  }
+  return tasks;
+}
+
+void
+WaitingReport::LogLines(const PressureModel& aPressure) const
+{
+  for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
+    const WaitingImage& image = imageEntry.second;
+    LogLine line(LogLevel::Info, "tasks_waiting");
+    line.Add("image", aPressure.NameOf(imageEntry.first))
+      .Add("steps", image.m_steps)
+      .Add("tasks", image.m_tasks)
+      .Add("passed_over", image.m_passedOver)
+      .Add("oldest_ms", ToMillis(image.m_oldest));
+    for (size_t i = 0; i < image.m_workers.size(); ++i) {
+      if (image.m_workers[i] > 0) {
+        line.Add(NameOf(static_cast<Obstacle>(i)), image.m_workers[i]);
+      }
+    }
+    Log(std::move(line));
+  }
+}
+
+} // namespace egretturn
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -114,3 +114,31 @@
   worker.m_report.m_draining = true;
   CHECK(ChooseWorker(fleet, request, kNow) == nullptr);
 }
+
+TEST_CASE("what keeps a task from each worker can be told")
+{
+  Fleet fleet{ LeaseLimits() };
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  model.Restore({ { { "serving", "heavy", 8.0, 0.01 } } });
+  const ImageId heavy = model.Intern("heavy");
+  AddWorker(fleet, "free");
+  AddRun(AddWorker(fleet, "beside"), 0, serving, 3000, false);
+  AddRun(AddWorker(fleet, "full"), 0, heavy, 15000, true);
+  Worker& pressed = AddWorker(fleet, "pressed");
+  AddRun(pressed, 0, serving, 3000, false);
+  pressed.m_pressed = true;
+  AddWorker(fleet, "leaving").m_report.m_draining = true;
+  GraphStep step;
+  step.m_demand = { 3000, 1000, 0 };
+  step.m_fills = true;
+  const ObstacleCounts counts = CountObstacles(fleet, RequestFor(step, model, heavy), kNow);
+  for (Obstacle obstacle : { Obstacle::None,
+                             Obstacle::WouldPress,
+                             Obstacle::Processors,
+                             Obstacle::Pressed,
+                             Obstacle::Unavailable }) {
+    CAPTURE(NameOf(obstacle));
+    CHECK(counts[static_cast<size_t>(obstacle)] == 1);
+  }
+}
