Let a step without room rule out only steps that ask the same of the workers

Cause: a pass skips steps that ask for at least what another step has failed to get. Whether a task fits depends also on its image (what it would press), its service, and on whether pressure is to be looked at; none was compared, and tasks that wait for something else than room counted as failed too. A small step of an image that presses all serving images thus kept the larger steps of all other images from being tried. Class of fault: a cached negative result whose key leaves out inputs of the decision. Change: RulesOut() stands beside the search that it stands for, and compares all that the search looks at. Test: RoomTest, 'work of an image that may not run anywhere ...' failed before (0 of 1 started). A second one compares RulesOut() with the search over 30,000 drawn pairs; with the image left out of the comparison both fail.

--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -49,6 +49,10 @@
 /// What keeps one more task of \p aRequest from \p aWorker, if that takes work at all.
 Obstacle FindObstacle(const Worker& aWorker, const PlacementRequest& aRequest);
 
+/// Whether the failure to place \p aFailed rules out \p aRequest on the same fleet, so that it need
+/// not be tried. May miss cases, but never says so wrongly.
+bool RulesOut(const PlacementRequest& aFailed, const PlacementRequest& aRequest);
+
 /// What keeps one more task of \p aRequest from each worker.
 ObstacleCounts CountObstacles(const Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -215,7 +215,10 @@
                            Instant aNow) const;
   static TaskRef RefOf(const WaitingStep& aWaiting, size_t aIndex);
   static const GraphStep& StepOf(const WaitingStep& aWaiting);
-  void PlaceStep(const WaitingStep& aWaiting, Instant aNow);
+  /// What the tasks of the step ask for, but for what their siblings add.
+  PlacementRequest MakeRequest(const WaitingStep& aWaiting, Instant aNow);
+  /// Starts what can be started of the step. Returns false if some task found no room.
+  bool PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow);
   /// Gathers why tasks wait, for the report that is due.
   void ReportPassedOver(const WaitingStep& aWaiting, Instant aNow);
   void ReportNoRoom(const WaitingStep& aWaiting, const PlacementRequest& aRequest, Instant aNow);
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -172,6 +172,27 @@
   return step.m_fills ? FindPressure(aWorker, aRequest) : Obstacle::None;
 }
 
+bool
+RulesOut(const PlacementRequest& aFailed, const PlacementRequest& aRequest)
+{
+  const GraphStep& failed = *aFailed.m_step;
+  const GraphStep& step = *aRequest.m_step;
+  if (failed.m_gang || failed.m_maxPerWorker > 0 || !failed.m_label.empty()) {
+    return false; // it may have failed for a wish that the other does not have
+  }
+  if (failed.m_fills != step.m_fills || *aFailed.m_service != *aRequest.m_service) {
+    return false;
+  }
+  const bool samePressure =
+    aFailed.m_image == aRequest.m_image && aFailed.m_pressure == aRequest.m_pressure;
+  if (step.m_fills && !samePressure) {
+    return false;
+  }
+  return failed.m_demand.m_cpuMilli <= step.m_demand.m_cpuMilli &&
+         failed.m_demand.m_memoryMb <= step.m_demand.m_memoryMb &&
+         failed.m_demand.m_accelerators <= step.m_demand.m_accelerators;
+}
+
 ObstacleCounts
 CountObstacles(const Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow)
 {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -69,6 +69,20 @@
   return waiting;
 }
 
+PlacementRequest
+Scheduler::MakeRequest(const WaitingStep& aWaiting, Instant aNow)
+{
+  const Job& job = *aWaiting.m_job;
+  const bool idle = job.m_liveRuns == 0 && aNow - job.m_activeAt >= kIdlePatience;
+  PlacementRequest request;
+  request.m_step = &StepOf(aWaiting);
+  request.m_service = &job.m_stored.m_terms.m_service;
+  request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
+  request.m_image = m_pressure.Intern(request.m_step->m_image);
+  request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
+  return request;
+}
+
 void
 Scheduler::PlaceWaiting(Instant aNow)
 {
@@ -82,23 +96,17 @@
   if (aNow >= m_nextReportAt) {
     m_waiting.emplace();
   }
-  std::vector<const GraphStep*> noRoom;
+  std::vector<PlacementRequest> noRoom;
   for (const WaitingStep& waiting : steps) {
-    const GraphStep& step = StepOf(waiting);
-    const bool hopeless = std::any_of(noRoom.begin(), noRoom.end(), [&](const GraphStep* aOther) {
-      return aOther->m_fills == step.m_fills && aOther->m_lasting == step.m_lasting &&
-             aOther->m_demand.m_cpuMilli <= step.m_demand.m_cpuMilli &&
-             aOther->m_demand.m_memoryMb <= step.m_demand.m_memoryMb &&
-             aOther->m_demand.m_accelerators <= step.m_demand.m_accelerators;
-    });
+    const PlacementRequest request = MakeRequest(waiting, aNow);
+    const bool hopeless =
+      std::any_of(noRoom.begin(), noRoom.end(), [&](const PlacementRequest& aFailed) {
+        return RulesOut(aFailed, request);
+      });
     if (hopeless) {
       ReportPassedOver(waiting, aNow);
-      continue;
-    }
-    PlaceStep(waiting, aNow);
-    const bool plain = step.m_maxPerWorker == 0 && step.m_label.empty();
-    if (plain && waiting.m_occurrence->m_steps[waiting.m_step].m_waiting > 0) {
-      noRoom.push_back(&step);
+    } else if (!PlaceStep(waiting, request, aNow)) {
+      noRoom.push_back(request);
     }
   }
   FinishReport(aNow);
@@ -159,10 +167,9 @@
            static_cast<uint16_t>(aIndex) };
 }
 
-void
-Scheduler::PlaceStep(const WaitingStep& aWaiting, Instant aNow)
+bool
+Scheduler::PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
-  const GraphStep& step = StepOf(aWaiting);
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   std::vector<const Worker*> siblings;
   for (const TaskRecord& task : record.m_tasks) {
@@ -170,18 +177,10 @@
       siblings.push_back(run.m_worker);
     }
   }
-  PlacementRequest request;
-  request.m_step = &step;
-  request.m_service = &aWaiting.m_job->m_stored.m_terms.m_service;
-  request.m_siblings = &siblings;
-  const bool idle =
-    aWaiting.m_job->m_liveRuns == 0 && aNow - aWaiting.m_job->m_activeAt >= kIdlePatience;
-  request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
-  request.m_image = m_pressure.Intern(step.m_image);
-  request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
-  if (step.m_gang) {
-    PlaceGang(aWaiting, request, aNow);
-    return;
+  aRequest.m_siblings = &siblings;
+  if (aRequest.m_step->m_gang) {
+    PlaceGang(aWaiting, aRequest, aNow);
+    return true;
   }
   for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
     const TaskRecord& task = record.m_tasks[i];
@@ -189,15 +188,16 @@
     if (task.m_done || !task.m_runs.empty() || MayRunElsewhere(*aWaiting.m_job, ref)) {
       continue;
     }
-    request.m_avoid = task.m_avoid;
-    Worker* worker = ChooseWorker(m_fleet, request, aNow);
+    aRequest.m_avoid = task.m_avoid;
+    Worker* worker = ChooseWorker(m_fleet, aRequest, aNow);
     if (!worker) {
-      ReportNoRoom(aWaiting, request, aNow);
-      return;
+      ReportNoRoom(aWaiting, aRequest, aNow);
+      return false;
     }
     StartRun(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
   }
+  return true;
 }
 
 void
--- /dev/null
+++ b/unittests/Scheduler/RoomTest.cpp
@@ -0,0 +1,201 @@
+// What finds no room must not keep back what does.
+#include "egretturn/Scheduler/Scheduler.h"
+#include "egretturn/Support/Random.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr GraphId kServing = 1;
+
+/// One worker with a serving task, beside which "heavy" work may not be put and "light" work may.
+struct SharedWorker
+{
+  SharedWorker()
+    : m_scheduler(SchedulerLimits(), 1, m_now)
+  {
+    StoredLearning learned;
+    learned.m_pressure.m_pairs.push_back({ "serving", "heavy", 8.0, 0.001 });
+    learned.m_pressure.m_pairs.push_back({ "serving", "light", 0.1, 0.001 });
+    m_scheduler.RestoreLearned(learned);
+    WorkerReport report;
+    report.m_id = "w";
+    report.m_service = "desk";
+    report.m_address = "10.0.0.1:80";
+    report.m_capacity = { 16000, 64000, 0 };
+    m_scheduler.UpdateWorker(report, m_now);
+    m_scheduler.DirectoryComplete();
+    Submit(kServing, "serving", 2000);
+    Advance();
+  }
+
+  void Submit(GraphId aId, const std::string& aImage, int64_t aCpuMilli)
+  {
+    Submission submission;
+    submission.m_id = aId;
+    submission.m_terms = { aId == kServing ? "services" : "batch", "desk", 0, 3, 2.0, 500 };
+    GraphStep step;
+    step.m_demand = { aCpuMilli, 1000, 0 };
+    step.m_estimateMs = 1000;
+    step.m_image = aImage;
+    step.m_lasting = aId == kServing;
+    step.m_targetMs = step.m_lasting ? 18 : 0;
+    step.m_fills = !step.m_lasting;
+    submission.m_graph.m_steps.push_back(step);
+    m_scheduler.Submit(aId, submission, m_now, 0);
+  }
+
+  void Advance()
+  {
+    for (int i = 0; i < 30; ++i) {
+      m_now += milliseconds(10);
+      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Carry(action);
+      }
+    }
+  }
+
+  void Carry(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      m_started.insert(start->m_task.m_job);
+      m_running.push_back({ start->m_task, start->m_run, "", 10, 4 });
+      m_scheduler.OnStart("w", start->m_task, start->m_run, OrderResult::Accepted, m_now);
+    } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
+      WorkerView view;
+      view.m_clockMs = ToMillis(m_now.time_since_epoch());
+      view.m_running = m_running;
+      m_scheduler.OnLook("w", look->m_number, view, m_now);
+    }
+  }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Scheduler m_scheduler;
+  std::vector<RunningRow> m_running;
+  std::set<GraphId> m_started;
+};
+
+} // namespace
+
+// Guards against large jobs that are left out while there is room for them.
+TEST_CASE("work of an image that may not run anywhere keeps no larger work of another one waiting")
+{
+  SharedWorker worker;
+  REQUIRE(worker.m_started.count(kServing) == 1);
+  worker.Submit(2, "heavy", 1000); // ranks first, and finds no room
+  worker.Submit(3, "light", 2000);
+  worker.Advance();
+  CHECK(worker.m_started.count(2) == 0);
+  CHECK(worker.m_started.count(3) == 1);
+}
+
+namespace {
+
+/// A fleet and steps drawn from a seed, with few distinct values so that requests are often alike.
+struct RandomRequests
+{
+  explicit RandomRequests(uint64_t aSeed)
+    : m_random(aSeed)
+    , m_fleet(LeaseLimits())
+  {
+    for (size_t i = 0; i < kServices.size(); ++i) {
+      m_images.push_back(m_model.Intern("image" + std::to_string(i)));
+    }
+    m_model.Restore({ { { "image0", "image0", 8.0, 0.01 }, { "image0", "image1", 0.1, 0.01 } } });
+    for (size_t i = 0; i < 4; ++i) {
+      AddWorker(i);
+    }
+  }
+
+  void AddWorker(size_t aIndex)
+  {
+    WorkerReport report;
+    report.m_id = "w" + std::to_string(aIndex);
+    report.m_service = Pick(kServices);
+    report.m_labels = { aIndex % 2 ? "a" : "b" };
+    report.m_capacity = { 4000, 4000, 1 };
+    m_fleet.Update(report, m_now);
+    Worker& worker = *m_fleet.Find(report.m_id);
+    worker.m_looked = true;
+    worker.m_record = RecordState::Durable;
+    worker.m_pressed = m_random.Below(4) == 0;
+    for (uint16_t run = 0; run < m_random.Below(4); ++run) {
+      AddRun(worker, run);
+    }
+  }
+
+  void AddRun(Worker& aWorker, uint16_t aIndex)
+  {
+    WorkerRun run;
+    run.m_demand = { static_cast<int64_t>(m_random.Below(3)) * 1000, 1000, 0 };
+    run.m_image = Pick(m_images);
+    run.m_fills = m_random.Below(2) == 0;
+    run.m_lasting = !run.m_fills;
+    run.m_targetMs = run.m_fills ? 0 : 18;
+    Fleet::AddRun(aWorker, { 7, 0, 0, aIndex }, run);
+  }
+
+  GraphStep RandomStep()
+  {
+    GraphStep step;
+    step.m_demand = { static_cast<int64_t>(m_random.Below(5)) * 1000,
+                      static_cast<int64_t>(m_random.Below(5)) * 1000,
+                      static_cast<int64_t>(m_random.Below(2)) };
+    step.m_fills = m_random.Below(2) == 0;
+    step.m_label = m_random.Below(4) == 0 ? "a" : "";
+    step.m_maxPerWorker = m_random.Below(4) == 0 ? 1 : 0;
+    return step;
+  }
+
+  PlacementRequest RandomRequest(const GraphStep& aStep)
+  {
+    PlacementRequest request;
+    request.m_step = &aStep;
+    request.m_service = &Pick(kServices);
+    request.m_pressure = m_random.Below(4) == 0 ? nullptr : &m_model;
+    request.m_image = Pick(m_images);
+    return request;
+  }
+
+  template<typename List>
+  const typename List::value_type& Pick(const List& aList)
+  {
+    return aList[m_random.Below(aList.size())];
+  }
+
+  const std::vector<std::string> kServices = { "desk", "shop" };
+  Instant m_now{ std::chrono::hours(1) };
+  Random m_random;
+  PressureModel m_model;
+  std::vector<ImageId> m_images;
+  Fleet m_fleet;
+};
+
+} // namespace
+
+// Guards against each way in which a request that is not tried may differ from the one that failed.
+TEST_CASE("a request that another one's failure rules out fits nowhere")
+{
+  uint64_t ruledOut = 0;
+  for (uint64_t seed = 0; seed < 30000; ++seed) {
+    RandomRequests world(seed);
+    const GraphStep failedStep = world.RandomStep();
+    const GraphStep step = world.RandomStep();
+    const PlacementRequest failed = world.RandomRequest(failedStep);
+    const PlacementRequest request = world.RandomRequest(step);
+    if (ChooseWorker(world.m_fleet, failed, world.m_now) || !RulesOut(failed, request)) {
+      continue;
+    }
+    ++ruledOut;
+    CAPTURE(seed);
+    CHECK(ChooseWorker(world.m_fleet, request, world.m_now) == nullptr);
+  }
+  CHECK(ruledOut > 100); // else the seeds tell nothing
+}
