--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -134,6 +134,7 @@
             .Add("job", FormatGraphId(batched.m_id))
             .Add("route", job->m_stored.m_terms.m_route)
             .Add("objective_ms", ToMillis(job->m_objective))
+            .Add("core_seconds", job->TotalWork())
             .Add("epoch", m_epoch));
     }
     job->m_durableState = batched.m_state;
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -87,8 +87,10 @@
   Log(LogLine(LogLevel::Info, "job_ended")
         .Add("job", FormatGraphId(aJob.m_stored.m_id))
         .Add("state", NameOf(aState))
+        .Add("route", aJob.m_stored.m_terms.m_route)
         .Add("age_ms", ToMillis(aNow - aJob.m_submittedAt))
-        .Add("objective_ms", ToMillis(aJob.m_objective)));
+        .Add("objective_ms", ToMillis(aJob.m_objective))
+        .Add("core_seconds", aJob.TotalWork()));
 }
 
 void
