--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -206,7 +206,7 @@
         group.m_pacedAt = aNow;
         Log(LogLine(LogLevel::Info, "worker_paced")
               .Add("worker", aWorker.m_report.m_id)
-              .Add("image", uint64_t{ group.m_image })
+              .Add("image", m_pressure.NameOf(group.m_image))
               .Add("percent", pace)
               .Add("factor", factor));
       }
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -300,6 +300,8 @@
           .Add("task", FormatTaskRef(ref))
           .Add("run", number)
           .Add("worker", start.m_worker)
+          .Add("image", step.m_image)
+          .Add("cpu", step.m_demand.m_cpuMilli)
           .Add("waited_ms", ToMillis(aNow - job.m_submittedAt))
           .Add("used_cpu", aWorker.m_used.m_cpuMilli)
           .Add("fill_cpu", aWorker.m_fillCpu));
