Start a large task that fills where a usual one could start, at a pace that its neighbours bear

Cause: a task that would press a serving neighbour at its full pace is not started there, and the larger its demand, the more it presses. After a take-over the mean work of a route was forgotten too, so that restored jobs of all sizes ranked as equally worthy; the means now count restored jobs. Class of fault: an admission test by a job's nominal need, where the need can be throttled; it starves the large. Change: AllowedPace() says at which pace an image may work on a worker. A task that asks for more than the mean of its route may start if it may work at mean by demand, and at half pace at least; it is paced with the start's answer. Tests: RoomTest, 'a task that asks for more than usual ...' failed before (not started). Its neighbour holds that usual tasks do not start paced.

--- a/include/egretturn/Scheduler/Order.h
+++ b/include/egretturn/Scheduler/Order.h
@@ -39,15 +39,15 @@
 /// The place of a job described by \p aInput. Thread-safe.
 OrderRank RankOf(const OrderInput& aInput);
 
-/// The mean work of the jobs of each route. Not thread-safe.
-class WorkMeans
+/// The mean of some figure of the jobs of each route. Not thread-safe.
+class RouteMeans
 {
 public:
-  /// Notes a new job of \p aRoute that needs \p aWork core-seconds.
-  void Note(const std::string& aRoute, double aWork);
+  /// Notes that a new job of \p aRoute has \p aFigure.
+  void Note(const std::string& aRoute, double aFigure);
 
-  /// The mean, or \p aWork for a route that was not seen.
-  double Of(const std::string& aRoute, double aWork) const;
+  /// The mean, or \p aFigure for a route that was not seen.
+  double Of(const std::string& aRoute, double aFigure) const;
 
 private:
   std::map<std::string, double> m_means;
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -40,12 +40,21 @@
   const std::vector<const Worker*>* m_siblings = nullptr; ///< Workers of the step's live runs.
   const PressureModel* m_pressure = nullptr;
   ImageId m_image = 0;
+  double m_typicalCpu = 0; ///< Mean demand of tasks that fill, thousandths of a core; 0 if unknown.
   bool m_fewEmptyWorkers = false; ///< Few workers are left without serving tasks.
 };
 
 /// Whether \p aWorker may get new work at all at \p aNow.
 bool TakesWork(const Worker& aWorker, Instant aNow);
 
+/// The share of their full pace, from 0 to 1, at which all tasks of \p aImage on \p aWorker may
+/// work so that serving tasks there stay under their targets, with tasks of \p aAdded thousandths
+/// of a core more.
+double AllowedPace(const Worker& aWorker,
+                   const PressureModel& aPressure,
+                   ImageId aImage,
+                   int64_t aAdded);
+
 /// What keeps one more task of \p aRequest from \p aWorker, if that takes work at all.
 Obstacle FindObstacle(const Worker& aWorker, const PlacementRequest& aRequest);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -210,6 +210,8 @@
   // Starts.cpp
   void PlaceWaiting(Instant aNow);
   std::vector<WaitingStep> CollectWaiting(Instant aNow);
+  /// Lets a job that is new here count in the means of its route.
+  void NoteJob(const Job& aJob);
   OrderRank RankOccurrence(const Job& aJob,
                            const OccurrenceRecord& aOccurrence,
                            Instant aNow) const;
@@ -224,7 +226,12 @@
   void ReportNoRoom(const WaitingStep& aWaiting, const PlacementRequest& aRequest, Instant aNow);
   void FinishReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
-  void StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
+  /// \p aPaced says that a run that fills is paced for its serving neighbours from the start.
+  void StartRun(const WaitingStep& aWaiting,
+                size_t aIndex,
+                Worker& aWorker,
+                bool aPaced,
+                Instant aNow);
   void StopRun(Worker& aWorker, const TaskRef& aTask, Instant aNow);
   void StopAllRuns(Job& aJob, Instant aNow);
   void EvacuateWorker(Worker& aWorker, Instant aNow);
@@ -233,6 +240,13 @@
   void AdjustPace(Worker& aWorker, Instant aNow);
   void NoteTails(Worker& aWorker, Instant aNow);
   void LearnFromTails(Worker& aWorker, Instant aNow);
+  /// Paces the runs of \p aImage for one that has been added.
+  void PaceForNewRun(Worker& aWorker, ImageId aImage, Instant aNow);
+  void OrderPace(const Worker& aWorker,
+                 const TaskRef& aTask,
+                 WorkerRun& aRun,
+                 int aPace,
+                 Instant aNow);
   double PaceFactor(const Worker& aWorker, const FillGroup& aGroup, Instant aNow);
   void ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow);
 
@@ -264,7 +278,8 @@
   JobBook m_book;
   PressureModel m_pressure;
   DurationModel m_durations;
-  WorkMeans m_workMeans;
+  RouteMeans m_workMeans;       ///< Core-seconds of a job.
+  RouteMeans m_fillDemandMeans; ///< Thousandths of a core of a task that fills.
   TypicalPace m_typicalPace;
   std::vector<Action> m_actions;
   std::unordered_set<GraphId> m_waitingJobs;   ///< May have tasks to place.
--- a/lib/Scheduler/Order.cpp
+++ b/lib/Scheduler/Order.cpp
@@ -48,19 +48,19 @@
 }
 
 void
-WorkMeans::Note(const std::string& aRoute, double aWork)
+RouteMeans::Note(const std::string& aRoute, double aFigure)
 {
-  const auto [it, added] = m_means.emplace(aRoute, aWork);
+  const auto [it, added] = m_means.emplace(aRoute, aFigure);
   if (!added) {
-    it->second += kMeanGain * (aWork - it->second);
+    it->second += kMeanGain * (aFigure - it->second);
   }
 }
 
 double
-WorkMeans::Of(const std::string& aRoute, double aWork) const
+RouteMeans::Of(const std::string& aRoute, double aFigure) const
 {
   const auto it = m_means.find(aRoute);
-  return it == m_means.end() ? aWork : it->second;
+  return it == m_means.end() ? aFigure : it->second;
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Orders.cpp
+++ b/lib/Scheduler/Orders.cpp
@@ -46,6 +46,11 @@
     run->m_phase = RunPhase::Running;
     run->m_phaseSince = aNow;
     run->m_progressedAt = aNow;
+    for (const FillGroup& group : worker->m_filling) {
+      if (run->m_fills && group.m_image == run->m_image) {
+        OrderPace(*worker, aTask, *run, group.m_pace, aNow);
+      }
+    }
     worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow + kLookGap);
     return;
   }
--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -162,6 +162,41 @@
   return small ? aPace : next;
 }
 
+void
+Scheduler::OrderPace(const Worker& aWorker,
+                     const TaskRef& aTask,
+                     WorkerRun& aRun,
+                     int aPace,
+                     Instant aNow)
+{
+  if (aRun.m_pace == aPace) {
+    return;
+  }
+  aRun.m_pace = aPace;
+  aRun.m_undisturbed = false;
+  aRun.m_progressedAt = aNow;
+  ++m_counters.m_paces;
+  Emit(PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, aTask, aRun.m_run, aPace });
+}
+
+void
+Scheduler::PaceForNewRun(Worker& aWorker, ImageId aImage, Instant aNow)
+{
+  const int allowed = static_cast<int>(100 * AllowedPace(aWorker, m_pressure, aImage, 0));
+  for (FillGroup& group : aWorker.m_filling) {
+    if (group.m_image != aImage || allowed >= group.m_pace - kPaceTolerance) {
+      continue;
+    }
+    group.m_pace = std::max(allowed, kPaceResume);
+    group.m_pacedAt = aNow;
+    Log(LogLine(LogLevel::Info, "worker_paced")
+          .Add("worker", aWorker.m_report.m_id)
+          .Add("image", m_pressure.NameOf(aImage))
+          .Add("percent", group.m_pace)
+          .Add("cause", "start"));
+  }
+}
+
 void
 Scheduler::ApplyPace(Worker& aWorker, const FillGroup& aGroup, Instant aNow)
 {
@@ -177,14 +212,7 @@
     if (saves && aGroup.m_pace < kMoveBelowPace) {
       moving.push_back(ref);
     }
-    if (run.m_pace != aGroup.m_pace) {
-      run.m_pace = aGroup.m_pace;
-      run.m_undisturbed = false;
-      run.m_progressedAt = aNow;
-      ++m_counters.m_paces;
-      Emit(
-        PaceTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, ref, run.m_run, run.m_pace });
-    }
+    OrderPace(aWorker, ref, run, aGroup.m_pace, aNow);
   }
   for (const TaskRef& ref : moving) {
     StopRun(aWorker, ref, aNow);
@@ -208,6 +236,7 @@
               .Add("worker", aWorker.m_report.m_id)
               .Add("image", m_pressure.NameOf(group.m_image))
               .Add("percent", pace)
+              .Add("cause", "tails")
               .Add("factor", factor));
       }
     }
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -38,10 +38,16 @@
 // under its target at most times.
 static constexpr double kHarmlessWeight = 0.6;
 
+// A large task starts also where it has to be paced, but to no less than this.
+static constexpr double kLeastPace = 0.5;
+
+static constexpr double kLeastPressure = 0.001; // utilization; less is not told apart
+
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
 static constexpr double kHarmlessBonus = 24000.0;
 static constexpr double kPressingPenalty = 24000.0;
+static constexpr double kPacePenalty = 40000.0;         // for a task that may hardly work
 static constexpr double kUnlikePenalty = 200000.0;      // serving tasks of unlike images
 static constexpr double kEmptyWorkerPenalty = 400000.0; // while few are left
 static constexpr double kAvoidPenalty = 1000000.0;
@@ -86,7 +92,68 @@
     });
 }
 
-/// Whether one more task of \p aRequest would press a serving task on \p aWorker too hard.
+/// What the other images that fill on \p aWorker add to the utilization of \p aServing.
+static double
+PressureOfOthers(const Worker& aWorker,
+                 const PressureModel& aPressure,
+                 ImageId aServing,
+                 ImageId aImage)
+{
+  const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  double added = 0;
+  for (const FillGroup& group : aWorker.m_filling) {
+    if (group.m_image != aImage) {
+      const double cpu = static_cast<double>(group.m_cpu) * group.m_pace / 100.0;
+      added += aPressure.Weight(aServing, group.m_image) * cpu / capacity;
+    }
+  }
+  return added;
+}
+
+/// The processor demand of the runs of \p aImage that fill on \p aWorker.
+static int64_t
+FillDemandOf(const Worker& aWorker, ImageId aImage)
+{
+  for (const FillGroup& group : aWorker.m_filling) {
+    if (group.m_image == aImage) {
+      return group.m_cpu;
+    }
+  }
+  return 0;
+}
+
+double
+AllowedPace(const Worker& aWorker, const PressureModel& aPressure, ImageId aImage, int64_t aAdded)
+{
+  const double demand = static_cast<double>(FillDemandOf(aWorker, aImage) + aAdded);
+  const double share = demand / static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  double pace = 1;
+  for (const ServingGroup& serving : aWorker.m_serving) {
+    const double weight = aPressure.Weight(serving.m_image, aImage);
+    if (aPressure.IsKnown(serving.m_image, aImage) && weight < kHarmlessWeight) {
+      continue;
+    }
+    const double others = PressureOfOthers(aWorker, aPressure, serving.m_image, aImage);
+    const double room =
+      aPressure.TargetUtilization(serving.m_image) - kHeadroom - serving.m_ownLoad - others;
+    pace = std::min(pace, room / std::max(weight * share, kLeastPressure));
+  }
+  return std::max(0.0, pace);
+}
+
+/// The pace at which a task of \p aRequest must be allowed to work to start at all. One that asks
+/// for more than usual may start wherever a usual one could, at a pace at which it presses no more.
+static double
+LeastPace(const PlacementRequest& aRequest)
+{
+  const double demand = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli);
+  if (aRequest.m_typicalCpu <= 0 || demand <= aRequest.m_typicalCpu) {
+    return 1;
+  }
+  return std::max(kLeastPace, aRequest.m_typicalCpu / demand);
+}
+
+/// What keeps one more task of \p aRequest from filling beside the serving tasks of \p aWorker.
 static Obstacle
 FindPressure(const Worker& aWorker, const PlacementRequest& aRequest)
 {
@@ -97,27 +164,15 @@
     return Obstacle::None;
   }
   const PressureModel& pressure = *aRequest.m_pressure;
-  const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
-  const double share = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli) / capacity;
   for (const ServingGroup& serving : aWorker.m_serving) {
     const bool known = pressure.IsKnown(serving.m_image, aRequest.m_image);
     if (!known && IsOnTrial(aWorker, pressure, serving.m_image)) {
       return Obstacle::OnTrial; // one at a time, so that the tail tells which of them presses
     }
-    const double weight = pressure.Weight(serving.m_image, aRequest.m_image);
-    if (known && weight < kHarmlessWeight) {
-      continue;
-    }
-    double added = weight * share;
-    for (const FillGroup& group : aWorker.m_filling) {
-      added += pressure.Weight(serving.m_image, group.m_image) * static_cast<double>(group.m_cpu) /
-               capacity;
-    }
-    if (serving.m_ownLoad + added > pressure.TargetUtilization(serving.m_image) - kHeadroom) {
-      return Obstacle::WouldPress;
-    }
   }
-  return Obstacle::None;
+  const int64_t demand = aRequest.m_step->m_demand.m_cpuMilli;
+  const double pace = AllowedPace(aWorker, pressure, aRequest.m_image, demand);
+  return pace < LeastPace(aRequest) ? Obstacle::WouldPress : Obstacle::None;
 }
 
 static bool
@@ -234,6 +289,11 @@
     const bool harmless =
       aRequest.m_pressure && IsHarmless(aWorker, *aRequest.m_pressure, aRequest.m_image);
     score += harmless ? kHarmlessBonus : -kPressingPenalty;
+    const double pace =
+      harmless || !aRequest.m_pressure
+        ? 1.0
+        : AllowedPace(aWorker, *aRequest.m_pressure, aRequest.m_image, step.m_demand.m_cpuMilli);
+    score -= kPacePenalty * (1.0 - pace);
   }
   if (step.m_lasting) {
     score = -score; // packed together, serving tasks leave whole workers to others
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -18,6 +18,7 @@
   job.m_durable = true;
   job.m_jobWritten = true;
   job.m_recovered = true;
+  NoteJob(job);
   m_waitingJobs.insert(job.m_stored.m_id);
   m_scheduledJobs.insert(job.m_stored.m_id);
   m_placeNeeded = true;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -53,7 +53,7 @@
   stored.m_graph = std::move(aSubmission.m_graph);
   stored.m_acceptedMs = aWallMs;
   Job& job = m_book.Add(std::move(stored), m_durations, aNow);
-  m_workMeans.Note(job.m_stored.m_terms.m_route, job.TotalWork());
+  NoteJob(job);
   job.m_submitters.push_back(aRequest);
   m_scheduledJobs.insert(job.m_stored.m_id);
   MarkDirty(job);
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -21,6 +21,20 @@
 // Of the processors, kept without serving tasks for work that would press them.
 static constexpr double kShareKeptEmpty = 0.15;
 
+void
+Scheduler::NoteJob(const Job& aJob)
+{
+  const std::string& route = aJob.m_stored.m_terms.m_route;
+  if (!aJob.IsLasting()) {
+    m_workMeans.Note(route, aJob.TotalWork());
+  }
+  for (const GraphStep& step : aJob.m_stored.m_graph.m_steps) {
+    if (step.m_fills) {
+      m_fillDemandMeans.Note(route, static_cast<double>(step.m_demand.m_cpuMilli));
+    }
+  }
+}
+
 OrderRank
 Scheduler::RankOccurrence(const Job& aJob, const OccurrenceRecord& aOccurrence, Instant aNow) const
 {
@@ -79,6 +93,7 @@
   request.m_service = &job.m_stored.m_terms.m_service;
   request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(request.m_step->m_image);
+  request.m_typicalCpu = m_fillDemandMeans.Of(job.m_stored.m_terms.m_route, 0);
   request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
   return request;
 }
@@ -194,7 +209,7 @@
       ReportNoRoom(aWaiting, aRequest, aNow);
       return false;
     }
-    StartRun(aWaiting, i, *worker, aNow);
+    StartRun(aWaiting, i, *worker, aRequest.m_pressure != nullptr, aNow);
     siblings.push_back(worker);
   }
   return true;
@@ -247,12 +262,16 @@
   for (size_t i = 0; i < chosen.size(); ++i) {
     record.m_tasks[i].m_starts = starts;
     record.m_tasks[i].m_checkpoint = checkpoint;
-    StartRun(aWaiting, i, *chosen[i], aNow);
+    StartRun(aWaiting, i, *chosen[i], aRequest.m_pressure != nullptr, aNow);
   }
 }
 
 void
-Scheduler::StartRun(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow)
+Scheduler::StartRun(const WaitingStep& aWaiting,
+                    size_t aIndex,
+                    Worker& aWorker,
+                    bool aPaced,
+                    Instant aNow)
 {
   Job& job = *aWaiting.m_job;
   const GraphStep& step = StepOf(aWaiting);
@@ -281,6 +300,9 @@
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
   Fleet::AddRun(aWorker, ref, run);
+  if (run.m_fills && aPaced) {
+    PaceForNewRun(aWorker, run.m_image, aNow);
+  }
   StartTask start;
   start.m_worker = aWorker.m_report.m_id;
   start.m_address = aWorker.m_report.m_address;
--- a/unittests/Scheduler/OrderTest.cpp
+++ b/unittests/Scheduler/OrderTest.cpp
@@ -56,7 +56,7 @@
 
 TEST_CASE("an unknown route has the job itself as its mean")
 {
-  WorkMeans means;
+  RouteMeans means;
   CHECK(means.Of("route", 30) == 30);
   means.Note("route", 40);
   CHECK(means.Of("route", 30) == 40);
--- a/unittests/Scheduler/RoomTest.cpp
+++ b/unittests/Scheduler/RoomTest.cpp
@@ -3,6 +3,7 @@
 #include "egretturn/Support/Random.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 using namespace egretturn;
@@ -12,7 +13,8 @@
 
 constexpr GraphId kServing = 1;
 
-/// One worker with a serving task, beside which "heavy" work may not be put and "light" work may.
+/// One worker with a serving task, beside which "heavy" work may not be put, "light" work may, and
+/// "medium" work as long as it uses little.
 struct SharedWorker
 {
   SharedWorker()
@@ -20,6 +22,7 @@
   {
     StoredLearning learned;
     learned.m_pressure.m_pairs.push_back({ "serving", "heavy", 8.0, 0.001 });
+    learned.m_pressure.m_pairs.push_back({ "serving", "medium", 2.0, 0.001 });
     learned.m_pressure.m_pairs.push_back({ "serving", "light", 0.1, 0.001 });
     m_scheduler.RestoreLearned(learned);
     WorkerReport report;
@@ -68,6 +71,8 @@
       m_started.insert(start->m_task.m_job);
       m_running.push_back({ start->m_task, start->m_run, "", 10, 4 });
       m_scheduler.OnStart("w", start->m_task, start->m_run, OrderResult::Accepted, m_now);
+    } else if (const PaceTask* pace = std::get_if<PaceTask>(&aAction)) {
+      m_paces.emplace(pace->m_task.m_job, pace->m_percent);
     } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
       WorkerView view;
       view.m_clockMs = ToMillis(m_now.time_since_epoch());
@@ -80,6 +85,7 @@
   Scheduler m_scheduler;
   std::vector<RunningRow> m_running;
   std::set<GraphId> m_started;
+  std::map<GraphId, int> m_paces; ///< The first one ordered, percent.
 };
 
 } // namespace
@@ -96,6 +102,30 @@
   CHECK(worker.m_started.count(3) == 1);
 }
 
+// Guards against jobs that are left out since their tasks ask for more than others of the route.
+TEST_CASE("a task that asks for more than usual starts where a usual one could, paced")
+{
+  SharedWorker worker;
+  worker.Submit(2, "light", 1000);
+  worker.Advance();
+  worker.Submit(3, "medium", 2000);
+  worker.Advance();
+  REQUIRE(worker.m_started.count(3) == 1);
+  REQUIRE(worker.m_paces.count(3) == 1);
+  CHECK(worker.m_paces[3] < 75); // more would press the serving task
+  CHECK(worker.m_paces[3] >= 50);
+}
+
+TEST_CASE("a usual task does not start where it would have to be paced")
+{
+  SharedWorker worker;
+  worker.Submit(2, "light", 2000);
+  worker.Advance();
+  worker.Submit(3, "medium", 2000);
+  worker.Advance();
+  CHECK(worker.m_started.count(3) == 0);
+}
+
 namespace {
 
 /// A fleet and steps drawn from a seed, with few distinct values so that requests are often alike.
