Judge a paced start by what is left to the image, so that size alone never decides the other way

Cause: found in reading. RulesOut() did not compare the typical demand of the route either. Change: what is left to the image must cover the task's needed demand, which grows with its demand; RulesOut() compares it. Test: PackingTest, 'where a task finds no room for its pressure ...' fails on (none for WouldPress).

--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -3,6 +3,7 @@
 #include "egretturn/Support/EnumTable.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace egretturn {
 
@@ -41,7 +42,7 @@
 // A large task starts also where it has to be paced, but to no less than this.
 static constexpr double kLeastPace = 0.5;
 
-static constexpr double kLeastPressure = 0.001; // utilization; less is not told apart
+static constexpr double kLeastWeight = 0.001; // less is not told apart
 
 // Weights of the score, in thousandths of a core.
 static constexpr double kLocalityBonus = 64000.0;
@@ -122,12 +123,13 @@
   return 0;
 }
 
-double
-AllowedPace(const Worker& aWorker, const PressureModel& aPressure, ImageId aImage, int64_t aAdded)
+/// The thousandths of a core that tasks of \p aImage may use on \p aWorker in all, so that serving
+/// tasks there stay under their targets.
+static double
+AllowedCpu(const Worker& aWorker, const PressureModel& aPressure, ImageId aImage)
 {
-  const double demand = static_cast<double>(FillDemandOf(aWorker, aImage) + aAdded);
-  const double share = demand / static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
-  double pace = 1;
+  const double capacity = static_cast<double>(aWorker.m_report.m_capacity.m_cpuMilli);
+  double allowed = std::numeric_limits<double>::max();
   for (const ServingGroup& serving : aWorker.m_serving) {
     const double weight = aPressure.Weight(serving.m_image, aImage);
     if (aPressure.IsKnown(serving.m_image, aImage) && weight < kHarmlessWeight) {
@@ -136,21 +138,29 @@
     const double others = PressureOfOthers(aWorker, aPressure, serving.m_image, aImage);
     const double room =
       aPressure.TargetUtilization(serving.m_image) - kHeadroom - serving.m_ownLoad - others;
-    pace = std::min(pace, room / std::max(weight * share, kLeastPressure));
+    allowed = std::min(allowed, room * capacity / std::max(weight, kLeastWeight));
   }
-  return std::max(0.0, pace);
+  return std::max(0.0, allowed);
+}
+
+double
+AllowedPace(const Worker& aWorker, const PressureModel& aPressure, ImageId aImage, int64_t aAdded)
+{
+  const double demand = static_cast<double>(FillDemandOf(aWorker, aImage) + aAdded);
+  return std::min(1.0, AllowedCpu(aWorker, aPressure, aImage) / std::max(demand, 1.0));
 }
 
-/// The pace at which a task of \p aRequest must be allowed to work to start at all. One that asks
-/// for more than usual may start wherever a usual one could, at a pace at which it presses no more.
+/// The thousandths of a core that must be allowed to a task of \p aRequest for it to start. One
+/// that asks for more than usual may start wherever a usual one could, paced so that it presses no
+/// more.
 static double
-LeastPace(const PlacementRequest& aRequest)
+NeededCpu(const PlacementRequest& aRequest)
 {
   const double demand = static_cast<double>(aRequest.m_step->m_demand.m_cpuMilli);
-  if (aRequest.m_typicalCpu <= 0 || demand <= aRequest.m_typicalCpu) {
-    return 1;
+  if (aRequest.m_typicalCpu <= 0) {
+    return demand;
   }
-  return std::max(kLeastPace, aRequest.m_typicalCpu / demand);
+  return std::max(std::min(demand, aRequest.m_typicalCpu), kLeastPace * demand);
 }
 
 /// What keeps one more task of \p aRequest from filling beside the serving tasks of \p aWorker.
@@ -170,9 +180,9 @@
       return Obstacle::OnTrial; // one at a time, so that the tail tells which of them presses
     }
   }
-  const int64_t demand = aRequest.m_step->m_demand.m_cpuMilli;
-  const double pace = AllowedPace(aWorker, pressure, aRequest.m_image, demand);
-  return pace < LeastPace(aRequest) ? Obstacle::WouldPress : Obstacle::None;
+  const double allowed = AllowedCpu(aWorker, pressure, aRequest.m_image) -
+                         static_cast<double>(FillDemandOf(aWorker, aRequest.m_image));
+  return allowed < NeededCpu(aRequest) ? Obstacle::WouldPress : Obstacle::None;
 }
 
 static bool
@@ -240,7 +250,7 @@
   }
   const bool samePressure =
     aFailed.m_image == aRequest.m_image && aFailed.m_pressure == aRequest.m_pressure;
-  if (step.m_fills && !samePressure) {
+  if (step.m_fills && (!samePressure || NeededCpu(aFailed) > NeededCpu(aRequest))) {
     return false;
   }
   return failed.m_demand.m_cpuMilli <= step.m_demand.m_cpuMilli &&
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -142,3 +142,26 @@
     CHECK(counts[static_cast<size_t>(obstacle)] == 1);
   }
 }
+
+// Guards against placements that depend on the order in which steps of one image are tried.
+TEST_CASE("where a task finds no room for its pressure, a larger one of the same image finds none")
+{
+  Fleet fleet{ LeaseLimits() };
+  PressureModel model;
+  const ImageId serving = model.Intern("serving");
+  model.Restore({ { { "serving", "filling", 1.0, 0.01 } } });
+  const ImageId filling = model.Intern("filling");
+  Worker& worker = AddWorker(fleet, "w1");
+  AddRun(worker, 0, serving, 3000, false);
+  AddRun(worker, 1, filling, 1400, true);
+  GraphStep small;
+  small.m_demand = { 500, 1000, 0 };
+  small.m_fills = true;
+  GraphStep large = small;
+  large.m_demand.m_cpuMilli = 1000;
+  PlacementRequest request = RequestFor(small, model, filling);
+  request.m_typicalCpu = 500;
+  REQUIRE(FindObstacle(worker, request) == Obstacle::WouldPress);
+  request.m_step = &large;
+  CHECK(FindObstacle(worker, request) == Obstacle::WouldPress);
+}
--- a/unittests/Scheduler/RoomTest.cpp
+++ b/unittests/Scheduler/RoomTest.cpp
@@ -135,10 +135,10 @@
     : m_random(aSeed)
     , m_fleet(LeaseLimits())
   {
-    for (size_t i = 0; i < kServices.size(); ++i) {
+    for (size_t i = 0; i < m_services.size(); ++i) {
       m_images.push_back(m_model.Intern("image" + std::to_string(i)));
     }
-    m_model.Restore({ { { "image0", "image0", 8.0, 0.01 }, { "image0", "image1", 0.1, 0.01 } } });
+    m_model.Restore({ { { "image0", "image0", 8.0, 0.01 }, { "image0", "image1", 1.0, 0.01 } } });
     for (size_t i = 0; i < 4; ++i) {
       AddWorker(i);
     }
@@ -148,15 +148,16 @@
   {
     WorkerReport report;
     report.m_id = "w" + std::to_string(aIndex);
-    report.m_service = Pick(kServices);
+    report.m_service = Pick(m_services);
     report.m_labels = { aIndex % 2 ? "a" : "b" };
-    report.m_capacity = { 4000, 4000, 1 };
+    report.m_capacity = { m_random.Below(2) ? 16000 : 4000, 4000, 1 };
     m_fleet.Update(report, m_now);
     Worker& worker = *m_fleet.Find(report.m_id);
     worker.m_looked = true;
     worker.m_record = RecordState::Durable;
     worker.m_pressed = m_random.Below(4) == 0;
-    for (uint16_t run = 0; run < m_random.Below(4); ++run) {
+    const uint16_t runs = static_cast<uint16_t>(m_random.Below(4));
+    for (uint16_t run = 0; run < runs; ++run) {
       AddRun(worker, run);
     }
   }
@@ -164,7 +165,7 @@
   void AddRun(Worker& aWorker, uint16_t aIndex)
   {
     WorkerRun run;
-    run.m_demand = { static_cast<int64_t>(m_random.Below(3)) * 1000, 1000, 0 };
+    run.m_demand = { static_cast<int64_t>(m_random.Below(8)) * 250, 500, 0 };
     run.m_image = Pick(m_images);
     run.m_fills = m_random.Below(2) == 0;
     run.m_lasting = !run.m_fills;
@@ -175,7 +176,7 @@
   GraphStep RandomStep()
   {
     GraphStep step;
-    step.m_demand = { static_cast<int64_t>(m_random.Below(5)) * 1000,
+    step.m_demand = { static_cast<int64_t>(m_random.Below(20)) * 250,
                       static_cast<int64_t>(m_random.Below(5)) * 1000,
                       static_cast<int64_t>(m_random.Below(2)) };
     step.m_fills = m_random.Below(2) == 0;
@@ -188,9 +189,10 @@
   {
     PlacementRequest request;
     request.m_step = &aStep;
-    request.m_service = &Pick(kServices);
+    request.m_service = &Pick(m_services);
     request.m_pressure = m_random.Below(4) == 0 ? nullptr : &m_model;
     request.m_image = Pick(m_images);
+    request.m_typicalCpu = static_cast<double>(m_random.Below(4)) * 750;
     return request;
   }
 
@@ -200,7 +202,7 @@
     return aList[m_random.Below(aList.size())];
   }
 
-  const std::vector<std::string> kServices = { "desk", "shop" };
+  const std::vector<std::string> m_services = { "desk", "shop" };
   Instant m_now{ std::chrono::hours(1) };
   Random m_random;
   PressureModel m_model;
@@ -214,7 +216,7 @@
 TEST_CASE("a request that another one's failure rules out fits nowhere")
 {
   uint64_t ruledOut = 0;
-  for (uint64_t seed = 0; seed < 30000; ++seed) {
+  for (uint64_t seed = 0; seed < 60000; ++seed) {
     RandomRequests world(seed);
     const GraphStep failedStep = world.RandomStep();
     const GraphStep step = world.RandomStep();
