Spell out types where auto stood, sum a waiting report in one place, count shares only where they decide

MakeRequest() went over all workers for the share without serving tasks for each waiting step, also those that are then passed over, though only steps with a target use it. The two sums of a waiting report were one loop written twice. Change: the share is counted for steps with a target; WaitingTotals; std::strong_ordering; KeepRunning(). Decisions are as before. Conclusion: less work a pass with many waiting steps; how much was not measured.

--- a/benchmarks/DecisionBench.cpp
+++ b/benchmarks/DecisionBench.cpp
@@ -47,7 +47,7 @@
   router.SetTargets(targets);
   Random random(1);
   const uint64_t before = sAllocations;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     const std::optional<RouteChoice> choice = router.Choose(random, kNow);
     router.Take(choice->m_target);
     router.Done(
@@ -75,7 +75,7 @@
   const Placer placer(model, PlacementMode::Full, 0.2);
   uint64_t random = 0;
   const uint64_t before = sAllocations;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     benchmark::DoNotOptimize(placer.Choose("a", Resources{ 1'000, 1'000, 0 }, views, random++));
   }
   aState.counters["allocations"] =
--- a/include/egretturn/Config/Document.h
+++ b/include/egretturn/Config/Document.h
@@ -4,6 +4,7 @@
 #include "egretturn/Config/Model.h"
 #include "egretturn/Support/Error.h"
 
+#include <compare>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,7 +36,7 @@
   ObjectKind m_kind = ObjectKind::Zone;
   std::string m_name;
 
-  auto operator<=>(const ObjectKey&) const = default;
+  std::strong_ordering operator<=>(const ObjectKey&) const = default;
 
   /// "kind.name", as in files and messages.
   std::string Text() const;
--- a/include/egretturn/Journal/Records.h
+++ b/include/egretturn/Journal/Records.h
@@ -4,6 +4,7 @@
 #include "egretturn/Config/Document.h"
 #include "egretturn/Support/Fields.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -34,7 +35,7 @@
   std::string m_id;
   uint64_t m_incarnation = 0;
 
-  auto operator<=>(const InstanceId&) const = default;
+  std::strong_ordering operator<=>(const InstanceId&) const = default;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -49,7 +50,7 @@
   JobId m_job = 0;
   uint32_t m_index = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  std::strong_ordering operator<=>(const TaskId&) const = default;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
--- a/include/egretturn/Scheduler/Waiting.h
+++ b/include/egretturn/Scheduler/Waiting.h
@@ -18,6 +18,13 @@
   ObstacleCounts m_workers{}; ///< Workers by what keeps the last step tried from them.
 };
 
+/// Waiting tasks of all images.
+struct WaitingTotals
+{
+  uint64_t m_tasks = 0;
+  uint64_t m_passedOver = 0; ///< Those of them that were not tried.
+};
+
 /// Not thread-safe.
 class WaitingReport
 {
@@ -28,11 +35,8 @@
   /// Notes \p aTasks tasks of \p aImage that found no room; \p aWorkers says why.
   void NoteNoRoom(ImageId aImage, uint32_t aTasks, Duration aAge, const ObstacleCounts& aWorkers);
 
-  /// Tasks of all images that wait.
-  uint64_t CountTasks() const;
-
-  /// Those of them that were not tried.
-  uint64_t CountPassedOver() const;
+  /// The sums over all images.
+  WaitingTotals Totals() const;
 
   /// Logs a line for each image, with its name from \p aPressure.
   void LogLines(const PressureModel& aPressure) const;
--- a/include/egretturn/Workers/Protocol.h
+++ b/include/egretturn/Workers/Protocol.h
@@ -4,6 +4,7 @@
 #include "egretturn/Config/Model.h"
 #include "egretturn/Journal/Records.h"
 
+#include <compare>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,7 +16,7 @@
   TaskId m_task;
   Attempt m_attempt = 0;
 
-  auto operator<=>(const TaskAttempt&) const = default;
+  std::strong_ordering operator<=>(const TaskAttempt&) const = default;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -94,7 +94,8 @@
   request.m_pressure = idle && m_fleet.ShareInUse() < kPlentyOfRoom ? nullptr : &m_pressure;
   request.m_image = m_pressure.Intern(request.m_step->m_image);
   request.m_typicalCpu = m_fillDemandMeans.Of(job.m_stored.m_terms.m_route, 0);
-  request.m_fewEmptyWorkers = m_fleet.ShareWithoutServing() < kShareKeptEmpty;
+  request.m_fewEmptyWorkers =
+    request.m_step->m_targetMs > 0 && m_fleet.ShareWithoutServing() < kShareKeptEmpty;
   return request;
 }
 
@@ -158,8 +159,9 @@
     return;
   }
   m_nextReportAt = aNow + kReportEvery;
-  m_counters.m_tasksWaiting = m_waiting->CountTasks();
-  m_counters.m_tasksPassedOver = m_waiting->CountPassedOver();
+  const WaitingTotals totals = m_waiting->Totals();
+  m_counters.m_tasksWaiting = totals.m_tasks;
+  m_counters.m_tasksPassedOver = totals.m_passedOver;
   if (LogEnabled(LogLevel::Info)) {
     m_waiting->LogLines(m_pressure);
     m_pressure.LogChanges();
--- a/lib/Scheduler/Waiting.cpp
+++ b/lib/Scheduler/Waiting.cpp
@@ -31,24 +31,15 @@
   Note(aImage, aTasks, aAge).m_workers = aWorkers;
 }
 
-uint64_t
-WaitingReport::CountTasks() const
+WaitingTotals
+WaitingReport::Totals() const
 {
-  uint64_t tasks = 0;
+  WaitingTotals totals;
   for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
-    tasks += imageEntry.second.m_tasks;
+    totals.m_tasks += imageEntry.second.m_tasks;
+    totals.m_passedOver += imageEntry.second.m_passedOver;
   }
-  return tasks;
-}
-
-uint64_t
-WaitingReport::CountPassedOver() const
-{
-  uint64_t tasks = 0;
-  for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
-    tasks += imageEntry.second.m_passedOver;
-  }
-  return tasks;
+  return totals;
 }
 
 void
