Tell apart what keeps work from a worker; log and count contact that is lost and regained

What on-call sees: `tasks_waiting unavailable=11`, which covers unlisted, draining, never looked at, out of contact, unrecorded, avoided and slow workers, and no line when contact is back. Change: FindUnavailability() names the condition; TakesWork() follows from it; `tasks_waiting` counts each; new line worker_regained_contact with the failed looks and the time; gauges egretturn_workers_listed and _out_of_contact.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -89,6 +89,7 @@
   Instant m_lookSentAt;
   Instant m_lookDueAt;
   uint32_t m_failedLooks = 0;            ///< In a row.
+  Instant m_lostContactAt;               ///< When the first of them failed.
   uint64_t m_endsSeen = 0;               ///< Highest number of an end that was processed.
   uint64_t m_endsDurable = 0;            ///< Highest number whose effects are in the store.
   std::vector<EndedRow> m_undurableEnds; ///< Those above m_endsDurable.
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -12,7 +12,13 @@
 enum class Obstacle : uint8_t
 {
   None,
-  Unavailable, ///< Not looked at, draining, out of contact, avoided or slow.
+  Unlisted, ///< The directory has no entry for the worker.
+  Draining,
+  NotLooked,    ///< It has not answered under this epoch yet.
+  OutOfContact, ///< Its last looks got no answer.
+  Unrecorded,   ///< Its record is not in the store yet.
+  Avoided,      ///< For its failures of late.
+  Slow,
   OtherService,
   Label,
   Spread, ///< The step's limit for one worker.
@@ -44,6 +50,9 @@
   bool m_fewEmptyWorkers = false; ///< Few workers are left without serving tasks.
 };
 
+/// What keeps all new work from \p aWorker at \p aNow.
+Obstacle FindUnavailability(const Worker& aWorker, Instant aNow);
+
 /// Whether \p aWorker may get new work at all at \p aNow.
 bool TakesWork(const Worker& aWorker, Instant aNow);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -59,6 +59,8 @@
   uint64_t m_batches = 0;
   uint64_t m_tasksWaiting = 0;    ///< Ready, but without a worker; as of the last report.
   uint64_t m_tasksPassedOver = 0; ///< Those of them that were not tried.
+  uint64_t m_workersListed = 0;
+  uint64_t m_workersOutOfContact = 0; ///< Listed ones whose last looks got no answer.
 };
 
 /// Not thread-safe. Each event method may add actions; fetch them with TakeActions().
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -436,6 +436,8 @@
     { "egretturn_batches_total", counters.m_batches },
     { "egretturn_tasks_waiting", counters.m_tasksWaiting },
     { "egretturn_tasks_passed_over", counters.m_tasksPassedOver },
+    { "egretturn_workers_listed", counters.m_workersListed },
+    { "egretturn_workers_out_of_contact", counters.m_workersOutOfContact },
   };
   for (const MetricRow& row : rows) {
     text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -403,6 +403,12 @@
     }
     worker->m_report.m_incarnation = aView.m_incarnation;
   }
+  if (worker->m_failedLooks > 0) {
+    Log(LogLine(LogLevel::Info, "worker_regained_contact")
+          .Add("worker", aId)
+          .Add("failed_looks", worker->m_failedLooks)
+          .Add("lost_ms", ToMillis(aNow - worker->m_lostContactAt)));
+  }
   worker->m_failedLooks = 0;
   worker->m_looked = true;
   worker->m_clockMs = aView.m_clockMs;
@@ -444,6 +450,7 @@
   }
   worker->m_lookInFlight = false;
   if (++worker->m_failedLooks == 1) {
+    worker->m_lostContactAt = aNow;
     Log(LogLine(LogLevel::Warning, "worker_lost_contact")
           .Add("worker", aId)
           .Add("result", NameOf(aResult))
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -9,7 +9,13 @@
 
 static constexpr EnumTable<Obstacle, kObstacles> kObstacleNames{ {
   { Obstacle::None, "none" },
-  { Obstacle::Unavailable, "unavailable" },
+  { Obstacle::Unlisted, "unlisted" },
+  { Obstacle::Draining, "draining" },
+  { Obstacle::NotLooked, "not_looked" },
+  { Obstacle::OutOfContact, "out_of_contact" },
+  { Obstacle::Unrecorded, "unrecorded" },
+  { Obstacle::Avoided, "avoided" },
+  { Obstacle::Slow, "slow" },
   { Obstacle::OtherService, "other_service" },
   { Obstacle::Label, "label" },
   { Obstacle::Spread, "spread" },
@@ -54,12 +60,34 @@
 static constexpr double kAvoidPenalty = 1000000.0;
 static constexpr double kFillWeight = 0.5; // a neighbour that fills disturbs by half its demand
 
+Obstacle
+FindUnavailability(const Worker& aWorker, Instant aNow)
+{
+  if (!aWorker.m_listed) {
+    return Obstacle::Unlisted;
+  }
+  if (aWorker.m_report.m_draining) {
+    return Obstacle::Draining;
+  }
+  if (!aWorker.m_looked) {
+    return Obstacle::NotLooked;
+  }
+  if (aWorker.m_failedLooks > 0) {
+    return Obstacle::OutOfContact;
+  }
+  if (aWorker.m_record != RecordState::Durable) {
+    return Obstacle::Unrecorded;
+  }
+  if (aWorker.m_avoidUntil > aNow) {
+    return Obstacle::Avoided;
+  }
+  return aWorker.m_slowUntil > aNow ? Obstacle::Slow : Obstacle::None;
+}
+
 bool
 TakesWork(const Worker& aWorker, Instant aNow)
 {
-  return aWorker.m_looked && aWorker.m_listed && aWorker.m_record == RecordState::Durable &&
-         !aWorker.m_report.m_draining && aWorker.m_failedLooks == 0 &&
-         aWorker.m_avoidUntil <= aNow && aWorker.m_slowUntil <= aNow;
+  return FindUnavailability(aWorker, aNow) == Obstacle::None;
 }
 
 /// Processor time that tasks that fill can still get on \p aWorker.
@@ -263,8 +291,9 @@
 {
   ObstacleCounts counts{};
   for (const std::unique_ptr<Worker>& worker : aFleet.All()) {
+    const Obstacle unavailability = FindUnavailability(*worker, aNow);
     const Obstacle obstacle =
-      TakesWork(*worker, aNow) ? FindObstacle(*worker, aRequest) : Obstacle::Unavailable;
+      unavailability == Obstacle::None ? FindObstacle(*worker, aRequest) : unavailability;
     ++counts[static_cast<size_t>(obstacle)];
   }
   return counts;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -233,7 +233,11 @@
 Scheduler::CheckLeases(Instant aNow)
 {
   std::vector<WorkerName> gone;
+  m_counters.m_workersListed = 0;
+  m_counters.m_workersOutOfContact = 0;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    m_counters.m_workersListed += worker->m_listed ? 1 : 0;
+    m_counters.m_workersOutOfContact += worker->m_listed && worker->m_failedLooks > 0 ? 1 : 0;
     if (!worker->m_runs.empty() && aNow >= worker->m_leaseOverAt) {
       LoseAllRuns(*worker, aNow, "lease_over");
     }
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -137,12 +137,33 @@
                              Obstacle::WouldPress,
                              Obstacle::Processors,
                              Obstacle::Pressed,
-                             Obstacle::Unavailable }) {
+                             Obstacle::Draining }) {
     CAPTURE(NameOf(obstacle));
     CHECK(counts[static_cast<size_t>(obstacle)] == 1);
   }
 }
 
+TEST_CASE("what keeps all new work from a worker can be told")
+{
+  Fleet fleet{ LeaseLimits() };
+  Worker& worker = AddWorker(fleet, "w1");
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::None);
+  worker.m_slowUntil = kNow + std::chrono::seconds(1);
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::Slow);
+  worker.m_avoidUntil = kNow + std::chrono::seconds(1);
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::Avoided);
+  worker.m_record = RecordState::InBatch;
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::Unrecorded);
+  worker.m_failedLooks = 1;
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::OutOfContact);
+  worker.m_looked = false;
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::NotLooked);
+  worker.m_report.m_draining = true;
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::Draining);
+  worker.m_listed = false;
+  CHECK(FindUnavailability(worker, kNow) == Obstacle::Unlisted);
+}
+
 // Guards against placements that depend on the order in which steps of one image are tried.
 TEST_CASE("where a task finds no room for its pressure, a larger one of the same image finds none")
 {
