Ask a listed worker out of contact until it answers

Cause: a look went only to a worker with runs, with ends to acknowledge, or never looked at. Once the lease of a worker out of contact is over it has none of these, but only an answer to a look clears its failed looks, without which it gets no work: a state that only an answer ends, while nothing asks. It was also put off by an hour, so that a later reason to ask could find it asleep. Refuted: avoidance that renews itself. Change: NeedsLook() says in one place whether something ends only with the worker's answer, and covers lost contact; a due time holds only where a look is needed, so that nothing has to wake a worker that was put off. Idle workers are asked every 2 s at most. Why it works: each state that keeps work from a listed worker now either ends with time or has a look in flight or due.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -87,7 +87,7 @@
   bool m_lookInFlight = false;
   uint64_t m_lookNumber = 0; ///< Of the look in flight.
   Instant m_lookSentAt;
-  Instant m_lookDueAt;
+  Instant m_lookDueAt;                   ///< Not before this, if one is needed at all.
   uint32_t m_failedLooks = 0;            ///< In a row.
   Instant m_lostContactAt;               ///< When the first of them failed.
   uint64_t m_endsSeen = 0;               ///< Highest number of an end that was processed.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -266,6 +266,9 @@
   bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
 
   // Scheduler.cpp
+  /// Whether something of \p aWorker ends only with its answer. Then a look is in flight, or is
+  /// sent once it is due.
+  static bool NeedsLook(const Worker& aWorker);
   void SendLooks(Instant aNow);
   void SendLook(Worker& aWorker, Instant aNow);
   void RetryStops(Instant aNow);
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -9,6 +9,7 @@
 
 static constexpr Duration kLookRetry = std::chrono::milliseconds(200);
 static constexpr Duration kLongestLookRetry = std::chrono::milliseconds(1000);
+static constexpr Duration kLongestIdleLookRetry = std::chrono::milliseconds(2000); // without runs
 static constexpr Duration kUndurableLook = std::chrono::milliseconds(400);
 static constexpr int kUnpacedUse = 60;    // percent of its demand that a task uses at least
 static constexpr uint32_t kBadStreak = 3; // failures in a row after which a worker is avoided
@@ -456,8 +457,8 @@
           .Add("result", NameOf(aResult))
           .Add("runs", uint64_t{ worker->m_runs.size() }));
   }
-  worker->m_lookDueAt =
-    aNow + std::min<Duration>(kLookRetry * worker->m_failedLooks, kLongestLookRetry);
+  const Duration longest = worker->m_runs.empty() ? kLongestIdleLookRetry : kLongestLookRetry;
+  worker->m_lookDueAt = aNow + std::min<Duration>(kLookRetry * worker->m_failedLooks, longest);
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -12,8 +12,7 @@
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
 static constexpr Duration kFreshAnswer =
-  std::chrono::milliseconds(150);                            // no worker restarts in less
-static constexpr Duration kIdleLook = std::chrono::hours(1); // a worker without runs is left alone
+  std::chrono::milliseconds(150); // no worker restarts in less
 
 Scheduler::Scheduler(const SchedulerLimits& aLimits, uint64_t aEpoch, Instant aNow)
   : m_limits(aLimits)
@@ -116,8 +115,8 @@
     if (aReport.m_incarnation < report.m_incarnation) {
       return; // an entry of an earlier life
     }
-    if (reborn) {
-      known->m_lookDueAt = aNow; // the worker itself tells what runs in its new life
+    if (reborn || !known->m_listed) {
+      known->m_lookDueAt = aNow; // the worker itself tells what runs there
     }
   }
   const int64_t incarnation = known ? known->m_report.m_incarnation : 0;
@@ -195,19 +194,21 @@
   Emit(std::move(look));
 }
 
+bool
+Scheduler::NeedsLook(const Worker& aWorker)
+{
+  // Only an answer ends a loss of contact, so a worker that may get work again is asked until then.
+  const bool outOfContact = aWorker.m_listed && aWorker.m_failedLooks > 0;
+  return !aWorker.m_runs.empty() || !aWorker.m_looked || outOfContact ||
+         aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
+}
+
 void
 Scheduler::SendLooks(Instant aNow)
 {
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (worker->m_lookInFlight || worker->m_lookDueAt > aNow) {
-      continue;
-    }
-    const bool needed = !worker->m_runs.empty() || !worker->m_looked ||
-                        worker->m_endsDurable > worker->m_endsAcknowledged;
-    if (needed) {
+    if (!worker->m_lookInFlight && worker->m_lookDueAt <= aNow && NeedsLook(*worker)) {
       SendLook(*worker, aNow);
-    } else {
-      worker->m_lookDueAt = aNow + kIdleLook;
     }
   }
 }
@@ -313,7 +314,7 @@
     wake = std::min(wake, BatchDueAt());
   }
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (!worker->m_lookInFlight) {
+    if (!worker->m_lookInFlight && NeedsLook(*worker)) {
       wake = std::min(wake, worker->m_lookDueAt);
     }
   }
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -16,6 +16,9 @@
 static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
 static constexpr double kPlentyOfRoom = 0.7;
 
+// An idle worker is looked at this long after a start, or earlier, once it has answered the start.
+static constexpr Duration kLookAfterStart = std::chrono::milliseconds(1000);
+
 static constexpr Duration kReportEvery = std::chrono::seconds(1);
 
 // Of the processors, kept without serving tasks for work that would press them.
@@ -301,6 +304,9 @@
   run.m_undisturbed = task.m_checkpoint.empty();
   run.m_phaseSince = aNow;
   run.m_progressedAt = aNow;
+  if (!NeedsLook(aWorker)) {
+    aWorker.m_lookDueAt = aNow + kLookAfterStart;
+  }
   Fleet::AddRun(aWorker, ref, run);
   if (run.m_fills && aPaced) {
     PaceForNewRun(aWorker, run.m_image, aNow);
--- /dev/null
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -0,0 +1,153 @@
+// Contact with workers: when it is lost, who asks again, and what the worker gets afterwards.
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A scheduler whose workers answer at once, but for those that can't be reached. They run nothing.
+class ContactWorld
+{
+public:
+  ContactWorld() { m_scheduler.DirectoryComplete(); }
+
+  void List(const WorkerName& aName)
+  {
+    WorkerReport report;
+    report.m_id = aName;
+    report.m_service = "desk";
+    report.m_address = "10.0.0.1:80";
+    report.m_capacity = { 8000, 64000, 0 };
+    m_scheduler.UpdateWorker(report, m_now);
+  }
+
+  /// Submits a task that lasts and reserves \p aCpuMilli.
+  void SubmitLasting(GraphId aId, int64_t aCpuMilli)
+  {
+    Submission submission;
+    submission.m_id = aId;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    GraphStep step;
+    step.m_demand = { aCpuMilli, 1000, 0 };
+    step.m_lasting = true;
+    submission.m_graph.m_steps.push_back(step);
+    m_scheduler.Submit(aId, std::move(submission), m_now, WallMs());
+  }
+
+  void Advance(Duration aTime)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, WallMs());
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Carry(action);
+      }
+    }
+  }
+
+  const Worker& WorkerOf(const WorkerName& aName) { return *m_scheduler.Workers().Find(aName); }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
+  std::set<WorkerName> m_unreachable;
+  std::map<WorkerName, std::vector<RunningRow>> m_running;
+  size_t m_looks = 0;
+
+private:
+  int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+
+  void Carry(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      const bool reached = m_unreachable.count(start->m_worker) == 0;
+      m_scheduler.OnStart(start->m_worker,
+                          start->m_task,
+                          start->m_run,
+                          reached ? OrderResult::Accepted : OrderResult::Unanswered,
+                          m_now);
+      if (reached) {
+        m_running[start->m_worker].push_back({ start->m_task, start->m_run, "", 100, 0 });
+      }
+    } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
+      ++m_looks;
+      if (m_unreachable.count(look->m_worker) > 0) {
+        m_scheduler.OnLookFailed(look->m_worker, look->m_number, OrderResult::Unanswered, m_now);
+        return;
+      }
+      WorkerView view;
+      view.m_clockMs = WallMs();
+      view.m_running = m_running[look->m_worker];
+      m_scheduler.OnLook(look->m_worker, look->m_number, view, m_now);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against the incident LOST: a sound, listed worker stayed out of use for good.
+TEST_CASE("a worker that was out of reach for longer than its lease is asked again and takes work")
+{
+  ContactWorld world;
+  world.List("w");
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+
+  world.m_unreachable.insert("w");
+  world.Advance(seconds(9));
+  REQUIRE(world.WorkerOf("w").m_runs.empty()); // its lease is over
+
+  world.m_unreachable.clear();
+  world.m_running["w"].clear(); // lapsed there
+  world.Advance(seconds(2));
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+}
+
+// Guards against the same through the directory: an entry that lapses and is back.
+TEST_CASE("a worker that is listed again after its entry lapsed out of reach is asked again")
+{
+  ContactWorld world;
+  world.List("w");
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+
+  world.m_unreachable.insert("w");
+  world.Advance(seconds(3));
+  world.m_scheduler.UnlistWorker("w", world.m_now);
+  world.Advance(seconds(3));
+  world.List("w");
+  world.Advance(seconds(6));
+  world.m_unreachable.clear();
+  world.m_running["w"].clear();
+  world.Advance(seconds(2));
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+}
+
+// Guards against a storm of looks at what a cut has taken away.
+TEST_CASE("hundreds of idle workers out of reach are asked at most once a second each")
+{
+  static constexpr size_t kWorkers = 500;
+  static constexpr Duration kSpan = seconds(60);
+  ContactWorld world;
+  for (size_t i = 0; i < kWorkers; ++i) {
+    const WorkerName name = "w" + std::to_string(i);
+    world.List(name);
+    world.m_unreachable.insert(name);
+  }
+  world.Advance(seconds(10));
+  const size_t before = world.m_looks;
+  world.Advance(kSpan);
+  CHECK(world.m_looks - before <= kWorkers * static_cast<size_t>(kSpan / seconds(1)));
+  world.m_unreachable.clear();
+  world.Advance(seconds(3));
+  for (const std::unique_ptr<Worker>& worker : world.m_scheduler.Workers().All()) {
+    REQUIRE(TakesWork(*worker, world.m_now));
+  }
+}
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -88,6 +88,7 @@
     }
   }
   world.Settle();
+  world.CheckContact();
   world.CheckEnd();
   INFO("seed " << aSeed);
   for (const std::string& broken : world.m_oracle.m_broken) {
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -375,6 +375,18 @@
   Advance(kSettleTime);
 }
 
+void
+SchedulerWorld::CheckContact()
+{
+  for (const std::unique_ptr<Worker>& worker : m_deciders.back()->m_scheduler->Workers().All()) {
+    const Obstacle obstacle = FindUnavailability(*worker, m_now);
+    if (obstacle != Obstacle::None) {
+      m_oracle.Break("a sound worker takes no work: " + worker->m_report.m_id + " " +
+                     std::string(NameOf(obstacle)));
+    }
+  }
+}
+
 void
 SchedulerWorld::CheckEnd()
 {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -37,6 +37,9 @@
   /// Lifts all faults and lets everything finish that can.
   void Settle();
 
+  /// Checks that every worker can get work again. \pre All faults were lifted by Settle().
+  void CheckContact();
+
   /// Checks that every accepted job has ended or lasts with all its tasks running.
   void CheckEnd();
 
