Try waiting tasks again when contact is back, and when time alone may have made room

Cause: a pass over the waiting tasks ran only after an event that asked for one. Contact that is regained, and avoidance, slowness or patience that run out, asked for none, so that on a quiet service a task waited for something else to happen. Change: regained contact asks for a pass, and while tasks wait a pass runs 300 ms after the last one was allowed at the latest. Test: the first case of ContactTest (now with the start) and one on avoidance that ends failed before and pass now.

--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -409,6 +409,7 @@
           .Add("worker", aId)
           .Add("failed_looks", worker->m_failedLooks)
           .Add("lost_ms", ToMillis(aNow - worker->m_lostContactAt)));
+    m_placeNeeded = true;
   }
   worker->m_failedLooks = 0;
   worker->m_looked = true;
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -11,6 +11,8 @@
 static constexpr Duration kPlaceGap = std::chrono::milliseconds(5);
 static constexpr Duration kPlaceGapPerStep = std::chrono::microseconds(150);
 static constexpr Duration kLongestPlaceGap = std::chrono::milliseconds(45);
+// What keeps tasks from workers also passes with time alone: avoidance, slowness, patience.
+static constexpr Duration kLongestPlacePause = std::chrono::milliseconds(300);
 static constexpr RunNumber kRunsPerEpoch = 1 << 20; // starts of one task under one epoch
 // With room to spare, a job that has stood still for so long runs even beside what it presses.
 static constexpr Duration kIdlePatience = std::chrono::milliseconds(1500);
@@ -105,7 +107,8 @@
 void
 Scheduler::PlaceWaiting(Instant aNow)
 {
-  if (!m_placeNeeded || aNow < m_nextPlaceAt) {
+  const bool overdue = !m_waitingJobs.empty() && aNow >= m_nextPlaceAt + kLongestPlacePause;
+  if ((!m_placeNeeded && !overdue) || aNow < m_nextPlaceAt) {
     return;
   }
   m_placeNeeded = false;
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -108,6 +108,7 @@
   world.m_running["w"].clear(); // lapsed there
   world.Advance(seconds(2));
   CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+  CHECK(world.m_running["w"].size() == 1);
 }
 
 // Guards against the same through the directory: an entry that lapses and is back.
@@ -130,6 +131,21 @@
   CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
 }
 
+// Guards against a task that waits on after what kept it from a worker has passed with time alone.
+TEST_CASE("a task starts once a worker is avoided no more, though nothing else happens")
+{
+  ContactWorld world;
+  world.List("w");
+  world.Advance(seconds(1));
+  Worker& worker = *world.m_scheduler.Workers().Find("w");
+  worker.m_avoidUntil = world.m_now + seconds(3);
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(2));
+  REQUIRE(world.m_running["w"].empty());
+  world.Advance(seconds(2));
+  CHECK(world.m_running["w"].size() == 1);
+}
+
 // Guards against a storm of looks at what a cut has taken away.
 TEST_CASE("hundreds of idle workers out of reach are asked at most once a second each")
 {
