Believe a worker's own answers about its incarnation, whatever its entry says

What callers would see: a live worker under whose id another writer leaves an entry with a start far ahead, or that starts again with an earlier time of day, is out of use for good (LOST), and is looked at at each turn without a pause. Cause: the greatest start time seen anywhere, also in an entry or a record, decided which answers count; all others were dropped as of an earlier life, at once asked again, and later entries of the worker itself were ignored. Nothing ever lowered it. Change: the incarnation is what the worker answers. An answer that is older than its entry may have been overtaken by a restart: it is doubted once, and believed when a look sent after it gets the same. An entry older than the answers only says that the worker is there.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -191,7 +191,11 @@
   void DropVanished(Worker& aWorker, const WorkerView& aView, Instant aNow);
   void LoseRun(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
   void LoseAllRuns(Worker& aWorker, Instant aNow, const char* aCause);
-  void Reincarnate(Worker& aWorker, int64_t aIncarnation);
+  /// Whether an answer of \p aIncarnation counts. One that is older than the directory's entry may
+  /// have been overtaken by a restart, and is believed once the worker repeats it.
+  static bool BelievesAnswer(Worker& aWorker, int64_t aIncarnation);
+  /// Notes the incarnation that has answered; what was counted of an earlier one is forgotten.
+  static void Reincarnate(Worker& aWorker, int64_t aIncarnation);
   static void LogRun(const char* aEvent,
                      const Worker& aWorker,
                      const TaskRef& aTask,
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -340,15 +340,35 @@
   }
 }
 
+bool
+Scheduler::BelievesAnswer(Worker& aWorker, int64_t aIncarnation)
+{
+  const int64_t latest = std::max(aWorker.m_incarnation, aWorker.m_report.m_incarnation);
+  if (aIncarnation == 0 || aIncarnation >= latest || aIncarnation == aWorker.m_doubtedIncarnation) {
+    return true; // also if it has answered two looks, of which one was sent after the other's
+                 // answer
+  }
+  Log(LogLine(LogLevel::Info, "worker_answer_doubted")
+        .Add("worker", aWorker.m_report.m_id)
+        .Add("incarnation", aIncarnation)
+        .Add("latest_known", latest));
+  aWorker.m_doubtedIncarnation = aIncarnation;
+  return false;
+}
+
 void
 Scheduler::Reincarnate(Worker& aWorker, int64_t aIncarnation)
 {
+  const bool restarted = aWorker.m_incarnation != 0;
+  aWorker.m_incarnation = aIncarnation;
+  if (!restarted) {
+    return;
+  }
   Log(LogLine(LogLevel::Info, "worker_restarted")
         .Add("worker", aWorker.m_report.m_id)
         .Add("incarnation", aIncarnation)
         .Add("runs", uint64_t{ aWorker.m_runs.size() }));
   // Orders on their way may have reached the new life, so each run is judged by the look's lists.
-  aWorker.m_report.m_incarnation = aIncarnation;
   aWorker.m_endsSeen = 0;
   aWorker.m_endsDurable = 0;
   aWorker.m_undurableEnds.clear();
@@ -394,15 +414,12 @@
     return;
   }
   worker->m_lookInFlight = false;
-  if (aView.m_incarnation != 0 && aView.m_incarnation < worker->m_report.m_incarnation) {
-    worker->m_lookDueAt = aNow; // answered by an earlier life
+  if (!BelievesAnswer(*worker, aView.m_incarnation)) {
+    worker->m_lookDueAt = aNow + kLookRetry;
     return;
   }
-  if (aView.m_incarnation > worker->m_report.m_incarnation) {
-    if (worker->m_report.m_incarnation != 0) {
-      Reincarnate(*worker, aView.m_incarnation);
-    }
-    worker->m_report.m_incarnation = aView.m_incarnation;
+  if (aView.m_incarnation != worker->m_incarnation && aView.m_incarnation != 0) {
+    Reincarnate(*worker, aView.m_incarnation);
   }
   if (worker->m_failedLooks > 0) {
     Log(LogLine(LogLevel::Info, "worker_regained_contact")
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -108,25 +108,17 @@
 Scheduler::UpdateWorker(const WorkerReport& aReport, Instant aNow)
 {
   Worker* known = m_fleet.Find(aReport.m_id);
-  if (known) {
-    WorkerReport& report = known->m_report;
-    const bool reborn = aReport.m_incarnation != 0 && report.m_incarnation != 0 &&
-                        aReport.m_incarnation > report.m_incarnation;
-    if (aReport.m_incarnation < report.m_incarnation) {
-      return; // an entry of an earlier life
-    }
-    if (reborn || !known->m_listed) {
-      known->m_lookDueAt = aNow; // the worker itself tells what runs there
-    }
+  if (known && aReport.m_incarnation < known->m_incarnation) {
+    known->m_listed = true; // stale, or written after its clock went back: its answers will tell
+    return;
+  }
+  if (known && (aReport.m_incarnation > known->m_incarnation || !known->m_listed)) {
+    known->m_lookDueAt = aNow; // the worker itself tells what runs there
   }
-  const int64_t incarnation = known ? known->m_report.m_incarnation : 0;
   const bool startsDraining = aReport.m_draining && !(known && known->m_report.m_draining);
   const bool added = m_fleet.Update(aReport, aNow);
   m_workersUnwritten = m_workersUnwritten || added;
   Worker* worker = m_fleet.Find(aReport.m_id);
-  if (incarnation != 0) {
-    worker->m_report.m_incarnation = incarnation;
-  }
   if (added && !m_recovered) {
     m_fleet.ExtendLease(*worker, aNow); // by the deciding instance before this one
   }
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -17,9 +17,10 @@
 public:
   ContactWorld() { m_scheduler.DirectoryComplete(); }
 
-  void List(const WorkerName& aName)
+  void List(const WorkerName& aName, int64_t aIncarnation = 0)
   {
     WorkerReport report;
+    report.m_incarnation = aIncarnation;
     report.m_id = aName;
     report.m_service = "desk";
     report.m_address = "10.0.0.1:80";
@@ -56,6 +57,7 @@
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   std::set<WorkerName> m_unreachable;
   std::map<WorkerName, std::vector<RunningRow>> m_running;
+  std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves say.
   size_t m_looks = 0;
 
 private:
@@ -83,6 +85,7 @@
       }
       WorkerView view;
       view.m_clockMs = WallMs();
+      view.m_incarnation = m_incarnations[look->m_worker];
       view.m_running = m_running[look->m_worker];
       m_scheduler.OnLook(look->m_worker, look->m_number, view, m_now);
     }
@@ -167,3 +170,41 @@
     REQUIRE(TakesWork(*worker, world.m_now));
   }
 }
+
+// Guards against an entry of another writer that keeps a live worker out of use for good.
+TEST_CASE(
+  "an entry that names a start far ahead does not keep a worker's own answers from counting")
+{
+  static constexpr int64_t kFarAhead = int64_t{ 1 } << 60;
+  ContactWorld world;
+  world.m_incarnations["w"] = 1000;
+  world.List("w", kFarAhead);
+  world.Advance(seconds(2));
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+  CHECK(world.m_looks == 2); // the second one confirms the first
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  CHECK(world.m_running["w"].size() == 1);
+
+  world.List("w", 1000); // its own entry is back
+  CHECK(world.WorkerOf("w").m_report.m_incarnation == 1000);
+}
+
+// Guards against a worker that no look brings back, since its time of day went back at its restart.
+TEST_CASE("a worker that starts again with an earlier time of day is used again")
+{
+  ContactWorld world;
+  world.m_incarnations["w"] = 5000;
+  world.List("w", 5000);
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+
+  world.m_running["w"].clear();
+  world.m_incarnations["w"] = 3000;
+  world.m_scheduler.UnlistWorker("w", world.m_now);
+  world.List("w", 3000);
+  world.Advance(seconds(9));
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+  CHECK(world.m_running["w"].size() == 1);
+}
