Write dropped keys before the records of a batch, so that none drops a newer record

Cause: the keys to drop came last in a batch. A job id that is submitted again after its old state was forgotten, or a worker that is listed again after it was forgotten, while a batch is in flight, gets its record and its drop in one batch, and the drop wins. Change: drops come first.

--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -77,6 +77,11 @@
   }
   AppendRecords batch;
   batch.m_batch = ++m_batch;
+  // Before the others: a worker or a job may have come again under a key that is dropped.
+  for (std::string& key : m_dropKeys) {
+    batch.m_records.push_back({ std::move(key), "" });
+  }
+  m_dropKeys.clear();
   AppendWorkerRecords(batch);
   size_t bytes = 0;
   while (!m_dirty.empty()) {
@@ -89,10 +94,6 @@
     }
     m_dirty.erase(m_dirty.begin());
   }
-  for (std::string& key : m_dropKeys) {
-    batch.m_records.push_back({ std::move(key), "" });
-  }
-  m_dropKeys.clear();
   if (aNow - m_learnedWrittenAt >= kLearnedEvery) {
     m_learnedWrittenAt = aNow; // with a batch that is written anyway
     const StoredLearning learned{ m_pressure.Describe(), m_durations.Describe() };
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -2,6 +2,7 @@
 #include "egretturn/Scheduler/Scheduler.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace egretturn;
 using std::chrono::milliseconds;
@@ -85,3 +86,94 @@
   CHECK(paces.front() < 50); // what presses a serving task shows before it is at full speed
   CHECK(paces.back() == 100);
 }
+
+namespace {
+
+/// A store that keeps the newest record of each key, and whose answers can be held back.
+class SlowStore
+{
+public:
+  explicit SlowStore(Scheduler& aScheduler)
+    : m_scheduler(aScheduler)
+  {
+  }
+
+  /// Lets \p aTime pass with workers that answer at once. Appends are answered unless \p aHeld.
+  void Advance(Instant& aNow, Duration aTime, bool aHeld)
+  {
+    for (const Instant end = aNow + aTime; aNow < end; aNow += milliseconds(20)) {
+      m_scheduler.Tick(aNow, ToMillis(aNow.time_since_epoch()));
+      for (const Action& action : m_scheduler.TakeActions()) {
+        if (const AppendRecords* append = std::get_if<AppendRecords>(&action)) {
+          m_appended = *append;
+        } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&action)) {
+          m_scheduler.OnLook(look->m_worker, look->m_number, WorkerView(), aNow);
+        }
+      }
+      if (m_appended && !aHeld) {
+        for (const KeyedRecord& record : m_appended->m_records) {
+          m_records[record.m_key] = record.m_value;
+        }
+        m_scheduler.OnAppended(m_appended->m_batch, aNow);
+        m_appended.reset();
+      }
+    }
+  }
+
+  std::map<std::string, std::string> m_records;
+
+private:
+  Scheduler& m_scheduler;
+  std::optional<AppendRecords> m_appended;
+};
+
+} // namespace
+
+static Submission
+MakeSubmission(GraphId aId)
+{
+  Submission submission;
+  submission.m_id = aId;
+  submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+  submission.m_graph.m_steps.emplace_back();
+  return submission;
+}
+
+// Guards against a live worker without a record, at which a successor would not look.
+TEST_CASE("a worker that leaves and is listed again while the store is slow keeps its record")
+{
+  Instant now(std::chrono::hours(1));
+  Scheduler scheduler(SchedulerLimits(), 1, now);
+  SlowStore store(scheduler);
+  scheduler.UpdateWorker(MakeReport("w"), now);
+  scheduler.DirectoryComplete();
+  store.Advance(now, milliseconds(500), false);
+  scheduler.Submit(1, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  store.Advance(now, milliseconds(200), true);
+  scheduler.UnlistWorker("w", now);
+  store.Advance(now, milliseconds(300), true);
+  scheduler.UpdateWorker(MakeReport("w"), now);
+  store.Advance(now, milliseconds(500), false);
+  CHECK_FALSE(store.m_records[WorkerKey("w")].empty());
+}
+
+// Guards against an accepted job whose record is dropped with that of its earlier namesake.
+TEST_CASE("a job that is submitted again when its old state is forgotten keeps its record")
+{
+  Instant now(std::chrono::hours(1));
+  SchedulerLimits limits;
+  limits.m_keepEnded = std::chrono::seconds(1);
+  Scheduler scheduler(limits, 1, now);
+  SlowStore store(scheduler);
+  scheduler.Submit(1, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  store.Advance(now, milliseconds(200), false);
+  scheduler.Cancel(2, 7, now, ToMillis(now.time_since_epoch()));
+  store.Advance(now, milliseconds(200), false);
+  scheduler.Submit(3, MakeSubmission(8), now, ToMillis(now.time_since_epoch()));
+  store.Advance(now, milliseconds(1500), true);
+  REQUIRE_FALSE(scheduler.StateOf(7));
+  scheduler.Submit(4, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  store.Advance(now, milliseconds(500), false);
+  CHECK(scheduler.StateOf(7));
+  CHECK_FALSE(store.m_records[JobKey(7)].empty());
+}
