Give each run of the process test and of the demonstration ports of its own

Cause: all runs used the ports from 18000 on. Change: a run holds a block of 1,000 ports by a file lock, which its processes inherit, and moves the workers of the configuration there.

--- a/utils/cluster.sh
+++ b/utils/cluster.sh
@@ -1,8 +1,26 @@
 # Functions that start and stop stand-ins and daemons on loopback. To be sourced.
-# Needs: bin (folder of the programs), work (folder for settings and logs), config (file).
+# Needs: bin (folder of the programs), work (folder for settings and logs), config (file, whose
+# workers listen on 127.0.0.1:183xx; they and all other processes get ports of this run's own).
 
-port_base=${port_base:-18000}
+# Holds a block of 1,000 ports until this shell and what it started have ended, so that runs beside
+# each other keep apart. Sets port_base.
+reserve_ports() {
+  local base
+  for base in $(seq 18000 1000 28000); do
+    exec 9>"${TMPDIR:-/tmp}/egretturn-ports-$base.lock"
+    if flock -n 9; then
+      port_base=$base
+      return 0
+    fi
+  done
+  echo "no block of ports is free; end another run of the tests or of the demonstration" >&2
+  return 1
+}
+reserve_ports
 platform="127.0.0.1:$port_base"
+worker_ports=$(seq $((port_base + 300)) $((port_base + 311)))
+sed "s/127\.0\.0\.1:183\([0-9][0-9]\)/127.0.0.1:$((port_base / 100 + 3))\1/g" "$config" >"$work/site.toml"
+config=$work/site.toml
 declare -A instance_pid=()
 declare -A instance_address=()
 standin_pids=()
