Write log lines out at once, so that quiet instances are not silent

Cause: the console sink left flushing to the stream, whose buffer of some kilobytes a quiet instance does not fill; what is in it is lost with a kill, and at the end, since the process leaves without flushing. Test: a case of SupportTest failed before and passes now.

--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -151,7 +151,8 @@
 {
   boost::log::add_console_log(aStream == LogStream::StandardOutput ? std::cout : std::cerr,
                               boost::log::keywords::format = boost::log::expressions::stream
-                                                             << boost::log::expressions::smessage);
+                                                             << boost::log::expressions::smessage,
+                              boost::log::keywords::auto_flush = true);
   sLevel = static_cast<int>(aLevel);
   LogService* service = new LogService;
   service->m_instance = std::string(aInstance);
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -4,6 +4,9 @@
 #include "egretturn/Support/Log.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
 
 using namespace egretturn;
 
@@ -46,3 +49,24 @@
   CHECK(LogLine(LogLevel::Info, "e").Add("k", "a \"b\"\n").Add("n", 5).Text() ==
         "event=e k=\"a \\\"b\\\" \" n=5");
 }
+
+// Guards against lines of a quiet process that stay in a buffer, and are lost when it is killed.
+TEST_CASE("a log line is written soon, also when none follows")
+{
+  static constexpr int kPatienceMs = 2000;
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  std::fflush(stdout);
+  const int standardOutput = dup(STDOUT_FILENO);
+  dup2(ends[1], STDOUT_FILENO);
+  StartLogging(LogLevel::Info, "quiet", LogStream::StandardOutput);
+  Log(LogLine(LogLevel::Info, "only_line"));
+  pollfd readable{ ends[0], POLLIN, 0 };
+  const int ready = poll(&readable, 1, kPatienceMs);
+  StopLogging();
+  dup2(standardOutput, STDOUT_FILENO);
+  close(standardOutput);
+  close(ends[0]);
+  close(ends[1]);
+  CHECK(ready == 1);
+}
