Take a directory entry only if each of its fields has its type and range

What callers would see: an odd entry of another writer counts as a worker to use, and jobs are placed by a capacity that it does not have. Cause: a number was cast from a double without a check (undefined outside int64; 0 or the greatest number, by machine), an unsigned one wrapped, and a value of another type read as 0. Labels of any length went, twice, into the worker's record; one above the store's record size is refused by the store each time, and no batch behind it is written any more (by reading). Change: each field is read by its type within a range far beyond real workers; the error names the field, and the entry is passed over with a log line, at most 5 in 10 s. Test: "an entry with a field of another type or out of range is refused" failed before and passes now. Entries of a real shape are accepted, as a second test says.

--- a/include/egretturn/JobGraph/Graph.h
+++ b/include/egretturn/JobGraph/Graph.h
@@ -104,6 +104,13 @@
 constexpr size_t kMaxSteps = 64;
 constexpr uint32_t kMaxTasksPerStep = 4096;
 constexpr uint32_t kMaxOccurrences = 1000;
+// Of one worker or one task; far beyond real ones, so that sums over all of them do not overflow.
+constexpr int64_t kMaxCpuMilli = 1000000000;
+constexpr int64_t kMaxMemoryMb = 1000000000;
+constexpr int64_t kMaxAccelerators = 1000000;
+constexpr int64_t kMaxDurationMs = int64_t{ 366 } * 24 * 3600 * 1000; ///< A year.
+constexpr int64_t kMaxDueMs = 253402300799999;                        ///< The end of 9999.
+constexpr size_t kMaxNameBytes = 256; ///< Of labels, racks, images and the like.
 
 /// Checks the whole of \p aGraph; an empty result means that it is valid. Each error names the
 /// field and the remedy. Thread-safe.
--- a/include/egretturn/Node/Decider.h
+++ b/include/egretturn/Node/Decider.h
@@ -4,6 +4,7 @@
 
 #include "egretturn/Node/TopicFollower.h"
 #include "egretturn/Scheduler/Scheduler.h"
+#include "egretturn/Support/LogQuota.h"
 
 namespace egretturn {
 
@@ -99,6 +100,7 @@
   bool m_stopped = false;
   bool m_timerSet = false;
   Instant m_wakeAt;
+  LogQuota m_skippedEntries{ 5, std::chrono::seconds(10) };
 };
 
 } // namespace egretturn
--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -64,10 +64,13 @@
     const Expected<WorkerReport> report = self->m_decoder(aRecord);
     if (report) {
       self->m_scheduler.UpdateWorker(*report, NowWithSuspend());
-    } else {
-      Log(LogLine(LogLevel::Debug, "entry_skipped")
+      return;
+    }
+    if (const std::optional<uint64_t> heldBack = self->m_skippedEntries.Take(NowWithSuspend())) {
+      Log(LogLine(LogLevel::Warning, "entry_skipped")
             .Add("worker", aRecord.m_key)
-            .Add("error", report.error().Text()));
+            .Add("error", report.error().Text())
+            .Add("lines_held_back", *heldBack));
     }
   };
   callbacks.m_onCaughtUp = [weak] {
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -117,3 +117,82 @@
   CHECK_FALSE(DecodeJob(R"({"spec":"t"})"));
   CHECK(DecodeJob(R"({"steps":[{"count":0},{"count":1,"deps":[1]}]})").error().size() == 2);
 }
+
+// Guards against an entry of another writer that is taken for a worker to use.
+TEST_CASE("an entry with a field of another type or out of range is refused, and names the field")
+{
+  const std::string good =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"a","version":"v1","slots":8,"state":"ready",)"
+    R"("cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],)"
+    R"("clock_ms":482113,"seq":4})";
+  REQUIRE(DecodeEntry({ "i-1", good }));
+  const std::string digits(400, '9');
+  const std::string longText = "\"" + std::string(1000, 'x') + "\"";
+  struct Odd
+  {
+    std::string m_from;
+    std::string m_to;
+    std::string m_field;
+  };
+  const std::vector<Odd> odd = {
+    { "16000", "1e300", "capacity.cpu" },
+    { "16000", "1e400", "capacity.cpu" },
+    { "16000", digits, "capacity.cpu" },
+    { "16000", "18446744073709551615", "capacity.cpu" },
+    { "16000", "-1", "capacity.cpu" },
+    { "16000", "0", "capacity.cpu" },
+    { "16000", "0.5", "capacity.cpu" },
+    { "16000", "\"16000\"", "capacity.cpu" },
+    { "\"cpu\":16000,", "", "capacity.cpu" },
+    { "32768", "null", "capacity.mem_mb" },
+    { "\"gpu\":0", "\"gpu\":-1", "capacity.gpu" },
+    { R"({"cpu":16000,"mem_mb":32768,"gpu":0})", "16000", "capacity." },
+    { "10.0.0.9:80", "10.0.0.9:0", "addr" },
+    { "10.0.0.9:80", "10.0.0.9:65536", "addr" },
+    { "10.0.0.9:80", "10.0.0.9:99999999999", "addr" },
+    { "10.0.0.9:80", ":80", "addr" },
+    { "10.0.0.9:80", "worker.example:80", "addr" },
+    { "10.0.0.9:80", "0.0.0.0:80", "addr" },
+    { "10.0.0.9:80", "224.0.0.1:80", "addr" },
+    { "10.0.0.9:80", "255.255.255.255:80", "addr" },
+    { "10.0.0.9:80", R"(10.0.0.9\u0000x:80)", "addr" },
+    { "\"a\",\"r1-3\"", "\"a\"," + longText, "labels" },
+    { "\"a\",\"r1-3\"", "\"a\",7", "labels" },
+    { "[\"a\",\"r1-3\"]", "\"a\"", "labels" },
+    { "\"seq\":4", R"("seq":4,"born":1e300)", "born" },
+    { "\"seq\":4", R"("seq":4,"born":0.5)", "born" },
+    { "\"seq\":4", R"("seq":4,"remaining_ms":1e300)", "remaining_ms" },
+    { "\"seq\":4", R"("seq":"4")", "seq" },
+    { "482113", "1e400", "clock_ms" },
+    { "\"zone\":\"a\"", "\"zone\":3", "zone" },
+    { "\"service\":\"s\"", "\"service\":" + longText, "service" },
+    { "\"ready\"", "\"sleeping\"", "state" },
+  };
+  for (const Odd& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.m_from), row.m_from.size(), row.m_to);
+    INFO(text.substr(0, 500));
+    const Expected<WorkerReport> report = DecodeEntry({ "i-1", text });
+    REQUIRE_FALSE(report);
+    CHECK(report.error().m_kind == ErrorKind::Corrupt);
+    CHECK(report.error().m_message.find("'" + row.m_field) != std::string::npos);
+    CHECK(report.error().Text().size() < 200);
+  }
+}
+
+// Guards against strictness that makes the entry of a real worker unusable.
+TEST_CASE("an entry without the fields that may be missing is taken")
+{
+  const std::vector<std::string> entries = {
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":16000,"mem_mb":32768}})",
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":16000.0,"mem_mb":3.2768e4},)"
+    R"("labels":null,"born":1.7e12,"some_new_field":[[{}]]})",
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"a","state":"draining","remaining_ms":900.5,)"
+    R"("cold_left_ms":-0.5,"capacity":{"cpu":1,"mem_mb":1},"labels":[]})",
+    R"({"service":"s","addr":"[2001:db8::1]:80","state":"ready","capacity":{"cpu":1,"mem_mb":1}})",
+  };
+  for (const std::string& entry : entries) {
+    INFO(entry);
+    CHECK(DecodeEntry({ "i-1", entry }));
+  }
+}
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -2,6 +2,7 @@
 #include "egretturn/Support/BoundedRing.h"
 #include "egretturn/Support/Latency.h"
 #include "egretturn/Support/Log.h"
+#include "egretturn/Support/LogQuota.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,3 +47,17 @@
   CHECK(LogLine(LogLevel::Info, "e").Add("k", "a \"b\"\n").Add("n", 5).Text() ==
         "event=e k=\"a \\\"b\\\" \" n=5");
 }
+
+// Guards against a log flooded by something odd that is read again and again.
+TEST_CASE("a log quota lets some lines of each span through, and counts the others", "[support]")
+{
+  const Instant start;
+  LogQuota quota(2, std::chrono::seconds(10));
+  CHECK(quota.Take(start) == uint64_t{ 0 });
+  CHECK(quota.Take(start) == uint64_t{ 0 });
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(1)));
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(9)));
+  CHECK(quota.Take(start + std::chrono::seconds(10)) == uint64_t{ 2 });
+  CHECK(quota.Take(start + std::chrono::seconds(11)) == uint64_t{ 0 });
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(12)));
+}
