Read an address to its end, and quote only its head in errors

What callers would see: an address with a zero byte is taken for the address before that byte; a long one fills the log. Cause: the IP number was read as a C string, and the error repeated the whole text. Change: a text with a zero byte is no address; 80 bytes of it are quoted. Test: "an address is an IP number and a port of 16 bits" in ServerTest; ports of 65536 and, empty hosts, names and IPv6 behaved as they should before, too. That the two cases failed before is by reading.

--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -7,12 +7,14 @@
 
 namespace http = boost::beast::http;
 
+static constexpr size_t kQuotedBytes = 80; // of an address that can't be read
+
 Expected<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(std::string_view aAddress)
 {
   const size_t colon = aAddress.rfind(':');
   const std::string text(aAddress);
-  if (colon != std::string_view::npos) {
+  if (colon != std::string_view::npos && text.find('\0') == std::string::npos) {
     std::string host(aAddress.substr(0, colon));
     if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
       host = host.substr(1, host.size() - 2);
@@ -27,7 +29,7 @@
     }
   }
   return Fail(ErrorKind::BadInput,
-              "'" + text + "' is not an address",
+              "'" + text.substr(0, kQuotedBytes) + "' is not an address",
               "write an IP number and a port, such as 10.0.0.1:8000");
 }
 
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -78,3 +78,32 @@
   CHECK(server.m_answers[0].m_result == ClientResult::Answered);
   CHECK_FALSE(server.m_answers[0].m_response.keep_alive());
 }
+
+// Guards against calls to an address that another writer left, and that means something else.
+TEST_CASE("an address is an IP number and a port of 16 bits, and nothing more")
+{
+  for (const char* good : { "10.0.0.1:8000", "[::1]:80", "127.0.0.1:65535" }) {
+    CHECK(ParseEndpoint(good));
+  }
+  const std::string hidden("10.0.0.1\0x:80", 14);
+  const std::string longText(100000, 'x');
+  for (const std::string& bad : { std::string(),
+                                  std::string("10.0.0.1"),
+                                  std::string("10.0.0.1:"),
+                                  std::string(":80"),
+                                  std::string("[]:80"),
+                                  std::string("10.0.0.1:65536"),
+                                  std::string("10.0.0.1:-1"),
+                                  std::string("10.0.0.1:+1"),
+                                  std::string("10.0.0.1:99999999999"),
+                                  std::string("10.0.0.1: 80"),
+                                  std::string("10.0.0.1:80x"),
+                                  std::string("10.0.0.256:80"),
+                                  std::string("worker.example:80"),
+                                  hidden,
+                                  longText }) {
+    const Expected<boost::asio::ip::tcp::endpoint> endpoint = ParseEndpoint(bad);
+    REQUIRE_FALSE(endpoint);
+    CHECK(endpoint.error().Text().size() < 250);
+  }
+}
