--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -141,6 +141,8 @@
   }
 };
 
+constexpr size_t kMaxKeyBytes = 255; ///< Of a keyed record; its length is written as one byte.
+
 /// One record: the newest value of a key counts; an empty value drops the key.
 struct KeyedRecord
 {
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -196,3 +196,27 @@
     CHECK(DecodeEntry({ "i-1", entry }));
   }
 }
+
+// Guards against a key whose length does not fit its byte, which spoils all records behind it.
+TEST_CASE("an entry whose key can't be a worker's id, in a header or in a record, is refused")
+{
+  const std::string entry =
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":1,"mem_mb":1}})";
+  const size_t longest = kMaxKeyBytes - WorkerKey("").size();
+  const Expected<WorkerReport> report = DecodeEntry({ std::string(longest, 'w'), entry });
+  REQUIRE(report);
+  const std::vector<KeyedRecord> records = { { WorkerKey(report->m_id), "v" }, { "job/1", "w" } };
+  const Expected<TopicPage> page = DecodeTail(std::string(16, '\0') + EncodeRecords(records));
+  REQUIRE(page);
+  REQUIRE(page->m_records.size() == 2);
+  CHECK(page->m_records[0].m_key == records[0].m_key);
+  CHECK(page->m_records[1].m_key == records[1].m_key);
+  for (const std::string& key : { std::string(longest + 1, 'w'),
+                                  std::string(),
+                                  std::string("i 1"),
+                                  std::string("i-1\r\nFence: 9"),
+                                  std::string("i-1\0", 4),
+                                  std::string("i-\xff") }) {
+    CHECK_FALSE(DecodeEntry({ key, entry }));
+  }
+}
