Pass over odd items of the store's pages, and ask for the next page by an encoded key

What callers would see: workers, jobs or the configuration are not followed any more, since each reading of the newest records fails. Cause: one item without a text key, or a key that is not UTF-8, made its page unreadable, and the same page was asked for again for ever. A key with a space, an ampersand or a line break, last on a page, spoiled the request for the next page. Test: two cases of PlatformTest. The functions that they call are new, so they did not run before; the cause is by reading.

--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -220,3 +220,33 @@
     CHECK_FALSE(DecodeEntry({ key, entry }));
   }
 }
+
+// Guards against one odd item that hides all records from then on.
+TEST_CASE("items of a page that are no records are passed over, and the others are read")
+{
+  const Expected<NewestPage> page =
+    DecodeNewest("{\"items\":[{\"key\":\"i-1\",\"value\":\"dg==\",\"offset\":1},{\"key\":4,"
+                 "\"value\":\"dg==\"},7,null,"
+                 "{\"value\":\"dg==\"},{\"key\":\"\xff\xfe\",\"value\":\"dg==\"},{\"key\":\"i-2\","
+                 "\"value\":\"dg==\"}],"
+                 "\"has_more\":true,\"end\":9}");
+  REQUIRE(page);
+  CHECK(page->m_skipped == 4);
+  CHECK(page->m_more);
+  CHECK(page->m_page.m_end == 9);
+  REQUIRE(page->m_page.m_records.size() == 3);
+  CHECK(page->m_page.m_records[0].m_value == "v");
+  CHECK(page->m_page.m_records[1].m_key == "\xff\xfe");
+  CHECK(page->m_page.m_records[2].m_key == "i-2");
+  for (const char* bad :
+       { "", "[]", "{}", R"({"items":{},"end":1})", R"({"items":[],"end":1e300})" }) {
+    CHECK_FALSE(DecodeNewest(bad));
+  }
+}
+
+// Guards against a key of another writer, last on its page, that spoils the request for the next.
+TEST_CASE("a key goes into a request's query with every odd byte encoded")
+{
+  CHECK(EncodeQueryText("worker/i-7f3a.91_c2~") == "worker/i-7f3a.91_c2~");
+  CHECK(EncodeQueryText("a b&c=%\r\n\xff#?+") == "a%20b%26c%3D%25%0D%0A%FF%23%3F%2B");
+}
