Go on following a topic behind a tail that can't be read, and never without a pause

What callers would see: workers that come or go are not noticed any more (LOST), or an instance uses all of its processor time. Cause: an unreadable tail was asked for again at the same offset for ever. An answer with no records before the end, and records said to be deleted again and again, were asked for again at once. Change: after three unreadable tails the newest records are read, which lead past it, with a log line; the two others wait for the usual retry. A claim gives up on an answer that brings it no further; its caller tries again later.

--- a/include/egretturn/Node/TopicFollower.h
+++ b/include/egretturn/Node/TopicFollower.h
@@ -47,6 +47,7 @@
   void OnAll(Expected<TopicPage> aPage);
   void ReadOn();
   void OnTail(Expected<TopicPage> aPage);
+  void OnUnreadTail(const Error& aError);
   void After(Duration aPause, void (TopicFollower::*aStep)());
   void Deliver(const KeyedRecord& aRecord);
 
@@ -56,7 +57,9 @@
   FollowPace m_pace;
   Callbacks m_callbacks;
   LogOffset m_next = 0;
-  std::set<std::string> m_keys; ///< Seen and not dropped.
+  std::set<std::string> m_keys;   ///< Seen and not dropped.
+  uint32_t m_unreadableTails = 0; ///< In a row.
+  bool m_lastDeleted = false;     ///< The records of the last tail had been deleted.
   bool m_stopped = false;
   bool m_healthy = true;
 };
--- a/lib/Node/Claimer.cpp
+++ b/lib/Node/Claimer.cpp
@@ -65,7 +65,9 @@
       }
       self->Apply(*aPage);
       self->m_end += aPage->m_records.size();
-      if (self->m_end < aPage->m_end) {
+      if (self->m_end < aPage->m_end && aPage->m_records.empty()) {
+        self->Fail(); // an answer that brings it no further; its caller tries again later
+      } else if (self->m_end < aPage->m_end) {
         self->ReadOn();
       } else {
         self->TryClaim();
--- a/lib/Node/TopicFollower.cpp
+++ b/lib/Node/TopicFollower.cpp
@@ -3,9 +3,12 @@
 #include "egretturn/Support/Log.h"
 
 #include <ctime>
+#include <utility>
 
 namespace egretturn {
 
+static constexpr uint32_t kUnreadableTails = 3; // in a row, before the newest records are read
+
 Instant
 NowWithSuspend()
 {
@@ -120,21 +123,46 @@
 {
   m_healthy = aPage.has_value();
   if (!aPage) {
-    const bool deleted = aPage.error().m_kind == ErrorKind::NotFound;
-    After(deleted ? Duration::zero() : m_pace.m_retry,
-          deleted ? &TopicFollower::ReadAll : &TopicFollower::ReadOn);
+    OnUnreadTail(aPage.error());
     return;
   }
+  m_unreadableTails = 0;
+  m_lastDeleted = false;
   for (const KeyedRecord& record : aPage->m_records) {
     Deliver(record);
   }
   m_next += aPage->m_records.size();
-  if (m_next < aPage->m_end) {
+  if (m_next < aPage->m_end && !aPage->m_records.empty()) {
     ReadOn();
     return;
   }
+  if (m_next < aPage->m_end) {
+    After(m_pace.m_retry, &TopicFollower::ReadOn); // an answer that brings it no further
+    return;
+  }
   m_callbacks.m_onCaughtUp();
   After(m_pace.m_pause, &TopicFollower::ReadOn);
 }
 
+void
+TopicFollower::OnUnreadTail(const Error& aError)
+{
+  if (aError.m_kind == ErrorKind::NotFound) {
+    const bool again = std::exchange(m_lastDeleted, true);
+    After(again ? m_pace.m_retry : Duration::zero(), &TopicFollower::ReadAll);
+    return;
+  }
+  // The same bytes may stand there for ever; the newest records lead past them.
+  m_unreadableTails += aError.m_kind == ErrorKind::Corrupt ? 1 : 0;
+  if (m_unreadableTails < kUnreadableTails) {
+    After(m_pace.m_retry, &TopicFollower::ReadOn);
+    return;
+  }
+  m_unreadableTails = 0;
+  Log(LogLine(LogLevel::Warning, "tail_unreadable")
+        .Add("offset", m_next)
+        .Add("error", aError.Text()));
+  After(m_pace.m_retry, &TopicFollower::ReadAll);
+}
+
 } // namespace egretturn
