Take a worker's rows and clock only within their ranges

What callers would see: after one end with a huge number no end of that worker is noted (LOST); a clock of another type counts as 0, so that leases lapse at once (EVICTED); a list of another type says that all runs are gone, and they are started again elsewhere (TWICE). Cause: numbers were cast without a check, and other types read as 0 or as an empty list. Change: an answer needs its clock, and lists must be lists, otherwise it is no answer.

--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -250,3 +250,62 @@
   CHECK(EncodeQueryText("worker/i-7f3a.91_c2~") == "worker/i-7f3a.91_c2~");
   CHECK(EncodeQueryText("a b&c=%\r\n\xff#?+") == "a%20b%26c%3D%25%0D%0A%FF%23%3F%2B");
 }
+
+// Guards against a run that is taken for gone, and started again, since its row says something odd.
+TEST_CASE("a running row that names its run counts, with what else it says kept in range")
+{
+  const std::string task = R"("5c0e7a21d94b36f8.0.1.17")";
+  SkippedRows skipped;
+  const Expected<WorkerView> view =
+    DecodeView(R"({"clock_ms":5,"running":[[)" + task + R"(,2,"0b",1e300,-5],[)" + task +
+                 R"(,3,7,"x",1e400],[)" + task + R"(,0,"",1],[)" + task + R"(,1e300,"",1],[)" +
+                 task + R"(,"2","",1],[)" + task + R"(,-1,"",1]]})",
+               &skipped);
+  REQUIRE(view);
+  CHECK(skipped.m_count == 4);
+  REQUIRE(view->m_running.size() == 2);
+  CHECK(view->m_running[0].m_percent == 100);
+  CHECK(view->m_running[0].m_usage == 0);
+  CHECK(view->m_running[0].m_checkpoint == "0b");
+  CHECK(view->m_running[1].m_percent == 0);
+  CHECK(view->m_running[1].m_usage > 0);
+  CHECK(view->m_running[1].m_checkpoint.empty());
+}
+
+// Guards against an end with a huge number, after which no end of the worker is noted any more.
+TEST_CASE("ends whose number or run can't be are left out, with a bounded excerpt for the log")
+{
+  const std::string task = R"("5c0e7a21d94b36f8.0.1.9")";
+  std::string rows;
+  for (const std::string& number :
+       { std::string("0"), std::string("-1"), std::string("1e300"), std::string(400, '9') }) {
+    rows += "[" + number + "," + task + R"(,1,"done",""],)";
+  }
+  SkippedRows skipped;
+  const Expected<WorkerView> view =
+    DecodeView(R"({"clock_ms":5,"ended":[)" + rows + "[58," + task + R"(,1,"done",""],["long)" +
+                 std::string(100000, 'x') + R"("]]})",
+               &skipped);
+  REQUIRE(view);
+  CHECK(skipped.m_count == 5);
+  CHECK(skipped.m_first.size() <= 200);
+  REQUIRE(view->m_ended.size() == 1);
+  CHECK(view->m_ended[0].m_number == 58);
+}
+
+// Guards against leases reckoned from a clock of 0, and against runs taken for gone.
+TEST_CASE("an answer without a clock, or whose lists are none, is no answer")
+{
+  CHECK(DecodeView(R"({"clock_ms":0})"));
+  CHECK(DecodeView(R"({"clock_ms":12.5,"running":[],"ended":null})"));
+  for (const char* bad : { "{}",
+                           R"({"clock_ms":"5"})",
+                           R"({"clock_ms":-1})",
+                           R"({"clock_ms":1e300})",
+                           R"({"clock_ms":5,"born":"x"})",
+                           R"({"clock_ms":5,"running":{}})",
+                           R"({"clock_ms":5,"ended":"x"})" }) {
+    INFO(bad);
+    CHECK_FALSE(DecodeView(bad));
+  }
+}
