--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -309,3 +309,25 @@
     CHECK_FALSE(DecodeView(bad));
   }
 }
+
+// Guards against a route that serves with a number cut down to its field, or with none.
+TEST_CASE("a configuration with a field of another type or out of range is refused, by its name")
+{
+  const std::string good =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","timeout_ms":3000,)"
+    R"("priority":0,"service":"s","attempts":4,"stretch":1.5}],"limits":{"max_body_bytes":9}})";
+  REQUIRE(DecodeRoutes(good));
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "3000", "1e300" },  { "\"priority\":0", "\"priority\":4294967296" },
+    { "\"h\"", "3" },     { "\"attempts\":4", "\"attempts\":\"4\"" },
+    { "1.5", "1e400" },   { "1.5", "-1" },
+    { ":7,", ":1e300," }, { "{\"max_body_bytes\":9}", "3" },
+    { "9}}", "1e300}}" }, { "\"/a/\"", "[]" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text);
+    CHECK_FALSE(DecodeRoutes(text));
+  }
+}
