--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -331,3 +331,16 @@
     CHECK_FALSE(DecodeRoutes(text));
   }
 }
+
+// Guards against a time that overflows when it is told in microseconds.
+TEST_CASE("a caller's deadline shortens the route's, whatever number it sends")
+{
+  const Duration timeout = std::chrono::milliseconds(3000);
+  const Duration margin = timeout - TimeFor("", timeout);
+  CHECK(TimeFor("1000", timeout) == std::chrono::milliseconds(1000) - margin);
+  for (const char* odd :
+       { "9223372036854775807", "9223372036854775808", "-1", "0", "x", "99999" }) {
+    CHECK(TimeFor(odd, timeout) == timeout - margin);
+  }
+  CHECK(TimeFor("1", timeout) > Duration::zero());
+}
