Refuse a job whose numbers overflow or whose record the store can't take

What callers would see: a job with a count of runs as one task; one caller's body of 200 KB in a name, or with 100,000 dependencies, makes a record above the store's size, and no batch behind it is written any more: all acceptances stop (by reading). Cause: casts without a check; names, the number of dependencies, demands and times had no upper bound, and their sums could overflow. Test: a case of PlatformTest failed before and passes now.

--- a/lib/JobGraph/Graph.cpp
+++ b/lib/JobGraph/Graph.cpp
@@ -59,6 +59,12 @@
   Errors m_errors;
 };
 
+static bool
+IsWithin(int64_t aNumber, int64_t aMost)
+{
+  return aNumber >= 0 && aNumber <= aMost;
+}
+
 static void
 CheckStep(const GraphStep& aStep, size_t aIndex, GraphCheck& aCheck)
 {
@@ -68,11 +74,30 @@
                  "is out of range",
                  "use 1 to 4096 tasks a step");
   const Demand& demand = aStep.m_demand;
-  aCheck.Require(demand.m_cpuMilli >= 0 && demand.m_memoryMb >= 0 && demand.m_accelerators >= 0,
+  aCheck.Require(IsWithin(demand.m_cpuMilli, kMaxCpuMilli) &&
+                   IsWithin(demand.m_memoryMb, kMaxMemoryMb) &&
+                   IsWithin(demand.m_accelerators, kMaxAccelerators),
                  field + "demand",
-                 "is negative",
-                 "use 0 or more of each resource");
-  aCheck.Require(aStep.m_estimateMs >= 0, field + "estimate_ms", "is negative", "use 0 or more");
+                 "is negative or too large",
+                 "use 0 or more of each resource, and no more than a machine can have");
+  aCheck.Require(IsWithin(aStep.m_estimateMs, kMaxDurationMs),
+                 field + "estimate_ms",
+                 "is out of range",
+                 "use 0 or more, up to a year");
+  aCheck.Require(IsWithin(aStep.m_targetMs, kMaxDurationMs),
+                 field + "target_ms",
+                 "is out of range",
+                 "use 0 or more, up to a year");
+  aCheck.Require(aStep.m_label.size() <= kMaxNameBytes &&
+                   aStep.m_dataRack.size() <= kMaxNameBytes &&
+                   aStep.m_image.size() <= kMaxNameBytes,
+                 field + "label",
+                 "or data_rack or image is too long",
+                 "use names of up to 256 bytes");
+  aCheck.Require(aStep.m_dependencies.size() <= kMaxSteps,
+                 field + "dependencies",
+                 "are too many",
+                 "name each earlier step once");
   for (uint32_t dependency : aStep.m_dependencies) {
     aCheck.Require(dependency < aIndex,
                    field + "dependencies",
@@ -97,10 +122,11 @@
                 "occurrences",
                 "is too large",
                 "schedule up to 1000 occurrences");
-  check.Require(aGraph.m_intervalMs >= 0 && aGraph.m_firstDueMs >= 0,
+  check.Require(IsWithin(aGraph.m_intervalMs, kMaxDurationMs) &&
+                  IsWithin(aGraph.m_firstDueMs, kMaxDueMs),
                 "interval_ms",
-                "or first_due_ms is negative",
-                "use times of 0 or more");
+                "or first_due_ms is out of range",
+                "use times of 0 or more, a year at most between occurrences");
   for (size_t i = 0; i < aGraph.m_steps.size(); ++i) {
     CheckStep(aGraph.m_steps[i], i, check);
   }
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -344,3 +344,45 @@
   }
   CHECK(TimeFor("1", timeout) > Duration::zero());
 }
+
+// Guards against a body whose numbers wrap or overflow, or whose record the store can never take.
+TEST_CASE("a job with a field of another type or out of range is refused, by its name")
+{
+  const std::string good =
+    R"({"spec":"t","times":2,"first_ms":9,"interval_ms":500,"steps":[{"count":4,"cpu":500,)"
+    R"("mem_mb":256,"est_ms":900},{"count":2,"deps":[0],"image":"i","gang":true,"target_ms":30}]})";
+  REQUIRE(DecodeJob(good));
+  const std::string longText = "\"" + std::string(200000, 'x') + "\"";
+  std::string manyZeros = "[0";
+  for (int i = 0; i < 100000; ++i) {
+    manyZeros += ",0";
+  }
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "\"count\":4", "\"count\":4294967297" },
+    { "\"count\":4", "\"count\":1e300" },
+    { "\"count\":4", "\"count\":\"4\"" },
+    { "[0]", "[4294967296]" },
+    { "[0]", "[\"0\"]" },
+    { "[0]", manyZeros + "]" },
+    { "500,\"mem", "1e300,\"mem" },
+    { "256", "1e18" },
+    { "900", "1e300" },
+    { "900", "9000000000000000000" },
+    { "\"i\"", longText },
+    { "true", "\"yes\"" },
+    { ":30", ":-1" },
+    { ":500,\"steps", ":9e15,\"steps" },
+    { "\"first_ms\":9", "\"first_ms\":1e18" },
+    { "\"times\":2", "\"times\":4294967297" },
+    { "\"t\"", "3" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text.substr(0, 500));
+    const tl::expected<Graph, Errors> job = DecodeJob(text);
+    REQUIRE_FALSE(job);
+    CHECK(job.error().front().m_kind == ErrorKind::BadInput);
+    CHECK(job.error().front().Text().size() < 200);
+  }
+}
