--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -386,3 +386,18 @@
     CHECK(job.error().front().Text().size() < 200);
   }
 }
+
+// Guards against settings that are cut down to their field, such as port 73256 to 7720.
+TEST_CASE("a setting that is out of range is refused, by its name")
+{
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "7720", "73256" }, { "7720", "-1" },    { "7720", "\"x\"" }, { "0.25", "nan" },
+    { "0.25", "-1" },    { "7000", "1e300" }, { "7000", "-5" },    { "7000", "inf" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = kSettings;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text);
+    CHECK_FALSE(ParsePlatformSettings(text));
+  }
+}
