--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -117,3 +117,287 @@
   CHECK_FALSE(DecodeJob(R"({"spec":"t"})"));
   CHECK(DecodeJob(R"({"steps":[{"count":0},{"count":1,"deps":[1]}]})").error().size() == 2);
 }
+
+// Guards against an entry of another writer that is taken for a worker to use.
+TEST_CASE("an entry with a field of another type or out of range is refused, and names the field")
+{
+  const std::string good =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"a","version":"v1","slots":8,"state":"ready",)"
+    R"("cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],)"
+    R"("clock_ms":482113,"seq":4})";
+  REQUIRE(DecodeEntry({ "i-1", good }));
+  const std::string digits(400, '9');
+  const std::string longText = "\"" + std::string(1000, 'x') + "\"";
+  struct Odd
+  {
+    std::string m_from;
+    std::string m_to;
+    std::string m_field;
+  };
+  const std::vector<Odd> odd = {
+    { "16000", "1e300", "capacity.cpu" },
+    { "16000", "1e400", "capacity.cpu" },
+    { "16000", digits, "capacity.cpu" },
+    { "16000", "18446744073709551615", "capacity.cpu" },
+    { "16000", "-1", "capacity.cpu" },
+    { "16000", "0", "capacity.cpu" },
+    { "16000", "0.5", "capacity.cpu" },
+    { "16000", "\"16000\"", "capacity.cpu" },
+    { "\"cpu\":16000,", "", "capacity.cpu" },
+    { "32768", "null", "capacity.mem_mb" },
+    { "\"gpu\":0", "\"gpu\":-1", "capacity.gpu" },
+    { R"({"cpu":16000,"mem_mb":32768,"gpu":0})", "16000", "capacity." },
+    { "10.0.0.9:80", "10.0.0.9:0", "addr" },
+    { "10.0.0.9:80", "10.0.0.9:65536", "addr" },
+    { "10.0.0.9:80", "10.0.0.9:99999999999", "addr" },
+    { "10.0.0.9:80", ":80", "addr" },
+    { "10.0.0.9:80", "worker.example:80", "addr" },
+    { "10.0.0.9:80", "0.0.0.0:80", "addr" },
+    { "10.0.0.9:80", "224.0.0.1:80", "addr" },
+    { "10.0.0.9:80", "255.255.255.255:80", "addr" },
+    { "10.0.0.9:80", R"(10.0.0.9\u0000x:80)", "addr" },
+    { "\"a\",\"r1-3\"", "\"a\"," + longText, "labels" },
+    { "\"a\",\"r1-3\"", "\"a\",7", "labels" },
+    { "[\"a\",\"r1-3\"]", "\"a\"", "labels" },
+    { "\"seq\":4", R"("seq":4,"born":1e300)", "born" },
+    { "\"seq\":4", R"("seq":4,"born":0.5)", "born" },
+    { "\"seq\":4", R"("seq":4,"remaining_ms":1e300)", "remaining_ms" },
+    { "\"seq\":4", R"("seq":"4")", "seq" },
+    { "482113", "1e400", "clock_ms" },
+    { "\"zone\":\"a\"", "\"zone\":3", "zone" },
+    { "\"service\":\"s\"", "\"service\":" + longText, "service" },
+    { "\"ready\"", "\"sleeping\"", "state" },
+  };
+  for (const Odd& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.m_from), row.m_from.size(), row.m_to);
+    INFO(text.substr(0, 500));
+    const Expected<WorkerReport> report = DecodeEntry({ "i-1", text });
+    REQUIRE_FALSE(report);
+    CHECK(report.error().m_kind == ErrorKind::Corrupt);
+    CHECK(report.error().m_message.find("'" + row.m_field) != std::string::npos);
+    CHECK(report.error().Text().size() < 200);
+  }
+}
+
+// Guards against strictness that makes the entry of a real worker unusable.
+TEST_CASE("an entry without the fields that may be missing is taken")
+{
+  const std::vector<std::string> entries = {
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":16000,"mem_mb":32768}})",
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":16000.0,"mem_mb":3.2768e4},)"
+    R"("labels":null,"born":1.7e12,"some_new_field":[[{}]]})",
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"a","state":"draining","remaining_ms":900.5,)"
+    R"("cold_left_ms":-0.5,"capacity":{"cpu":1,"mem_mb":1},"labels":[]})",
+    R"({"service":"s","addr":"[2001:db8::1]:80","state":"ready","capacity":{"cpu":1,"mem_mb":1}})",
+  };
+  for (const std::string& entry : entries) {
+    INFO(entry);
+    CHECK(DecodeEntry({ "i-1", entry }));
+  }
+}
+
+// Guards against a key whose length does not fit its byte, which spoils all records behind it.
+TEST_CASE("an entry whose key can't be a worker's id, in a header or in a record, is refused")
+{
+  const std::string entry =
+    R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":{"cpu":1,"mem_mb":1}})";
+  const size_t longest = kMaxKeyBytes - WorkerKey("").size();
+  const Expected<WorkerReport> report = DecodeEntry({ std::string(longest, 'w'), entry });
+  REQUIRE(report);
+  const std::vector<KeyedRecord> records = { { WorkerKey(report->m_id), "v" }, { "job/1", "w" } };
+  const Expected<TopicPage> page = DecodeTail(std::string(16, '\0') + EncodeRecords(records));
+  REQUIRE(page);
+  REQUIRE(page->m_records.size() == 2);
+  CHECK(page->m_records[0].m_key == records[0].m_key);
+  CHECK(page->m_records[1].m_key == records[1].m_key);
+  for (const std::string& key : { std::string(longest + 1, 'w'),
+                                  std::string(),
+                                  std::string("i 1"),
+                                  std::string("i-1\r\nFence: 9"),
+                                  std::string("i-1\0", 4),
+                                  std::string("i-\xff") }) {
+    CHECK_FALSE(DecodeEntry({ key, entry }));
+  }
+}
+
+// Guards against one odd item that hides all records from then on.
+TEST_CASE("items of a page that are no records are passed over, and the others are read")
+{
+  const Expected<NewestPage> page =
+    DecodeNewest("{\"items\":[{\"key\":\"i-1\",\"value\":\"dg==\",\"offset\":1},{\"key\":4,"
+                 "\"value\":\"dg==\"},7,null,"
+                 "{\"value\":\"dg==\"},{\"key\":\"\xff\xfe\",\"value\":\"dg==\"},{\"key\":\"i-2\","
+                 "\"value\":\"dg==\"}],"
+                 "\"has_more\":true,\"end\":9}");
+  REQUIRE(page);
+  CHECK(page->m_skipped == 4);
+  CHECK(page->m_more);
+  CHECK(page->m_page.m_end == 9);
+  REQUIRE(page->m_page.m_records.size() == 3);
+  CHECK(page->m_page.m_records[0].m_value == "v");
+  CHECK(page->m_page.m_records[1].m_key == "\xff\xfe");
+  CHECK(page->m_page.m_records[2].m_key == "i-2");
+  for (const char* bad :
+       { "", "[]", "{}", R"({"items":{},"end":1})", R"({"items":[],"end":1e300})" }) {
+    CHECK_FALSE(DecodeNewest(bad));
+  }
+}
+
+// Guards against a key of another writer, last on its page, that spoils the request for the next.
+TEST_CASE("a key goes into a request's query with every odd byte encoded")
+{
+  CHECK(EncodeQueryText("worker/i-7f3a.91_c2~") == "worker/i-7f3a.91_c2~");
+  CHECK(EncodeQueryText("a b&c=%\r\n\xff#?+") == "a%20b%26c%3D%25%0D%0A%FF%23%3F%2B");
+}
+
+// Guards against a run that is taken for gone, and started again, since its row says something odd.
+TEST_CASE("a running row that names its run counts, with what else it says kept in range")
+{
+  const std::string task = R"("5c0e7a21d94b36f8.0.1.17")";
+  SkippedRows skipped;
+  const Expected<WorkerView> view =
+    DecodeView(R"({"clock_ms":5,"running":[[)" + task + R"(,2,"0b",1e300,-5],[)" + task +
+                 R"(,3,7,"x",1e400],[)" + task + R"(,0,"",1],[)" + task + R"(,1e300,"",1],[)" +
+                 task + R"(,"2","",1],[)" + task + R"(,-1,"",1]]})",
+               &skipped);
+  REQUIRE(view);
+  CHECK(skipped.m_count == 4);
+  REQUIRE(view->m_running.size() == 2);
+  CHECK(view->m_running[0].m_percent == 100);
+  CHECK(view->m_running[0].m_usage == 0);
+  CHECK(view->m_running[0].m_checkpoint == "0b");
+  CHECK(view->m_running[1].m_percent == 0);
+  CHECK(view->m_running[1].m_usage > 0);
+  CHECK(view->m_running[1].m_checkpoint.empty());
+}
+
+// Guards against an end with a huge number, after which no end of the worker is noted any more.
+TEST_CASE("ends whose number or run can't be are left out, with a bounded excerpt for the log")
+{
+  const std::string task = R"("5c0e7a21d94b36f8.0.1.9")";
+  std::string rows;
+  for (const std::string& number :
+       { std::string("0"), std::string("-1"), std::string("1e300"), std::string(400, '9') }) {
+    rows += "[" + number + "," + task + R"(,1,"done",""],)";
+  }
+  SkippedRows skipped;
+  const Expected<WorkerView> view =
+    DecodeView(R"({"clock_ms":5,"ended":[)" + rows + "[58," + task + R"(,1,"done",""],["long)" +
+                 std::string(100000, 'x') + R"("]]})",
+               &skipped);
+  REQUIRE(view);
+  CHECK(skipped.m_count == 5);
+  CHECK(skipped.m_first.size() <= 200);
+  REQUIRE(view->m_ended.size() == 1);
+  CHECK(view->m_ended[0].m_number == 58);
+}
+
+// Guards against leases reckoned from a clock of 0, and against runs taken for gone.
+TEST_CASE("an answer without a clock, or whose lists are none, is no answer")
+{
+  CHECK(DecodeView(R"({"clock_ms":0})"));
+  CHECK(DecodeView(R"({"clock_ms":12.5,"running":[],"ended":null})"));
+  for (const char* bad : { "{}",
+                           R"({"clock_ms":"5"})",
+                           R"({"clock_ms":-1})",
+                           R"({"clock_ms":1e300})",
+                           R"({"clock_ms":5,"born":"x"})",
+                           R"({"clock_ms":5,"running":{}})",
+                           R"({"clock_ms":5,"ended":"x"})" }) {
+    INFO(bad);
+    CHECK_FALSE(DecodeView(bad));
+  }
+}
+
+// Guards against a route that serves with a number cut down to its field, or with none.
+TEST_CASE("a configuration with a field of another type or out of range is refused, by its name")
+{
+  const std::string good =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","timeout_ms":3000,)"
+    R"("priority":0,"service":"s","attempts":4,"stretch":1.5}],"limits":{"max_body_bytes":9}})";
+  REQUIRE(DecodeRoutes(good));
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "3000", "1e300" },  { "\"priority\":0", "\"priority\":4294967296" },
+    { "\"h\"", "3" },     { "\"attempts\":4", "\"attempts\":\"4\"" },
+    { "1.5", "1e400" },   { "1.5", "-1" },
+    { ":7,", ":1e300," }, { "{\"max_body_bytes\":9}", "3" },
+    { "9}}", "1e300}}" }, { "\"/a/\"", "[]" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text);
+    CHECK_FALSE(DecodeRoutes(text));
+  }
+}
+
+// Guards against a time that overflows when it is told in microseconds.
+TEST_CASE("a caller's deadline shortens the route's, whatever number it sends")
+{
+  const Duration timeout = std::chrono::milliseconds(3000);
+  const Duration margin = timeout - TimeFor("", timeout);
+  CHECK(TimeFor("1000", timeout) == std::chrono::milliseconds(1000) - margin);
+  for (const char* odd :
+       { "9223372036854775807", "9223372036854775808", "-1", "0", "x", "99999" }) {
+    CHECK(TimeFor(odd, timeout) == timeout - margin);
+  }
+  CHECK(TimeFor("1", timeout) > Duration::zero());
+}
+
+// Guards against a body whose numbers wrap or overflow, or whose record the store can never take.
+TEST_CASE("a job with a field of another type or out of range is refused, by its name")
+{
+  const std::string good =
+    R"({"spec":"t","times":2,"first_ms":9,"interval_ms":500,"steps":[{"count":4,"cpu":500,)"
+    R"("mem_mb":256,"est_ms":900},{"count":2,"deps":[0],"image":"i","gang":true,"target_ms":30}]})";
+  REQUIRE(DecodeJob(good));
+  const std::string longText = "\"" + std::string(200000, 'x') + "\"";
+  std::string manyZeros = "[0";
+  for (int i = 0; i < 100000; ++i) {
+    manyZeros += ",0";
+  }
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "\"count\":4", "\"count\":4294967297" },
+    { "\"count\":4", "\"count\":1e300" },
+    { "\"count\":4", "\"count\":\"4\"" },
+    { "[0]", "[4294967296]" },
+    { "[0]", "[\"0\"]" },
+    { "[0]", manyZeros + "]" },
+    { "500,\"mem", "1e300,\"mem" },
+    { "256", "1e18" },
+    { "900", "1e300" },
+    { "900", "9000000000000000000" },
+    { "\"i\"", longText },
+    { "true", "\"yes\"" },
+    { ":30", ":-1" },
+    { ":500,\"steps", ":9e15,\"steps" },
+    { "\"first_ms\":9", "\"first_ms\":1e18" },
+    { "\"times\":2", "\"times\":4294967297" },
+    { "\"t\"", "3" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = good;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text.substr(0, 500));
+    const tl::expected<Graph, Errors> job = DecodeJob(text);
+    REQUIRE_FALSE(job);
+    CHECK(job.error().front().m_kind == ErrorKind::BadInput);
+    CHECK(job.error().front().Text().size() < 200);
+  }
+}
+
+// Guards against settings that are cut down to their field, such as port 73256 to 7720.
+TEST_CASE("a setting that is out of range is refused, by its name")
+{
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { "7720", "73256" }, { "7720", "-1" },    { "7720", "\"x\"" }, { "0.25", "nan" },
+    { "0.25", "-1" },    { "7000", "1e300" }, { "7000", "-5" },    { "7000", "inf" },
+  };
+  for (const std::pair<std::string, std::string>& row : odd) {
+    std::string text = kSettings;
+    text.replace(text.find(row.first), row.first.size(), row.second);
+    INFO(text);
+    CHECK_FALSE(ParsePlatformSettings(text));
+  }
+}
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -2,6 +2,7 @@
 #include "egretturn/Support/BoundedRing.h"
 #include "egretturn/Support/Latency.h"
 #include "egretturn/Support/Log.h"
+#include "egretturn/Support/LogQuota.h"
 
 #include <catch2/catch.hpp>
 #include <cstdio>
@@ -70,3 +71,17 @@
   close(ends[1]);
   CHECK(ready == 1);
 }
+
+// Guards against a log flooded by something odd that is read again and again.
+TEST_CASE("a log quota lets some lines of each span through, and counts the others", "[support]")
+{
+  const Instant start;
+  LogQuota quota(2, std::chrono::seconds(10));
+  CHECK(quota.Take(start) == uint64_t{ 0 });
+  CHECK(quota.Take(start) == uint64_t{ 0 });
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(1)));
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(9)));
+  CHECK(quota.Take(start + std::chrono::seconds(10)) == uint64_t{ 2 });
+  CHECK(quota.Take(start + std::chrono::seconds(11)) == uint64_t{ 0 });
+  CHECK_FALSE(quota.Take(start + std::chrono::seconds(12)));
+}
