Ask a worker whose last answer may not hold, also when it is idle

What callers would see: accepted tasks do not run, with room for them (LOST). An idle worker that has not been asked for over 5 min refuses each start as too late, for good; so does one that started again while idle with a clock that shows more. A lease is reckoned from the clock in the last answer, slowed by 2%, so that after 300 s a lease of 6 s is over when it arrives. A refused start takes its run off the worker, and without runs nothing asked it again. An entry of another life set a look due that nothing needed: so a worker that drained and started again with an earlier time of day stayed "draining", as its entries were taken for old ones. And entries that were only repeated undid the pauses between looks. Change: m_outdated says that what a worker last answered may not hold; a refused start, an entry of another life and a relisted worker set it, an answer that is believed clears it, and until then NeedsLook() holds and looks don't wait for an end. Only an entry of another life than the one before makes a look due. Test: four cases of ContactTest failed before (300 looks in 30 s at one worker out of reach, now at most 30) and pass now. Conclusion: OutOfContact was one of two ways to the same end; a refusal was the other.

--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -430,6 +430,7 @@
   }
   worker->m_failedLooks = 0;
   worker->m_looked = true;
+  worker->m_outdated = false;
   worker->m_clockMs = aView.m_clockMs;
   worker->m_clockAt = aNow;
   worker->m_endsAcknowledged = std::max(worker->m_endsAcknowledged, worker->m_acknowledging);
--- a/lib/Scheduler/Orders.cpp
+++ b/lib/Scheduler/Orders.cpp
@@ -62,6 +62,7 @@
     NoteConduct(*worker, false, aNow);
     return;
   }
+  worker->m_outdated = true; // its clock or its runs may be others than thought
   if (aResult != OrderResult::Superseded) {
     worker->m_avoidUntil = std::max(worker->m_avoidUntil, aNow + kBrieflyAvoided);
   }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -108,13 +108,17 @@
 Scheduler::UpdateWorker(const WorkerReport& aReport, Instant aNow)
 {
   Worker* known = m_fleet.Find(aReport.m_id);
+  // Entries that are only repeated ask for nothing.
+  const bool otherLife = known && aReport.m_incarnation != known->m_incarnation &&
+                         aReport.m_incarnation != known->m_report.m_incarnation;
+  if (known && (otherLife || !known->m_listed)) {
+    known->m_lookDueAt = aNow; // the worker itself tells what runs there
+    known->m_outdated = true;
+  }
   if (known && aReport.m_incarnation < known->m_incarnation) {
     known->m_listed = true; // stale, or written after its clock went back: its answers will tell
     return;
   }
-  if (known && (aReport.m_incarnation > known->m_incarnation || !known->m_listed)) {
-    known->m_lookDueAt = aNow; // the worker itself tells what runs there
-  }
   const bool startsDraining = aReport.m_draining && !(known && known->m_report.m_draining);
   const bool added = m_fleet.Update(aReport, aNow);
   m_workersUnwritten = m_workersUnwritten || added;
@@ -175,7 +179,8 @@
   }
   const bool acknowledged =
     aWorker.m_endsSeen <= aWorker.m_endsAcknowledged || aWorker.m_endsSeen == look.m_acknowledged;
-  const bool settled = aWorker.m_looked && aWorker.m_failedLooks == 0 && acknowledged;
+  const bool known = aWorker.m_looked && !aWorker.m_outdated && aWorker.m_failedLooks == 0;
+  const bool settled = known && acknowledged;
   if (settled && !aWorker.m_runs.empty()) {
     look.m_wait =
       !aWorker.m_filling.empty() && !aWorker.m_serving.empty() ? kWatchfulLookWait : kLookWait;
@@ -191,7 +196,7 @@
 {
   // Only an answer ends a loss of contact, so a worker that may get work again is asked until then.
   const bool outOfContact = aWorker.m_listed && aWorker.m_failedLooks > 0;
-  return !aWorker.m_runs.empty() || !aWorker.m_looked || outOfContact ||
+  return !aWorker.m_runs.empty() || !aWorker.m_looked || aWorker.m_outdated || outOfContact ||
          aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
 }
 
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -15,15 +15,21 @@
 class ContactWorld
 {
 public:
+  static constexpr const char* kAddress = "10.0.0.1:80";
+
   ContactWorld() { m_scheduler.DirectoryComplete(); }
 
-  void List(const WorkerName& aName, int64_t aIncarnation = 0)
+  void List(const WorkerName& aName,
+            int64_t aIncarnation = 0,
+            const std::string& aAddress = kAddress,
+            bool aDraining = false)
   {
     WorkerReport report;
     report.m_incarnation = aIncarnation;
     report.m_id = aName;
     report.m_service = "desk";
-    report.m_address = "10.0.0.1:80";
+    report.m_address = aAddress;
+    report.m_draining = aDraining;
     report.m_capacity = { 8000, 64000, 0 };
     m_scheduler.UpdateWorker(report, m_now);
   }
@@ -58,33 +64,41 @@
   std::set<WorkerName> m_unreachable;
   std::map<WorkerName, std::vector<RunningRow>> m_running;
   std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves say.
+  std::map<WorkerName, int64_t> m_clockLeadsMs; ///< Of their clocks before the time of day.
+  std::string m_address = kAddress;             ///< Where the workers are.
   size_t m_looks = 0;
 
 private:
   int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+  int64_t ClockMs(const WorkerName& aName) { return WallMs() + m_clockLeadsMs[aName]; }
+
+  bool Reaches(const WorkerName& aName, const std::string& aAddress) const
+  {
+    return m_unreachable.count(aName) == 0 && aAddress == m_address;
+  }
 
   void Carry(const Action& aAction)
   {
     if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
       m_scheduler.OnAppended(append->m_batch, m_now);
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
-      const bool reached = m_unreachable.count(start->m_worker) == 0;
-      m_scheduler.OnStart(start->m_worker,
-                          start->m_task,
-                          start->m_run,
-                          reached ? OrderResult::Accepted : OrderResult::Unanswered,
-                          m_now);
-      if (reached) {
+      const bool reached = Reaches(start->m_worker, start->m_address);
+      const bool late = start->m_untilMs <= ClockMs(start->m_worker);
+      const OrderResult result = !reached ? OrderResult::Unanswered
+                                 : late   ? OrderResult::TooLate
+                                          : OrderResult::Accepted;
+      m_scheduler.OnStart(start->m_worker, start->m_task, start->m_run, result, m_now);
+      if (result == OrderResult::Accepted) {
         m_running[start->m_worker].push_back({ start->m_task, start->m_run, "", 100, 0 });
       }
     } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
       ++m_looks;
-      if (m_unreachable.count(look->m_worker) > 0) {
+      if (!Reaches(look->m_worker, look->m_address)) {
         m_scheduler.OnLookFailed(look->m_worker, look->m_number, OrderResult::Unanswered, m_now);
         return;
       }
       WorkerView view;
-      view.m_clockMs = WallMs();
+      view.m_clockMs = ClockMs(look->m_worker);
       view.m_incarnation = m_incarnations[look->m_worker];
       view.m_running = m_running[look->m_worker];
       m_scheduler.OnLook(look->m_worker, look->m_number, view, m_now);
@@ -208,3 +222,64 @@
   CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
   CHECK(world.m_running["w"].size() == 1);
 }
+
+// Guards against a clock that is estimated too low for good: each start is refused as too late.
+TEST_CASE("a worker that was idle for minutes takes work")
+{
+  ContactWorld world;
+  world.List("w");
+  world.Advance(std::chrono::minutes(7)); // a clock that may be 2% slow is 8 s behind by then
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(2));
+  CHECK(world.m_running["w"].size() == 1);
+}
+
+// Guards against the same after a restart, whose clock starts anew.
+TEST_CASE("an idle worker that starts again with another clock takes work")
+{
+  ContactWorld world;
+  world.m_incarnations["w"] = 1000;
+  world.List("w", 1000);
+  world.Advance(seconds(1));
+  world.m_incarnations["w"] = 2000;
+  world.m_clockLeadsMs["w"] = 60000;
+  SECTION("though no entry tells of it") {}
+  SECTION("told by its entry, at once")
+  {
+    world.List("w", 2000);
+    world.Advance(milliseconds(100));
+    CHECK(world.m_looks == 2);
+    CHECK(world.WorkerOf("w").m_incarnation == 2000);
+  }
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(2));
+  CHECK(world.m_running["w"].size() == 1);
+}
+
+// Guards against a worker whose entries count no more, since nothing asks which life they are of.
+TEST_CASE("an idle worker that drained and starts again with an earlier time of day takes work")
+{
+  ContactWorld world;
+  world.m_incarnations["w"] = 5000;
+  world.List("w", 5000, ContactWorld::kAddress, true);
+  world.Advance(seconds(1));
+  world.m_incarnations["w"] = 3000;
+  for (int i = 0; i < 5; ++i) {
+    world.List("w", 3000);
+    world.Advance(seconds(1));
+  }
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+}
+
+// Guards against entries that are only repeated and undo the pauses between looks.
+TEST_CASE("the heartbeats of a worker out of reach cause no looks")
+{
+  static constexpr int kSeconds = 30;
+  ContactWorld world;
+  world.m_unreachable.insert("w");
+  for (int i = 0; i < 10 * kSeconds; ++i) {
+    world.List("w", 1000);
+    world.Advance(milliseconds(100));
+  }
+  CHECK(world.m_looks <= kSeconds);
+}
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -87,7 +87,7 @@
 int64_t
 FakeWorker::ClockMs(Instant aNow) const
 {
-  return 1000 +
+  return m_firstClockMs +
          static_cast<int64_t>(static_cast<double>(ToMillis(aNow - m_startedAt)) * kClockRate);
 }
 
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -66,6 +66,7 @@
   Instant m_unreachableUntil; ///< Calls get no answer.
   Instant m_unlistedUntil;    ///< The directory has lost its entry.
   bool m_failsAll = false;
+  int64_t m_firstClockMs = 1000; ///< What its clock shows at its start.
 
 private:
   struct Run
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -90,6 +90,7 @@
   world.Settle();
   world.CheckContact();
   world.CheckEnd();
+  world.CheckRestarts();
   INFO("seed " << aSeed);
   for (const std::string& broken : world.m_oracle.m_broken) {
     UNSCOPED_INFO(broken);
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -12,6 +12,11 @@
 static constexpr Duration kDirectoryEvery = milliseconds(400);
 static constexpr Duration kAnswerTimeout = milliseconds(1000);
 static constexpr Duration kSettleTime = seconds(90);
+static constexpr Duration kLongestLookPause = seconds(2);
+static constexpr Duration kLongestLook = seconds(2); // with its timeout
+static constexpr Duration kRestartNoticed = seconds(2);
+static constexpr Duration kRestartedTime = seconds(20);
+static constexpr int64_t kOtherClockMs = 3600000; // of a worker that has started again
 
 SchedulerWorld::SchedulerWorld(uint64_t aSeed, size_t aWorkers)
   : m_random(aSeed)
@@ -357,6 +362,7 @@
     for (const std::shared_ptr<Decider>& decider : std::vector(m_deciders)) {
       Pump(decider);
     }
+    CheckLooks();
   }
 }
 
@@ -387,6 +393,56 @@
   }
 }
 
+void
+SchedulerWorld::CheckLooks()
+{
+  if (m_deciders.empty() || m_deciders.back()->m_stopped) {
+    return;
+  }
+  for (const std::unique_ptr<Worker>& worker : m_deciders.back()->m_scheduler->Workers().All()) {
+    const Obstacle obstacle = FindUnavailability(*worker, m_now);
+    const bool asked = obstacle == Obstacle::NotLooked || obstacle == Obstacle::OutOfContact ||
+                       !worker->m_runs.empty();
+    const bool inTime = worker->m_lookInFlight ? m_now - worker->m_lookSentAt <= kLongestLook
+                                               : worker->m_lookDueAt <= m_now + kLongestLookPause;
+    if (asked && !inTime) {
+      m_oracle.Break("no look in time: " + worker->m_report.m_id + " " +
+                     std::string(NameOf(obstacle)));
+    }
+  }
+}
+
+void
+SchedulerWorld::CheckRestarts()
+{
+  for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    worker->m_firstClockMs = kOtherClockMs;
+    worker->Restart(m_now);
+  }
+  Advance(kRestartNoticed);
+  for (const std::unique_ptr<Worker>& worker : m_deciders.back()->m_scheduler->Workers().All()) {
+    const WorkerName& name = worker->m_report.m_id;
+    if (worker->m_incarnation != WorkerOf(name).Report().m_incarnation) {
+      m_oracle.Break("a restart went unnoticed: " + name);
+    }
+  }
+  GraphStep step;
+  step.m_count = static_cast<uint32_t>(m_workers.size());
+  step.m_demand = { 1000, 1000, 0 };
+  step.m_estimateMs = 1000;
+  step.m_maxPerWorker = 1;
+  Submission submission;
+  submission.m_id = m_random.Next();
+  submission.m_terms = { "route", "desk", 0, 100, 2.0, 500 };
+  submission.m_graph.m_steps.push_back(step);
+  const GraphId id = submission.m_id;
+  Submit(std::move(submission));
+  Advance(kRestartedTime);
+  if (StateOf(id) != JobState::Done) {
+    m_oracle.Break("workers that have started again do not take work");
+  }
+}
+
 void
 SchedulerWorld::CheckEnd()
 {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -40,6 +40,10 @@
   /// Checks that every worker can get work again. \pre All faults were lifted by Settle().
   void CheckContact();
 
+  /// Checks that every worker takes work also after a restart while idle, which no order has met.
+  /// \pre All faults were lifted by Settle(), and nothing is left to run.
+  void CheckRestarts();
+
   /// Checks that every accepted job has ended or lasts with all its tasks running.
   void CheckEnd();
 
@@ -79,6 +83,8 @@
   void Carry(const std::shared_ptr<Decider>& aDecider, const Action& aAction);
   void Append(const std::shared_ptr<Decider>& aDecider, const AppendRecords& aAppend);
   void Answer(const std::shared_ptr<Decider>& aDecider, const AnswerRequest& aAnswer);
+  /// Checks that what only an answer of a worker can end has a look in flight, or due soon.
+  void CheckLooks();
   void ReadDirectory(const std::shared_ptr<Decider>& aDecider);
   void Order(const std::shared_ptr<Decider>& aDecider,
              const WorkerName& aWorker,
