Take an entry older than a worker's answers while it is out of contact

What callers would see: a worker that starts again at another address with an earlier time of day is out of use for good (LOST). Cause: its entries were taken for those of an earlier life until it answers, and it was asked where it no longer is. Change: while a worker is out of contact an older entry counts; if it was stale, the worker's next entry replaces it. Conclusion: answers outrank entries only while there are answers.

--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -115,7 +115,8 @@
     known->m_lookDueAt = aNow; // the worker itself tells what runs there
     known->m_outdated = true;
   }
-  if (known && aReport.m_incarnation < known->m_incarnation) {
+  // While nothing answers where it was, there is nothing to lose by an older entry.
+  if (known && known->m_failedLooks == 0 && aReport.m_incarnation < known->m_incarnation) {
     known->m_listed = true; // stale, or written after its clock went back: its answers will tell
     return;
   }
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -271,6 +271,25 @@
   CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
 }
 
+// Guards against looks at an address that the worker has left for good.
+TEST_CASE("a worker that starts again elsewhere with an earlier time of day takes work")
+{
+  ContactWorld world;
+  world.m_incarnations["w"] = 5000;
+  world.List("w", 5000);
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  world.m_running["w"].clear();
+  world.m_incarnations["w"] = 3000;
+  world.m_address = "10.0.0.2:80";
+  for (int i = 0; i < 10; ++i) {
+    world.List("w", 3000, world.m_address);
+    world.Advance(seconds(1));
+  }
+  CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
+  CHECK(world.m_running["w"].size() == 1);
+}
+
 // Guards against entries that are only repeated and undo the pauses between looks.
 TEST_CASE("the heartbeats of a worker out of reach cause no looks")
 {
