Move tasks away also if they were adopted on a worker that drains

What callers would see: after a take-over, tasks that last or save their progress stay on a draining worker until it exits, and are lost there with what they did since their last checkpoint. Cause: a worker is evacuated when its entry starts to say draining. A successor reads that before the worker has answered, when it knows of no runs there, and never again. Change: each answer of a draining worker moves what can be moved. Runs that are being stopped are passed over, which also keeps a listed run of a step that does not exist from being looked up.

--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -445,6 +445,9 @@
     HandleRow(*worker, row, aNow);
   }
   DropVanished(*worker, aView, aNow);
+  if (worker->m_report.m_draining) {
+    EvacuateWorker(*worker, aNow); // of what was adopted after the directory said so
+  }
   AdjustPace(*worker, aNow);
   MoveStragglers(*worker, aNow);
   if (m_dirty.empty() && !m_batchInFlight) {
--- a/lib/Scheduler/Starts.cpp
+++ b/lib/Scheduler/Starts.cpp
@@ -382,8 +382,8 @@
   for (const std::pair<const TaskRef, WorkerRun>& refEntry : aWorker.m_runs) {
     const TaskRef& ref = refEntry.first;
     const Job* job = m_book.Find(ref.m_job);
-    if (!job) {
-      continue;
+    if (!job || refEntry.second.m_phase == RunPhase::Stopping) {
+      continue; // also what was never asked for, of a step that may not exist
     }
     const GraphStep& step = job->m_stored.m_graph.m_steps[ref.m_step];
     if (step.m_lasting || step.m_checkpoints) {
