--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -430,6 +430,7 @@
   }
   worker->m_failedLooks = 0;
   worker->m_looked = true;
+  worker->m_outdated = false;
   worker->m_clockMs = aView.m_clockMs;
   worker->m_clockAt = aNow;
   worker->m_endsAcknowledged = std::max(worker->m_endsAcknowledged, worker->m_acknowledging);
@@ -444,6 +445,9 @@
     HandleRow(*worker, row, aNow);
   }
   DropVanished(*worker, aView, aNow);
+  if (worker->m_report.m_draining) {
+    EvacuateWorker(*worker, aNow); // of what was adopted after the directory said so
+  }
   AdjustPace(*worker, aNow);
   MoveStragglers(*worker, aNow);
   if (m_dirty.empty() && !m_batchInFlight) {
