Drop kept connections from before a call that timed out

What callers saw: none traced; would see: a sound store, peer or worker out of reach for one timeout per kept connection.

Cause: connections go silent together and without a reset, and up to 64 idle ones an address are kept. A call that timed out closed only its own, and the next call took the next old one: 1 s each for workers, 1.5 s for the store.

Change: a call that times out closes the idle connections of its address that were last answered before it began. Those answered since stay. A connection that answered during the call and went silent after that costs one more timeout.

Test: with four kept connections of a server that goes silent on them and answers new ones, the second call after the cut timed out before (and the third); now it is answered.

--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace egretturn {
 
 namespace beast = boost::beast;
@@ -14,10 +16,27 @@
 
 static constexpr size_t kIdlePerAddress = 64; // a worker takes no more connections than that
 
-/// Idle connections by address.
+/// Idle connections by address. Begins of calls and answers are numbered in their common order.
 struct HttpClient::Pool
 {
-  std::unordered_map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>> m_idle;
+  struct Idle
+  {
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    uint64_t m_answered; ///< Number of its last answer.
+  };
+
+  /// Closes the idle connections to \p aAddress that were last answered before \p aNumber.
+  void DropBefore(const std::string& aAddress, uint64_t aNumber)
+  {
+    std::vector<Idle>& idle = m_idle[aAddress];
+    idle.erase(std::remove_if(idle.begin(),
+                              idle.end(),
+                              [&](const Idle& aIdle) { return aIdle.m_answered < aNumber; }),
+               idle.end());
+  }
+
+  std::unordered_map<std::string, std::vector<Idle>> m_idle;
+  uint64_t m_lastNumber = 0;
 };
 
 /// Whether the other side still holds an idle connection open and silent.
@@ -55,9 +74,10 @@
   void Begin(Duration aTimeout)
   {
     m_timeout = aTimeout;
-    std::vector<std::unique_ptr<beast::tcp_stream>>& idle = m_pool->m_idle[m_address];
+    m_begun = ++m_pool->m_lastNumber;
+    std::vector<Pool::Idle>& idle = m_pool->m_idle[m_address];
     while (!idle.empty()) {
-      std::unique_ptr<beast::tcp_stream> stream = std::move(idle.back());
+      std::unique_ptr<beast::tcp_stream> stream = std::move(idle.back().m_stream);
       idle.pop_back();
       if (IsUsable(stream->socket())) {
         m_stream = std::move(stream);
@@ -130,15 +150,20 @@
     ClientAnswer answer{ aResult, {} };
     if (aResult == ClientResult::Answered) {
       answer.m_response = m_parser.release();
-      std::vector<std::unique_ptr<beast::tcp_stream>>& idle = m_pool->m_idle[m_address];
+      std::vector<Pool::Idle>& idle = m_pool->m_idle[m_address];
       if (answer.m_response.keep_alive() && m_buffer.size() == 0 && idle.size() < kIdlePerAddress) {
         m_stream->expires_never();
-        idle.push_back(std::move(m_stream));
+        idle.push_back({ std::move(m_stream), ++m_pool->m_lastNumber });
         m_stream = nullptr;
       }
     } else {
       m_stream->close();
     }
+    if (aResult == ClientResult::TimedOut) {
+      // Connections go silent together and without a reset. Those answered since have shown that
+      // they work.
+      m_pool->DropBefore(m_address, m_begun);
+    }
     if (m_callback) {
       const ClientCallback callback = std::move(m_callback);
       m_callback = nullptr;
@@ -154,6 +179,7 @@
   beast::flat_buffer m_buffer;
   ClientCallback m_callback;
   Duration m_timeout{};
+  uint64_t m_begun = 0;
 };
 
 HttpClient::HttpClient(boost::asio::io_context& aIo, size_t aAnswerBytes)
