Begin a new streak of failures when a worker was sound for 10 s

What callers would see: lasting tasks that wait up to 8 s for a worker with room, after any single failure there.

Cause: only an end as done ended a worker's streak of failures.

Change: a failure 10 s after the last one, or after the end of the last avoidance, begins a new streak. Of a task that does not last the time up to its start counts, so that a worker that fails all that it starts is avoided however long its runs take to fail.

Test: one lasting task that fails once a minute was not back within 0.5 s from the third failure on; it is now. Three runs in a row that fail after 30 s still lead to avoidance (passed before, too).

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -107,6 +107,7 @@
   Instant m_learnedAt; ///< When its tails were last learned from.
 
   uint32_t m_badStreak = 0; ///< Failures in a row.
+  Instant m_lastBadAt;      ///< When the last of them was seen.
   Instant m_avoidUntil;     ///< No starts before this.
   Instant m_slowUntil;      ///< No starts before this either: its runs hardly move.
 };
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -202,7 +202,8 @@
                      RunNumber aRun,
                      std::string_view aCause);
   void EndJob(Job& aJob, JobState aState, Instant aNow);
-  void NoteConduct(Worker& aWorker, bool aGood, Instant aNow);
+  /// Counts a failure. The worker may have been sound from its last failure until \p aSince.
+  void NoteFailure(Worker& aWorker, Instant aSince, Instant aNow);
 
   // Orders.cpp
   bool StepsDown(const WorkerName& aId, OrderResult aResult);
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -13,6 +13,7 @@
 static constexpr Duration kUndurableLook = std::chrono::milliseconds(400);
 static constexpr int kUnpacedUse = 60;    // percent of its demand that a task uses at least
 static constexpr uint32_t kBadStreak = 3; // failures in a row after which a worker is avoided
+static constexpr Duration kStreakGap = std::chrono::seconds(10); // without a failure, it is over
 static constexpr Duration kFirstAvoidance = std::chrono::seconds(1);
 static constexpr uint32_t kLongestAvoidance = 3; // doublings of the first one
 
@@ -34,12 +35,12 @@
 }
 
 void
-Scheduler::NoteConduct(Worker& aWorker, bool aGood, Instant aNow)
+Scheduler::NoteFailure(Worker& aWorker, Instant aSince, Instant aNow)
 {
-  if (aGood) {
+  if (aSince >= std::max(aWorker.m_lastBadAt, aWorker.m_avoidUntil) + kStreakGap) {
     aWorker.m_badStreak = 0;
-    return;
   }
+  aWorker.m_lastBadAt = aNow;
   ++aWorker.m_badStreak;
   if (aWorker.m_badStreak < kBadStreak) {
     return;
@@ -188,7 +189,9 @@
 {
   LogRun("run_ended", aWorker, aRow.m_task, aRow.m_run, NameOf(aRow.m_end));
   const auto it = aWorker.m_runs.find(aRow.m_task);
+  Instant soundUntil = aNow; // a task that lasts fails at any time, and only such ends tell of it
   if (it != aWorker.m_runs.end() && it->second.m_run == aRow.m_run) {
+    soundUntil = it->second.m_lasting ? aNow : it->second.m_startedAt;
     if (aRow.m_end == RunEnd::Done && it->second.m_undisturbed) {
       NoteDuration(aRow.m_task, aNow - it->second.m_startedAt);
     }
@@ -197,10 +200,10 @@
   }
   if (aRow.m_end == RunEnd::Done) {
     ++m_counters.m_endsDone;
-    NoteConduct(aWorker, true, aNow);
+    aWorker.m_badStreak = 0;
   } else if (aRow.m_end == RunEnd::Failed) {
     ++m_counters.m_endsFailed;
-    NoteConduct(aWorker, false, aNow);
+    NoteFailure(aWorker, soundUntil, aNow);
   } else {
     ++m_counters.m_endsOther;
   }
--- a/lib/Scheduler/Orders.cpp
+++ b/lib/Scheduler/Orders.cpp
@@ -59,7 +59,7 @@
   if (aResult == OrderResult::Unanswered) {
     run->m_phase = RunPhase::Unanswered;
     run->m_phaseSince = aNow;
-    NoteConduct(*worker, false, aNow);
+    NoteFailure(*worker, aNow, aNow);
     return;
   }
   if (aResult != OrderResult::Superseded) {
@@ -68,7 +68,7 @@
   const bool ourFault = aResult == OrderResult::NoRoom || aResult == OrderResult::TooLate ||
                         aResult == OrderResult::Superseded;
   if (!ourFault) {
-    NoteConduct(*worker, false, aNow);
+    NoteFailure(*worker, aNow, aNow);
   }
   LoseRun(*worker, aTask, aNow, "not_started");
 }
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 using namespace egretturn;
@@ -29,16 +30,22 @@
   }
 
   /// Submits a task that lasts and reserves \p aCpuMilli.
-  void SubmitLasting(GraphId aId, int64_t aCpuMilli)
+  void SubmitLasting(GraphId aId, int64_t aCpuMilli) { Submit(aId, aCpuMilli, true); }
+
+  /// Submits a task that takes a minute and reserves \p aCpuMilli.
+  void SubmitMinute(GraphId aId, int64_t aCpuMilli) { Submit(aId, aCpuMilli, false); }
+
+  void Cancel(GraphId aId) { m_scheduler.Cancel(1, aId, m_now, WallMs()); }
+
+  /// Ends the oldest run of \p aWorker. \pre There is one.
+  void End(const WorkerName& aWorker, RunEnd aEnd)
   {
-    Submission submission;
-    submission.m_id = aId;
-    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    GraphStep step;
-    step.m_demand = { aCpuMilli, 1000, 0 };
-    step.m_lasting = true;
-    submission.m_graph.m_steps.push_back(step);
-    m_scheduler.Submit(aId, std::move(submission), m_now, WallMs());
+    std::vector<RunningRow>& running = m_running[aWorker];
+    std::vector<EndedRow>& ended = m_ended[aWorker];
+    REQUIRE_FALSE(running.empty());
+    const RunningRow& row = running.front();
+    ended.push_back({ ended.size() + 1, row.m_task, row.m_run, aEnd, "" });
+    running.erase(running.begin());
   }
 
   void Advance(Duration aTime)
@@ -58,15 +65,55 @@
   std::set<WorkerName> m_unreachable;
   std::map<WorkerName, std::vector<RunningRow>> m_running;
   std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves say.
+  std::map<WorkerName, std::vector<EndedRow>> m_ended;
+  std::map<WorkerName, uint64_t> m_acknowledged; ///< Highest number of an end.
+  bool m_storeHolds = false;                     ///< The store takes appends, but does not answer.
+  std::optional<uint64_t> m_heldBatch;
   size_t m_looks = 0;
 
 private:
+  static constexpr Duration kPerPercent = milliseconds(600);
+
+  void Submit(GraphId aId, int64_t aCpuMilli, bool aLasting)
+  {
+    Submission submission;
+    submission.m_id = aId;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    GraphStep step;
+    step.m_demand = { aCpuMilli, 1000, 0 };
+    step.m_lasting = aLasting;
+    if (aLasting) {
+      m_lasting.insert(aId);
+    }
+    step.m_estimateMs = aLasting ? 0 : ToMillis(100 * kPerPercent);
+    submission.m_graph.m_steps.push_back(step);
+    m_scheduler.Submit(aId, std::move(submission), m_now, WallMs());
+  }
+
+  /// The rows of \p aWorker's runs, each farther by the time since its start.
+  std::vector<RunningRow> Running(const WorkerName& aWorker)
+  {
+    std::vector<RunningRow> rows = m_running[aWorker];
+    for (RunningRow& row : rows) {
+      const bool lasting = row.m_percent == 100;
+      row.m_percent =
+        lasting ? 100 : static_cast<int>((m_now - m_startedAt[row.m_task]) / kPerPercent);
+    }
+    return rows;
+  }
+
   int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
 
   void Carry(const Action& aAction)
   {
     if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
-      m_scheduler.OnAppended(append->m_batch, m_now);
+      if (m_storeHolds) {
+        m_heldBatch = append->m_batch;
+      } else {
+        m_scheduler.OnAppended(append->m_batch, m_now);
+      }
+    } else if (const StopTask* stop = std::get_if<StopTask>(&aAction)) {
+      m_scheduler.OnStop(stop->m_worker, stop->m_task, stop->m_run, OrderResult::Accepted, m_now);
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
       const bool reached = m_unreachable.count(start->m_worker) == 0;
       m_scheduler.OnStart(start->m_worker,
@@ -75,7 +122,10 @@
                           reached ? OrderResult::Accepted : OrderResult::Unanswered,
                           m_now);
       if (reached) {
-        m_running[start->m_worker].push_back({ start->m_task, start->m_run, "", 100, 0 });
+        const bool lasting = m_lasting.count(start->m_task.m_job) > 0;
+        m_startedAt[start->m_task] = m_now;
+        m_running[start->m_worker].push_back(
+          { start->m_task, start->m_run, "", lasting ? 100 : 0, 0 });
       }
     } else if (const LookAtWorker* look = std::get_if<LookAtWorker>(&aAction)) {
       ++m_looks;
@@ -86,10 +136,16 @@
       WorkerView view;
       view.m_clockMs = WallMs();
       view.m_incarnation = m_incarnations[look->m_worker];
-      view.m_running = m_running[look->m_worker];
+      view.m_running = Running(look->m_worker);
+      view.m_ended = m_ended[look->m_worker];
+      uint64_t& acknowledged = m_acknowledged[look->m_worker];
+      acknowledged = std::max(acknowledged, look->m_acknowledged);
       m_scheduler.OnLook(look->m_worker, look->m_number, view, m_now);
     }
   }
+
+  std::set<GraphId> m_lasting;
+  std::unordered_map<TaskRef, Instant, TaskRefHash> m_startedAt;
 };
 
 } // namespace
@@ -208,3 +264,35 @@
   CHECK(TakesWork(world.WorkerOf("w"), world.m_now));
   CHECK(world.m_running["w"].size() == 1);
 }
+
+// Guards against an avoidance that grows over the day on a worker whose tasks never end as done.
+TEST_CASE("failures of tasks that last, minutes apart, do not keep a worker out of use")
+{
+  ContactWorld world;
+  world.List("w");
+  world.SubmitLasting(1, 5000);
+  for (int failures = 0; failures < 6; ++failures) {
+    world.Advance(seconds(60));
+    REQUIRE(world.m_running["w"].size() == 1);
+    world.End("w", RunEnd::Failed);
+    world.Advance(milliseconds(500));
+    CHECK(world.m_running["w"].size() == 1);
+  }
+}
+
+// Guards against starts on a worker that lets each run fail, only because that takes it long.
+TEST_CASE("a worker that fails all that it starts is avoided, however long its runs take to fail")
+{
+  ContactWorld world;
+  world.List("w");
+  for (GraphId id = 1; id <= 4; ++id) {
+    world.SubmitMinute(id, 8000); // one at a time
+  }
+  for (int failures = 0; failures < 3; ++failures) {
+    world.Advance(seconds(30));
+    REQUIRE(world.m_running["w"].size() == 1);
+    world.End("w", RunEnd::Failed);
+  }
+  world.Advance(milliseconds(500));
+  CHECK(world.m_running["w"].empty());
+}
