Take ends as durable that changed nothing while a batch was in flight

What workers would see: an end that is never acknowledged; operators: a worker that has left and is never forgotten, so that each later epoch waits for it in its recovery.

Cause: ends become durable with a batch that was written after them, or with a look while nothing is to be written. An end that is listed while a batch is in flight and changes nothing (its job was just cancelled) is followed by neither: no batch is due, and a worker without runs is not looked at for ends that are not durable.

Test: the end of a cancelled job's run, listed while the cancel is being written, was not acknowledged within 3 s of quiet, and the worker was not forgotten after it had left; both hold now.

--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -226,11 +226,17 @@
 Scheduler::CheckLeases(Instant aNow)
 {
   std::vector<WorkerName> gone;
+  // Ends that were listed during a batch and have changed nothing are followed by no other batch.
+  const bool nothingToWrite = m_dirty.empty() && !m_batchInFlight;
   m_counters.m_workersListed = 0;
   m_counters.m_workersOutOfContact = 0;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     m_counters.m_workersListed += worker->m_listed ? 1 : 0;
     m_counters.m_workersOutOfContact += worker->m_listed && worker->m_failedLooks > 0 ? 1 : 0;
+    if (nothingToWrite && worker->m_endsSeen > worker->m_endsDurable) {
+      SetEndsDurable(*worker, worker->m_endsSeen);
+      worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow); // acknowledges them
+    }
     if (!worker->m_runs.empty() && aNow >= worker->m_leaseOverAt) {
       LoseAllRuns(*worker, aNow, "lease_over");
     }
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -296,3 +296,29 @@
   world.Advance(milliseconds(500));
   CHECK(world.m_running["w"].empty());
 }
+
+// Guards against an end that is never acknowledged, as nothing asks the worker again after it.
+TEST_CASE("an end that is listed while a batch is in flight is acknowledged once that is durable")
+{
+  ContactWorld world;
+  world.List("w");
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+
+  world.m_storeHolds = true;
+  world.Cancel(1);
+  world.Advance(milliseconds(100));
+  REQUIRE(world.m_heldBatch);
+  world.End("w", RunEnd::Stopped);
+  world.Advance(milliseconds(200));
+  REQUIRE(world.WorkerOf("w").m_runs.empty());
+
+  world.m_storeHolds = false;
+  world.m_scheduler.OnAppended(*world.m_heldBatch, world.m_now);
+  world.Advance(seconds(3));
+  CHECK(world.m_acknowledged["w"] == 1);
+  world.m_scheduler.UnlistWorker("w", world.m_now);
+  world.Advance(seconds(1));
+  CHECK_FALSE(world.m_scheduler.Workers().Find("w"));
+}
