Forget a serving task's last tail once it has shown none for 1 s

What callers would see: work that fills and stands still for good beside a serving task that nobody uses.

Cause: how long a serving task has been over its target, and its utilization, were changed only by a tail. A look without one (0, or a row without its fifth entry) left them as they were, so that a halt for a task over its target lasted for as long as that showed no tail.

Change: after 1 s without a tail, two of the spans that a tail covers, the task counts as idle.

Test: work halted beside a task with a tail of 40 ms and a target of 18 ms was still halted 5 s after the last tail; it goes on now.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -35,6 +35,7 @@
   int64_t m_targetMs = 0;
   double m_utilization = 0;           ///< Of a serving task, by its tail.
   std::optional<Instant> m_overSince; ///< Since when its tail has been over its target.
+  Instant m_tailAt;                   ///< When it last showed a tail.
   Instant m_startedAt;                ///< When the start was sent.
   Instant m_phaseSince;               ///< When the phase began.
   Instant m_progressedAt;             ///< When the percentage last rose.
--- a/lib/Scheduler/Pacing.cpp
+++ b/lib/Scheduler/Pacing.cpp
@@ -24,6 +24,9 @@
 // A serving task over its target for so long halts everything that fills beside it.
 static constexpr Duration kPressedTooLong = std::chrono::milliseconds(1800);
 
+// A tail covers half a second; without one for so long, a task has nothing that could be pressed.
+static constexpr Duration kTailAge = std::chrono::milliseconds(1000);
+
 static constexpr double kMostFactor = 1.6; // of a pace, upwards in one step
 static constexpr int kPaceFloor = 8;       // percent; below this a task is paced to a halt
 static constexpr int kPaceResume = 15;     // percent; from a halt
@@ -80,9 +83,17 @@
     const TaskRef& ref = runEntry.first;
     WorkerRun& run = runEntry.second;
     Job* job = run.m_targetMs > 0 ? m_book.Find(ref.m_job) : nullptr;
-    if (!job || run.m_phase != RunPhase::Running || run.m_usage == 0) {
+    if (!job || run.m_phase != RunPhase::Running) {
+      continue;
+    }
+    if (run.m_usage == 0) {
+      if (aNow - run.m_tailAt >= kTailAge) {
+        run.m_utilization = 0;
+        run.m_overSince.reset();
+      }
       continue;
     }
+    run.m_tailAt = aNow;
     const double ratio = static_cast<double>(run.m_usage) / static_cast<double>(run.m_targetMs);
     run.m_utilization = m_pressure.UtilizationOf(run.m_image, ratio);
     run.m_overSince = ratio > 1.0 ? std::optional(run.m_overSince.value_or(aNow)) : std::nullopt;
--- a/unittests/Scheduler/PaceTest.cpp
+++ b/unittests/Scheduler/PaceTest.cpp
@@ -42,6 +42,15 @@
     m_scheduler.Submit(1, MakeJob(kServing, true), m_now, 0);
   }
 
+  /// From here on, the serving task shows this tail; 0 for none.
+  void ShowTail(int64_t aTailMs)
+  {
+    m_tailMs = aTailMs;
+    for (RunningRow& row : m_running) {
+      row.m_usage = row.m_task.m_job == kServing ? aTailMs : row.m_usage;
+    }
+  }
+
   void SubmitFilling() { m_scheduler.Submit(2, MakeJob(kFilling, false), m_now, 0); }
 
   void Advance()
@@ -72,6 +81,7 @@
       m_scheduler.OnLook("w", look->m_number, view, m_now);
     } else if (const PaceTask* pace = std::get_if<PaceTask>(&aAction)) {
       m_halted = m_halted || pace->m_percent == 0;
+      m_pace = pace->m_percent;
     }
   }
 
@@ -86,6 +96,7 @@
   std::vector<RunningRow> m_running;
   int m_fillStarts = 0;
   bool m_halted = false;
+  int m_pace = 100; ///< As last ordered.
 };
 
 } // namespace
@@ -125,6 +136,18 @@
   CHECK(TimeUntilHalted(worker) < kHaltBound);
 }
 
+// Guards against a halt that only a tail ends, when the task has no tail to show any more.
+TEST_CASE("what was halted for a serving task goes on once that has had no tail for a while")
+{
+  OneWorker worker(40);
+  TimeUntilHalted(worker);
+  worker.ShowTail(0);
+  for (int i = 0; i < 500; ++i) {
+    worker.Advance();
+  }
+  CHECK(worker.m_pace > 0);
+}
+
 TEST_CASE("nothing that fills starts beside a serving task that is near its target")
 {
   OneWorker worker(16);
