Step down when the records that would settle a conflict are deleted

What callers would see: no submission accepted, by an instance that goes on deciding, until another instance claims; with one instance, for good.

Cause: after an append without an answer, a conflict is settled by what stands at the append's offset. If the store has deleted that (410), the same append was sent again and met the same conflict, for ever.

Change: the instance steps down, and the next claim reads the newest records.

Test: a store that loses the first answer and has deleted the records was asked four times in 0.5 s without an end; now once.

--- a/lib/Node/Decider.cpp
+++ b/lib/Node/Decider.cpp
@@ -310,6 +310,10 @@
 void
 Decider::OnSettleRead(const Expected<TopicPage>& aPage)
 {
+  if (!aPage && aPage.error().m_kind == ErrorKind::NotFound) {
+    StepDownNow("the records behind the last known one have been deleted"); // nothing can tell
+    return;
+  }
   if (!aPage) {
     RetryAppend();
     return;
