Judge the leader only by answers of its own epoch

What callers would see: a new leader that is succeeded again without need, and waits of up to 0.5 s until its next ping.

Cause: a ping may be under way to the leader before when a new one is announced. The old one's answer that it does not decide counted as the new one being gone; one that does not know of its successor yet kept the new one alive.

Change: an answer counts for the leader that was asked, or that it names. A newer claim that it names is noted, as before.

Test: an instance that had just read of leader 2 was not ready after leader 1's late answer; it stays ready now.

--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -71,7 +71,8 @@
   void Finish(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer);
   void Tick();
   void PingLeader();
-  void OnPinged(const ClientAnswer& aAnswer);
+  /// Takes the answer to a ping of the leader of \p aEpoch.
+  void OnPinged(uint64_t aEpoch, const ClientAnswer& aAnswer);
   void Claim();
   void OnClaimed(Claimer::Outcome aOutcome);
   void OnAnswer(RequestToken aRequest, SubmitResult aResult);
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -137,14 +137,15 @@
   m_client.Send(m_succession.Leader()->m_address,
                 std::move(request),
                 kPingTimeout,
-                [self = shared_from_this()](const ClientAnswer& aAnswer) {
+                [self = shared_from_this(),
+                 epoch = m_succession.Leader()->m_epoch](const ClientAnswer& aAnswer) {
                   self->m_pinging = false;
-                  self->OnPinged(aAnswer);
+                  self->OnPinged(epoch, aAnswer);
                 });
 }
 
 void
-Node::OnPinged(const ClientAnswer& aAnswer)
+Node::OnPinged(uint64_t aEpoch, const ClientAnswer& aAnswer)
 {
   const Instant now = NowWithSuspend();
   PeerAnswer answer;
@@ -152,14 +153,12 @@
       !UnpackCompact(aAnswer.m_response.body(), answer)) {
     return; // silence is judged by time
   }
-  if (answer.m_outcome == PeerOutcome::Ok) {
+  m_succession.OnClaim(answer.m_leader, now); // passed over unless it is newer
+  const uint64_t leader = m_succession.Leader()->m_epoch;
+  if (answer.m_outcome == PeerOutcome::Ok && answer.m_leader.m_epoch == leader) {
     m_succession.OnPing(answer.m_storeAvailable, answer.m_strongest, now);
-    return;
-  }
-  if (answer.m_leader.m_epoch > m_succession.Leader()->m_epoch) {
-    m_succession.OnClaim(answer.m_leader, now);
-  } else {
-    m_succession.OnLeaderGone(now);
+  } else if (answer.m_outcome != PeerOutcome::Ok && aEpoch == leader) {
+    m_succession.OnLeaderGone(now); // an earlier leader could not tell
   }
 }
 
--- /dev/null
+++ b/unittests/Node/HandoverTest.cpp
@@ -0,0 +1,157 @@
+// Whom an instance believes about who decides, and to whom it passes that on.
+#include "egretturn/Journal/Codec.h"
+#include "egretturn/Node/Node.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kNodeAddress = "127.0.0.1:18976";
+constexpr const char* kOldLeader = "127.0.0.1:18977";
+constexpr const char* kNewLeader = "127.0.0.1:18978";
+
+StoredClaim
+ClaimOf(uint64_t aEpoch, const char* aAddress)
+{
+  StoredClaim claim;
+  claim.m_epoch = aEpoch;
+  claim.m_instance = "leader-" + std::to_string(aEpoch);
+  claim.m_address = aAddress;
+  return claim;
+}
+
+/// A store in memory with the topics of jobs and of the leader. Reads of a tail wait for a record.
+class SmallStore : public StorePort
+{
+public:
+  void ReadNewest(Topic aTopic, std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    aDone(TopicPage{ m_topics[aTopic], m_topics[aTopic].size() });
+  }
+
+  void ReadTail(Topic aTopic,
+                LogOffset aFrom,
+                Duration aWait,
+                std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    const std::vector<KeyedRecord>& records = m_topics[aTopic];
+    if (aFrom < records.size() || aWait == Duration::zero()) {
+      aDone(TopicPage{ { records.begin() + static_cast<ptrdiff_t>(aFrom), records.end() },
+                       records.size() });
+    } else {
+      m_waiting[aTopic] = [this, aTopic, aFrom, aDone] {
+        ReadTail(aTopic, aFrom, Duration::zero(), aDone);
+      };
+    }
+  }
+
+  void AppendAt(Topic aTopic,
+                LogOffset aAt,
+                const std::vector<KeyedRecord>& aRecords,
+                std::function<void(AppendResult)> aDone) override
+  {
+    if (aAt != m_topics[aTopic].size()) {
+      aDone({ AppendResult::Kind::Conflict, m_topics[aTopic].size() });
+    } else {
+      Append(aTopic, aRecords, std::move(aDone));
+    }
+  }
+
+  void Append(Topic aTopic,
+              const std::vector<KeyedRecord>& aRecords,
+              std::function<void(AppendResult)> aDone) override
+  {
+    std::vector<KeyedRecord>& records = m_topics[aTopic];
+    records.insert(records.end(), aRecords.begin(), aRecords.end());
+    aDone({ AppendResult::Kind::Appended, records.size() });
+    if (const std::function<void()> waiting = std::exchange(m_waiting[aTopic], nullptr)) {
+      waiting();
+    }
+  }
+
+  void Announce(const StoredClaim& aClaim)
+  {
+    Append(Topic::Leader, { { std::string(kClaimKey), PackCompact(aClaim) } }, [](AppendResult) {});
+  }
+
+private:
+  std::map<Topic, std::vector<KeyedRecord>> m_topics;
+  std::map<Topic, std::function<void()>> m_waiting;
+};
+
+class NoWorkers : public WorkerPort
+{
+public:
+  void Look(const LookAtWorker&, uint64_t, LookCallback) override {}
+  void Start(const StartTask&, uint64_t, OrderCallback) override {}
+  void Stop(const StopTask&, uint64_t, OrderCallback) override {}
+  void Pace(const PaceTask&, uint64_t, OrderCallback) override {}
+};
+
+/// One instance with a store, and peers that the test answers for.
+struct OneNode
+{
+  void Start()
+  {
+    NodeSettings settings;
+    settings.m_id = "instance";
+    settings.m_peerAddress = kNodeAddress;
+    settings.m_weight = 0.1;
+    m_node = std::make_shared<Node>(
+      m_io, settings, m_store, m_workers, [](const KeyedRecord&) -> Expected<WorkerReport> {
+        return Fail(ErrorKind::Corrupt, "no entry", "none");
+      });
+    REQUIRE(m_node->Start());
+  }
+
+  /// A peer that keeps the requests that it gets by their paths.
+  std::unique_ptr<HttpServer> MakePeer(const char* aAddress)
+  {
+    std::unique_ptr<HttpServer> server = std::make_unique<HttpServer>(
+      m_io,
+      HttpLimits(),
+      [this](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+        const boost::beast::string_view target = aRequest.target();
+        m_held[std::string(target.data(), target.size())].push_back(aReply);
+      });
+    REQUIRE(server->Listen(aAddress));
+    return server;
+  }
+
+  std::vector<std::shared_ptr<HttpReply>>& Held(PeerOperation aOperation)
+  {
+    return m_held[std::string(PathOf(aOperation))];
+  }
+
+  boost::asio::io_context m_io;
+  SmallStore m_store;
+  NoWorkers m_workers;
+  std::shared_ptr<Node> m_node;
+  std::map<std::string, std::vector<std::shared_ptr<HttpReply>>> m_held;
+};
+
+} // namespace
+
+// Guards against a leader that counts as gone, and is succeeded, for what its predecessor says.
+TEST_CASE("a predecessor that does not decide any more says nothing about the new leader")
+{
+  OneNode one;
+  one.m_store.Announce(ClaimOf(1, kOldLeader));
+  const std::unique_ptr<HttpServer> old = one.MakePeer(kOldLeader);
+  one.Start();
+  one.m_io.run_for(milliseconds(100));
+  REQUIRE(one.Held(PeerOperation::Ping).size() == 1);
+
+  one.m_store.Announce(ClaimOf(2, kNewLeader));
+  PeerAnswer answer;
+  answer.m_outcome = PeerOutcome::NotDeciding;
+  answer.m_leader = ClaimOf(1, kOldLeader); // all that it knows
+  one.Held(PeerOperation::Ping)[0]->Send(
+    MakeResponse(200, "application/msgpack", PackCompact(answer)));
+  one.m_io.run_for(milliseconds(50));
+  CHECK(one.m_node->IsReady());
+}
