Do not pass deciding on again at once to a peer that has not taken it

What callers would see: no leader for a part of every two seconds, for as long as the strongest instance can't claim.

Cause: a leader passes on to an instance with twice its share of a processor, judged by pings only. If the store turns that one away, the leader claims again itself, and passed on again once it had settled for 1 s.

Change: a peer that was asked, while deciding came back to this instance with the next epoch, is not asked again for 5 s; hand_over_refused says so.

--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -80,9 +80,12 @@
   void DropDecider();
   PeerAnswer NotDeciding() const;
   struct Peer;
+  /// The strongest of the peers that may succeed this leader, or nullptr.
   const Peer* StrongestPeer() const;
   void PassOn(const Peer* aTo);
   void YieldToStronger();
+  /// Notes that deciding has come back from where it was passed to, if that is so.
+  void NoteRefusal(const std::optional<StoredClaim>& aPredecessor, Instant aNow);
 
   struct Peer
   {
@@ -90,6 +93,13 @@
     Instant m_heardAt;
   };
 
+  /// A peer that was asked to succeed this leader and has not done so.
+  struct Refusal
+  {
+    std::string m_instance;
+    Instant m_until; ///< It is not asked before this.
+  };
+
   boost::asio::io_context& m_io;
   NodeSettings m_settings;
   StorePort& m_store;
@@ -104,6 +114,8 @@
   PlacedMessage m_lastPlaced; ///< Of the epoch under which this instance decided last.
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< By id: those that pinged this leader.
+  std::string m_passedTo;                        ///< Asked to succeed this leader, if any.
+  Refusal m_refusal;                             ///< The last one.
   std::set<std::shared_ptr<Call>> m_calls;       ///< Callers that wait for an answer.
   RequestToken m_nextRequest = 1;
   Instant m_startedAt;
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -9,6 +9,7 @@
 static constexpr Duration kPlacedTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration kClaimTimeout = std::chrono::milliseconds(1700);
 static constexpr Duration kPeerFresh = std::chrono::seconds(2);
+static constexpr Duration kPassAgain = std::chrono::seconds(5); // to a peer that has not claimed
 static constexpr Duration kSettledLeader = std::chrono::seconds(1); // before it passes on
 
 // A leader passes on to an instance with so many times its share of a processor.
@@ -70,7 +71,8 @@
   for (const std::pair<const std::string, Peer>& peerEntry : m_peers) {
     const Peer& peer = peerEntry.second;
     const bool fresh = now - peer.m_heardAt < kPeerFresh;
-    if (fresh && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
+    const bool refuses = peerEntry.first == m_refusal.m_instance && now < m_refusal.m_until;
+    if (fresh && !refuses && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
       best = &peer;
     }
   }
@@ -81,6 +83,7 @@
 Node::PassOn(const Peer* aTo)
 {
   const std::string address = aTo ? aTo->m_ping.m_address : std::string();
+  m_passedTo = aTo ? aTo->m_ping.m_instance : std::string();
   Log(LogLine(LogLevel::Info, "hand_over")
         .Add("epoch", m_decider->Claim().m_epoch)
         .Add("to", aTo ? aTo->m_ping.m_instance : "nobody"));
@@ -96,6 +99,20 @@
   }
 }
 
+void
+Node::NoteRefusal(const std::optional<StoredClaim>& aPredecessor, Instant aNow)
+{
+  const std::string asked = std::exchange(m_passedTo, std::string());
+  const bool cameBack = aPredecessor && aPredecessor->m_instance == m_settings.m_id;
+  if (asked.empty() || !cameBack) {
+    return;
+  }
+  m_refusal = { asked, aNow + kPassAgain }; // the store may turn it away
+  Log(LogLine(LogLevel::Warning, "hand_over_refused")
+        .Add("by", asked)
+        .Add("retry_ms", ToMillis(kPassAgain)));
+}
+
 void
 Node::YieldToStronger()
 {
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -209,6 +209,7 @@
         .Add("epoch", claim.m_epoch)
         .Add("jobs", uint64_t{ aOutcome.m_state.m_jobs.size() }));
   m_succession.OnClaim(claim, now);
+  NoteRefusal(predecessor, now);
   m_decidingSince = now;
   m_peers.clear();
   Decider::Callbacks callbacks;
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -155,3 +155,24 @@
   one.m_io.run_for(milliseconds(50));
   CHECK(one.m_node->IsReady());
 }
+
+// Guards against a leader that passes on, again and again, to a peer that can't succeed it.
+TEST_CASE("deciding is not passed on again at once to a peer that has not taken it")
+{
+  OneNode one;
+  const std::unique_ptr<HttpServer> strong = one.MakePeer(kNewLeader);
+  one.Start();
+  HttpClient client(one.m_io, 4096);
+  const PingMessage ping{ "strong", kNewLeader, 1.0 };
+  for (int i = 0; i < 14; ++i) { // it pings, but does not claim
+    client.Send(kNodeAddress,
+                MakeRequest(boost::beast::http::verb::post,
+                            std::string(PathOf(PeerOperation::Ping)),
+                            PackCompact(ping)),
+                seconds(1),
+                [](const ClientAnswer&) {});
+    one.m_io.run_for(milliseconds(400));
+  }
+  CHECK(one.Held(PeerOperation::Claim).size() == 1);
+  CHECK(one.m_node->IsReady());
+}
