--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -71,7 +71,8 @@
   void Finish(const std::shared_ptr<Call>& aCall, const PeerAnswer& aAnswer);
   void Tick();
   void PingLeader();
-  void OnPinged(const ClientAnswer& aAnswer);
+  /// Takes the answer to a ping of the leader of \p aEpoch.
+  void OnPinged(uint64_t aEpoch, const ClientAnswer& aAnswer);
   void Claim();
   void OnClaimed(Claimer::Outcome aOutcome);
   void OnAnswer(RequestToken aRequest, SubmitResult aResult);
@@ -79,9 +80,12 @@
   void DropDecider();
   PeerAnswer NotDeciding() const;
   struct Peer;
+  /// The strongest of the peers that may succeed this leader, or nullptr.
   const Peer* StrongestPeer() const;
   void PassOn(const Peer* aTo);
   void YieldToStronger();
+  /// Notes that deciding has come back from where it was passed to, if that is so.
+  void NoteRefusal(const std::optional<StoredClaim>& aPredecessor, Instant aNow);
 
   struct Peer
   {
@@ -89,6 +93,13 @@
     Instant m_heardAt;
   };
 
+  /// A peer that was asked to succeed this leader and has not done so.
+  struct Refusal
+  {
+    std::string m_instance;
+    Instant m_until; ///< It is not asked before this.
+  };
+
   boost::asio::io_context& m_io;
   NodeSettings m_settings;
   StorePort& m_store;
@@ -103,6 +114,8 @@
   PlacedMessage m_lastPlaced; ///< Of the epoch under which this instance decided last.
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< By id: those that pinged this leader.
+  std::string m_passedTo;                        ///< Asked to succeed this leader, if any.
+  Refusal m_refusal;                             ///< The last one.
   std::set<std::shared_ptr<Call>> m_calls;       ///< Callers that wait for an answer.
   RequestToken m_nextRequest = 1;
   Instant m_startedAt;
--- a/lib/Scheduler/Orders.cpp
+++ b/lib/Scheduler/Orders.cpp
@@ -59,7 +59,7 @@
   if (aResult == OrderResult::Unanswered) {
     run->m_phase = RunPhase::Unanswered;
     run->m_phaseSince = aNow;
-    NoteConduct(*worker, false, aNow);
+    NoteFailure(*worker, aNow, aNow);
     return;
   }
   worker->m_outdated = true; // its clock or its runs may be others than thought
@@ -69,7 +69,7 @@
   const bool ourFault = aResult == OrderResult::NoRoom || aResult == OrderResult::TooLate ||
                         aResult == OrderResult::Superseded;
   if (!ourFault) {
-    NoteConduct(*worker, false, aNow);
+    NoteFailure(*worker, aNow, aNow);
   }
   LoseRun(*worker, aTask, aNow, "not_started");
 }
