Ask an idle worker for its clock once a minute

What callers would see: the first task on a worker that was idle for more than some minutes starts late, or lapses at once.

Cause: a lease ends at a time on the worker's clock, reckoned from its last answer as if the clock were 2% slow. A worker without runs was not looked at, so that the reckoned time fell behind the clock without bound: a lease of 6 s was down to nothing after 300 s.

Change: a listed worker whose last answer is 60 s old is looked at; a lease is then at most 1.2 s short.

Test: the first start after six idle minutes had a lease that was over 1.2 s before it was sent; it has at least 4 s now, with at most 8 looks in the six minutes.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -85,7 +85,8 @@
 
   int64_t m_clockMs = 0; ///< Its clock when it last answered.
   Instant m_clockAt;
-  Instant m_leaseOverAt; ///< All runs have lapsed by then, unless the lease is extended.
+  bool m_clockStale = false; ///< Too old to grant leases by.
+  Instant m_leaseOverAt;     ///< All runs have lapsed by then, unless the lease is extended.
 
   bool m_lookInFlight = false;
   uint64_t m_lookNumber = 0; ///< Of the look in flight.
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -435,6 +435,7 @@
   worker->m_looked = true;
   worker->m_clockMs = aView.m_clockMs;
   worker->m_clockAt = aNow;
+  worker->m_clockStale = false;
   worker->m_endsAcknowledged = std::max(worker->m_endsAcknowledged, worker->m_acknowledging);
   for (const EndedRow& row : aView.m_ended) {
     if (row.m_number > worker->m_endsSeen) {
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -11,6 +11,8 @@
 static constexpr Duration kStopRetry = std::chrono::milliseconds(400);
 static constexpr Duration kLookWait = std::chrono::milliseconds(1500);
 static constexpr Duration kWatchfulLookWait = std::chrono::milliseconds(500);
+// A lease is granted by the least that the worker's clock may show, so that it shrinks with this.
+static constexpr Duration kClockAge = std::chrono::seconds(60);
 static constexpr Duration kFreshAnswer =
   std::chrono::milliseconds(150); // no worker restarts in less
 
@@ -191,7 +193,7 @@
 {
   // Only an answer ends a loss of contact, so a worker that may get work again is asked until then.
   const bool outOfContact = aWorker.m_listed && aWorker.m_failedLooks > 0;
-  return !aWorker.m_runs.empty() || !aWorker.m_looked || outOfContact ||
+  return !aWorker.m_runs.empty() || !aWorker.m_looked || outOfContact || aWorker.m_clockStale ||
          aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
 }
 
@@ -233,6 +235,8 @@
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     m_counters.m_workersListed += worker->m_listed ? 1 : 0;
     m_counters.m_workersOutOfContact += worker->m_listed && worker->m_failedLooks > 0 ? 1 : 0;
+    worker->m_clockStale =
+      worker->m_listed && worker->m_looked && aNow - worker->m_clockAt >= kClockAge;
     if (nothingToWrite && worker->m_endsSeen > worker->m_endsDurable) {
       SetEndsDurable(*worker, worker->m_endsSeen);
       worker->m_lookDueAt = std::min(worker->m_lookDueAt, aNow); // acknowledges them
--- a/unittests/Scheduler/ContactTest.cpp
+++ b/unittests/Scheduler/ContactTest.cpp
@@ -70,6 +70,7 @@
   bool m_storeHolds = false;                     ///< The store takes appends, but does not answer.
   std::optional<uint64_t> m_heldBatch;
   size_t m_looks = 0;
+  Duration m_lastLease{}; ///< Of the last start, on the worker's clock.
 
 private:
   static constexpr Duration kPerPercent = milliseconds(600);
@@ -116,6 +117,7 @@
       m_scheduler.OnStop(stop->m_worker, stop->m_task, stop->m_run, OrderResult::Accepted, m_now);
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
       const bool reached = m_unreachable.count(start->m_worker) == 0;
+      m_lastLease = milliseconds(start->m_untilMs - WallMs());
       m_scheduler.OnStart(start->m_worker,
                           start->m_task,
                           start->m_run,
@@ -322,3 +324,16 @@
   world.Advance(seconds(1));
   CHECK_FALSE(world.m_scheduler.Workers().Find("w"));
 }
+
+// Guards against a start that comes too late or lapses at once, since nobody asked for the clock.
+TEST_CASE("a worker that was idle for minutes gets its first task with most of a lease")
+{
+  ContactWorld world;
+  world.List("w");
+  world.Advance(std::chrono::minutes(6));
+  CHECK(world.m_looks <= 8); // rarely, as nothing happens there
+  world.SubmitLasting(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+  CHECK(world.m_lastLease >= seconds(4));
+}
