Let the random test break when a look that is due is not sent

What the check missed: a look that was due long ago and never sent passed the check of looks, as only a due time far ahead failed.

--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -403,8 +403,11 @@
     const Obstacle obstacle = FindUnavailability(*worker, m_now);
     const bool asked = obstacle == Obstacle::NotLooked || obstacle == Obstacle::OutOfContact ||
                        !worker->m_runs.empty();
-    const bool inTime = worker->m_lookInFlight ? m_now - worker->m_lookSentAt <= kLongestLook
-                                               : worker->m_lookDueAt <= m_now + kLongestLookPause;
+    // A look that was due is in flight by now: this follows a turn of the scheduler.
+    const bool dueSoon =
+      worker->m_lookDueAt > m_now && worker->m_lookDueAt <= m_now + kLongestLookPause;
+    const bool inTime =
+      worker->m_lookInFlight ? m_now - worker->m_lookSentAt <= kLongestLook : dueSoon;
     if (asked && !inTime) {
       m_oracle.Break("no look in time: " + worker->m_report.m_id + " " +
                      std::string(NameOf(obstacle)));
