Evacuate what a successor finds on a draining worker

Cause: a worker is evacuated only when its entry turns to draining. A successor knows the runs only after its first look, so that what it adopts on a worker that drains already stays there until the worker has left and its lease is over. Change: each look at a draining worker evacuates what runs there; runs that are being stopped are not stopped again. Test: the new case of RecoveryTest failed before (0 stops, 1 expected) and passes now; the file's five cases were built by hand and run, the rest of the unit tests were not run.

--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -444,6 +444,9 @@
     HandleRow(*worker, row, aNow);
   }
   DropVanished(*worker, aView, aNow);
+  if (worker->m_report.m_draining) {
+    EvacuateWorker(*worker, aNow); // also what has been adopted since it began to drain
+  }
   AdjustPace(*worker, aNow);
   MoveStragglers(*worker, aNow);
   if (m_dirty.empty() && !m_batchInFlight) {
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -87,6 +87,44 @@
   CHECK(paces.back() == 100);
 }
 
+// Guards against a lasting task that stays on a leaving worker, and stands still when it has left,
+// since the worker began to drain before the successor knew what runs there.
+TEST_CASE("a successor moves what it finds on a worker that is draining")
+{
+  Instant now(std::chrono::hours(1));
+  Scheduler scheduler(SchedulerLimits(), 2, now);
+  StoredJob stored;
+  stored.m_id = 7;
+  stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+  GraphStep step;
+  step.m_demand = { 2000, 1000, 0 };
+  step.m_lasting = true;
+  stored.m_graph.m_steps.push_back(step);
+  scheduler.RestoreJob(stored, now, 0);
+  scheduler.RestoreWorker(MakeReport("w"), now);
+  WorkerReport leaving = MakeReport("w");
+  leaving.m_draining = true;
+  scheduler.UpdateWorker(leaving, now);
+  scheduler.DirectoryComplete();
+
+  WorkerView view;
+  view.m_running.push_back({ { 7, 0, 0, 0 }, 1, "", 40, 0 });
+  size_t stops = 0;
+  for (int i = 0; i < 25; ++i, now += milliseconds(20)) {
+    scheduler.Tick(now, ToMillis(now.time_since_epoch()));
+    for (const Action& action : scheduler.TakeActions()) {
+      if (const LookAtWorker* look = std::get_if<LookAtWorker>(&action)) {
+        scheduler.OnLook("w", look->m_number, view, now);
+      } else if (const StopTask* stop = std::get_if<StopTask>(&action)) {
+        CHECK(stop->m_task == TaskRef{ 7, 0, 0, 0 });
+        scheduler.OnStop("w", stop->m_task, stop->m_run, OrderResult::Accepted, now);
+        ++stops;
+      }
+    }
+  }
+  CHECK(stops == 1);
+}
+
 namespace {
 
 /// A store that keeps the newest record of each key, and whose answers can be held back.
