--- a/include/egretturn/Node/Decider.h
+++ b/include/egretturn/Node/Decider.h
@@ -63,6 +63,9 @@
   Scheduler& Core() { return m_scheduler; }
 
 private:
+  static constexpr uint64_t kSkippedLines = 5; ///< On odd entries, in each span.
+  static constexpr Duration kSkippedSpan = std::chrono::seconds(10);
+
   /// Takes a step soon, together with what else comes in.
   void Wake();
   void WakeAt(Instant aAt);
@@ -100,7 +103,7 @@
   bool m_stopped = false;
   bool m_timerSet = false;
   Instant m_wakeAt;
-  LogQuota m_skippedEntries{ 5, std::chrono::seconds(10) };
+  LogQuota m_skippedEntries{ kSkippedLines, kSkippedSpan };
 };
 
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -76,8 +76,8 @@
   bool m_listed = true;                        ///< The directory has an entry for it.
   RecordState m_record = RecordState::Missing; ///< So that a successor looks at it.
   bool m_looked = false;                       ///< It has answered under the present epoch.
-  bool m_outdated = false; ///< What it last answered may not hold: it may have started again, say.
-  int64_t m_incarnation = 0;        ///< By its own answers; 0 before the first one.
+  bool m_outdated = false;   ///< Its last answer may no longer hold, as it may have restarted.
+  int64_t m_incarnation = 0; ///< By its own answers; 0 before the first one.
   int64_t m_doubtedIncarnation = 0; ///< Of an answer that was older than the directory's entry.
   std::unordered_map<TaskRef, WorkerRun, TaskRefHash> m_runs;
   Demand m_used;            ///< Of runs that reserve; memory of all runs.
--- a/lib/Scheduler/Ends.cpp
+++ b/lib/Scheduler/Ends.cpp
@@ -346,10 +346,11 @@
 bool
 Scheduler::BelievesAnswer(Worker& aWorker, int64_t aIncarnation)
 {
+  // Of two answers in a row, the second look was sent after the first answer had come, so that the
+  // same incarnation in both is the present one.
   const int64_t latest = std::max(aWorker.m_incarnation, aWorker.m_report.m_incarnation);
   if (aIncarnation == 0 || aIncarnation >= latest || aIncarnation == aWorker.m_doubtedIncarnation) {
-    return true; // also if it has answered two looks, of which one was sent after the other's
-                 // answer
+    return true;
   }
   Log(LogLine(LogLevel::Info, "worker_answer_doubted")
         .Add("worker", aWorker.m_report.m_id)
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -111,9 +111,9 @@
 {
   Worker* known = m_fleet.Find(aReport.m_id);
   // Entries that are only repeated ask for nothing.
-  const bool otherLife = known && aReport.m_incarnation != known->m_incarnation &&
-                         aReport.m_incarnation != known->m_report.m_incarnation;
-  if (known && (otherLife || !known->m_listed)) {
+  const bool otherIncarnation = known && aReport.m_incarnation != known->m_incarnation &&
+                                aReport.m_incarnation != known->m_report.m_incarnation;
+  if (known && (otherIncarnation || !known->m_listed)) {
     known->m_lookDueAt = aNow; // the worker itself tells what runs there
     known->m_outdated = true;
   }
