--- a/unittests/Node/DeciderTest.cpp
+++ b/unittests/Node/DeciderTest.cpp
@@ -1,9 +1,12 @@
 // What a deciding instance makes of appends whose answers are lost.
+#include "NodeFakes.h"
+
 #include "egretturn/Node/Decider.h"
 
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
+using namespace egretturn::nodetest;
 using std::chrono::milliseconds;
 
 namespace {
@@ -45,15 +48,6 @@
   int m_settling = 0;
 };
 
-class NoWorkers : public WorkerPort
-{
-public:
-  void Look(const LookAtWorker&, uint64_t, LookCallback) override {}
-  void Start(const StartTask&, uint64_t, OrderCallback) override {}
-  void Stop(const StopTask&, uint64_t, OrderCallback) override {}
-  void Pace(const PaceTask&, uint64_t, OrderCallback) override {}
-};
-
 } // namespace
 
 // Guards against an instance that decides for good without ever writing again.
@@ -69,9 +63,7 @@
     io,
     store,
     workers,
-    [](const KeyedRecord&) -> Expected<WorkerReport> {
-      return Fail(ErrorKind::Corrupt, "no entry", "none");
-    },
+    DecodeNoEntry,
     SchedulerLimits(),
     claim,
     Decider::Callbacks{ [](RequestToken, SubmitResult) {},
--- a/unittests/Node/ForwardingTest.cpp
+++ b/unittests/Node/ForwardingTest.cpp
@@ -1,4 +1,6 @@
 // What callers are told while nobody decides, and when their instance leaves.
+#include "NodeFakes.h"
+
 #include "egretturn/Journal/Codec.h"
 #include "egretturn/Node/Node.h"
 
@@ -6,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
+using namespace egretturn::nodetest;
 using std::chrono::milliseconds;
 
 namespace {
@@ -15,16 +18,6 @@
 constexpr const char* kNewLeader = "127.0.0.1:18974";
 constexpr Duration kDeadline = std::chrono::seconds(3);
 
-StoredClaim
-ClaimOf(uint64_t aEpoch, const char* aAddress)
-{
-  StoredClaim claim;
-  claim.m_epoch = aEpoch;
-  claim.m_instance = "leader-" + std::to_string(aEpoch);
-  claim.m_address = aAddress;
-  return claim;
-}
-
 /// A store that names a leader and answers nothing else.
 class NamingStore : public StorePort
 {
@@ -50,15 +43,6 @@
   std::optional<StoredClaim> m_leader;
 };
 
-class NoWorkers : public WorkerPort
-{
-public:
-  void Look(const LookAtWorker&, uint64_t, LookCallback) override {}
-  void Start(const StartTask&, uint64_t, OrderCallback) override {}
-  void Stop(const StopTask&, uint64_t, OrderCallback) override {}
-  void Pace(const PaceTask&, uint64_t, OrderCallback) override {}
-};
-
 /// One instance that does not decide, with the answers that its callers got.
 struct OneNode
 {
@@ -68,10 +52,7 @@
     NodeSettings settings;
     settings.m_id = "instance";
     settings.m_peerAddress = kNodeAddress;
-    m_node = std::make_shared<Node>(
-      m_io, settings, m_store, m_workers, [](const KeyedRecord&) -> Expected<WorkerReport> {
-        return Fail(ErrorKind::Corrupt, "no entry", "none");
-      });
+    m_node = std::make_shared<Node>(m_io, settings, m_store, m_workers, DecodeNoEntry);
     REQUIRE(m_node->Start());
   }
 
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -1,10 +1,13 @@
 // Whom an instance believes about who decides, and to whom it passes that on.
+#include "NodeFakes.h"
+
 #include "egretturn/Journal/Codec.h"
 #include "egretturn/Node/Node.h"
 
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
+using namespace egretturn::nodetest;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -14,16 +17,6 @@
 constexpr const char* kOldLeader = "127.0.0.1:18977";
 constexpr const char* kNewLeader = "127.0.0.1:18978";
 
-StoredClaim
-ClaimOf(uint64_t aEpoch, const char* aAddress)
-{
-  StoredClaim claim;
-  claim.m_epoch = aEpoch;
-  claim.m_instance = "leader-" + std::to_string(aEpoch);
-  claim.m_address = aAddress;
-  return claim;
-}
-
 /// A store in memory with the topics of jobs and of the leader. Reads of a tail wait for a record.
 class SmallStore : public StorePort
 {
@@ -83,15 +76,6 @@
   std::map<Topic, std::function<void()>> m_waiting;
 };
 
-class NoWorkers : public WorkerPort
-{
-public:
-  void Look(const LookAtWorker&, uint64_t, LookCallback) override {}
-  void Start(const StartTask&, uint64_t, OrderCallback) override {}
-  void Stop(const StopTask&, uint64_t, OrderCallback) override {}
-  void Pace(const PaceTask&, uint64_t, OrderCallback) override {}
-};
-
 /// One instance with a store, and peers that the test answers for.
 struct OneNode
 {
@@ -101,10 +85,7 @@
     settings.m_id = "instance";
     settings.m_peerAddress = kNodeAddress;
     settings.m_weight = 0.1;
-    m_node = std::make_shared<Node>(
-      m_io, settings, m_store, m_workers, [](const KeyedRecord&) -> Expected<WorkerReport> {
-        return Fail(ErrorKind::Corrupt, "no entry", "none");
-      });
+    m_node = std::make_shared<Node>(m_io, settings, m_store, m_workers, DecodeNoEntry);
     REQUIRE(m_node->Start());
   }
 
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -215,39 +215,3 @@
   CHECK(scheduler.StateOf(7));
   CHECK_FALSE(store.m_records[JobKey(7)].empty());
 }
-
-// Guards against tasks that stay on a draining worker until it exits, since they were adopted
-// later.
-TEST_CASE("a task adopted on a worker that drains is moved away")
-{
-  Instant now(std::chrono::hours(1));
-  Scheduler scheduler(SchedulerLimits(), 2, now);
-  StoredJob stored;
-  stored.m_id = 7;
-  stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-  GraphStep step;
-  step.m_demand = { 2000, 1000, 0 };
-  step.m_lasting = true;
-  stored.m_graph.m_steps.push_back(step);
-  scheduler.RestoreJob(stored, now, 0);
-  scheduler.RestoreWorker(MakeReport("w"), now);
-  WorkerReport draining = MakeReport("w");
-  draining.m_draining = true;
-  scheduler.UpdateWorker(draining, now);
-  scheduler.DirectoryComplete();
-
-  WorkerView view;
-  view.m_running.push_back({ { 7, 0, 0, 0 }, 1, "", 100, 0 });
-  size_t stops = 0;
-  for (int i = 0; i < 10; ++i, now += milliseconds(20)) {
-    scheduler.Tick(now, ToMillis(now.time_since_epoch()));
-    for (const Action& action : scheduler.TakeActions()) {
-      if (const LookAtWorker* look = std::get_if<LookAtWorker>(&action)) {
-        scheduler.OnLook("w", look->m_number, view, now);
-      } else if (std::get_if<StopTask>(&action)) {
-        ++stops;
-      }
-    }
-  }
-  CHECK(stops == 1);
-}
