--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -85,7 +85,7 @@
   for (const char* good : { "10.0.0.1:8000", "[::1]:80", "127.0.0.1:65535" }) {
     CHECK(ParseEndpoint(good));
   }
-  const std::string hidden("10.0.0.1\0x:80", 14);
+  const std::string hidden("10.0.0.1\0x:80", 13);
   const std::string longText(100000, 'x');
   for (const std::string& bad : { std::string(),
                                   std::string("10.0.0.1"),
