--- a/unittests/Platform/DecodeFuzzTest.cpp
+++ b/unittests/Platform/DecodeFuzzTest.cpp
@@ -397,7 +397,7 @@
     static const std::string kPage =
       R"({"items":[{"key":"i-1","value":"dg==","offset":1}],"has_more":false,"end":9})";
     std::string beside = kPage;
-    beside.insert(beside.find("[") + 1, OddValue(aRandom) + ",");
+    beside.insert(beside.find('[') + 1, OddValue(aRandom) + ",");
     if (const Expected<NewestPage> page = DecodeNewest(beside)) {
       REQUIRE(page->m_page.m_records.size() == 1);
       CHECK(page->m_page.m_records[0].m_value == "v");
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -279,7 +279,7 @@
   std::string rows;
   for (const std::string& number :
        { std::string("0"), std::string("-1"), std::string("1e300"), std::string(400, '9') }) {
-    rows += "[" + number + "," + task + R"(,1,"done",""],)";
+    rows.append("[").append(number).append(",").append(task).append(R"(,1,"done",""],)");
   }
   SkippedRows skipped;
   const Expected<WorkerView> view =
