Say which tasks and workers a recovery waits for; begin the postmortem

The log could not tell why: tasks_waiting left out the tasks that wait for the recovery, and no line named the workers it waits for.

Added: the line recovery_waiting once a second (workers awaited, those without an entry, the one whose lease ends last), the part "recovering" of tasks_waiting, and the metric egretturn_tasks_recovering. No decision changes. Test: "tasks that wait for the recovery are counted with the waiting tasks".

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -59,8 +59,10 @@
   uint64_t m_throttles = 0;
   uint64_t m_polls = 0;
   uint64_t m_batches = 0;
-  uint64_t m_tasksWaiting = 0; ///< Ready tasks without a worker, as of the last waiting report.
-  uint64_t m_tasksSkipped = 0; ///< The part of m_tasksWaiting for which no placement was tried.
+  uint64_t m_tasksWaiting = 0;    ///< Ready tasks without a worker, as of the last waiting report.
+  uint64_t m_tasksSkipped = 0;    ///< The part of m_tasksWaiting for which no placement was tried.
+  uint64_t m_tasksRecovering = 0; ///< The part of m_tasksWaiting that may run on a worker of an
+                                  ///< earlier epoch.
   uint64_t m_workersRegistered = 0;
   uint64_t m_workersUnreachable = 0; ///< Registered workers whose last polls failed.
 };
@@ -176,6 +178,8 @@
   /// Delay before the next poll, so that one poll reports several ends.
   static constexpr Duration kPollDelay = std::chrono::milliseconds(20);
 
+  static constexpr Duration kRecoveryReportInterval = std::chrono::seconds(1);
+
   struct WaitingStep
   {
     Job* m_job;
@@ -255,6 +259,7 @@
   void ReportUnplacedStep(const WaitingStep& aWaiting,
                           const PlacementRequest& aRequest,
                           Instant aNow);
+  void ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
   void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   /// If \p aThrottled is set, a best-effort attempt is throttled for its serving neighbors from the
@@ -293,6 +298,8 @@
 
   // Recovery.cpp
   void CheckRecovery(Instant aNow);
+  /// Logs which workers the recovery waits for, if a report is due.
+  void ReportRecovery(Instant aNow);
   bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
 
   // Scheduler.cpp
@@ -333,6 +340,7 @@
   bool m_recovered = false;
   std::optional<PlacedIndex> m_previouslyPlaced; ///< If the previous leader has reported it.
   Instant m_createdAt;
+  Instant m_nextRecoveryReportAt;
   int64_t m_wallMs = 0;
   bool m_placementNeeded = false;
   Instant m_nextPlacementAt;
--- a/include/egretturn/Scheduler/WaitingReport.h
+++ b/include/egretturn/Scheduler/WaitingReport.h
@@ -14,6 +14,7 @@
   uint32_t m_steps = 0;
   uint32_t m_tasks = 0;
   uint32_t m_skipped = 0;       ///< Tasks that were not tried, because a similar step did not fit.
+  uint32_t m_recovering = 0;    ///< Tasks that may run on a worker of an earlier epoch.
   Duration m_oldestAge{};       ///< Age of the oldest of their jobs.
   ObstacleCounts m_obstacles{}; ///< Workers by what keeps the last tried step from them.
 };
@@ -22,7 +23,8 @@
 struct WaitingTotals
 {
   uint64_t m_tasks = 0;
-  uint64_t m_skipped = 0; ///< The part of m_tasks that was not tried.
+  uint64_t m_skipped = 0;    ///< The part of m_tasks that was not tried.
+  uint64_t m_recovering = 0; ///< The part of m_tasks that may run on a worker of an earlier epoch.
 };
 
 /// Collects why tasks wait. Not thread-safe.
@@ -38,6 +40,10 @@
                    Duration aAge,
                    const ObstacleCounts& aObstacles);
 
+  /// Adds \p aTasks tasks of \p aImage that an earlier epoch may have started on a worker that has
+  /// not been polled yet.
+  void AddRecovering(ImageId aImage, uint32_t aTasks, Duration aAge);
+
   /// Returns the totals over all images.
   WaitingTotals Totals() const;
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -440,6 +440,7 @@
     { "egretturn_batches_total", counters.m_batches },
     { "egretturn_tasks_waiting", counters.m_tasksWaiting },
     { "egretturn_tasks_passed_over", counters.m_tasksSkipped },
+    { "egretturn_tasks_recovering", counters.m_tasksRecovering },
     { "egretturn_workers_listed", counters.m_workersRegistered },
     { "egretturn_workers_out_of_contact", counters.m_workersUnreachable },
   };
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -103,16 +103,59 @@
   });
 }
 
+/// Returns whether \p aWorker may run tasks that an earlier epoch has started.
+static bool
+MayRunEarlierTasks(const Worker& aWorker, Instant aNow)
+{
+  return !aWorker.m_polled && aNow < aWorker.m_leaseExpiresAt;
+}
+
 void
-Scheduler::CheckRecovery(Instant aNow)
+Scheduler::ReportRecovery(Instant aNow)
 {
-  if (m_recovered || !m_directoryRead) {
+  if (aNow < m_nextRecoveryReportAt || !LogEnabled(LogLevel::Info)) {
     return;
   }
+  m_nextRecoveryReportAt = aNow + kRecoveryReportInterval;
+  uint64_t awaited = 0;
+  uint64_t unregistered = 0;
+  const Worker* last = nullptr;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (!worker->m_polled && aNow < worker->m_leaseExpiresAt) {
-      return;
+    if (!MayRunEarlierTasks(*worker, aNow)) {
+      continue;
     }
+    ++awaited;
+    unregistered += worker->m_registered ? 0 : 1;
+    last = !last || worker->m_leaseExpiresAt > last->m_leaseExpiresAt ? worker.get() : last;
+  }
+  LogLine line(LogLevel::Info, "recovery_waiting");
+  line.Add("epoch", m_epoch)
+    .Add("ms", ToMillis(aNow - m_createdAt))
+    .Add("directory_read", m_directoryRead ? 1 : 0)
+    .Add("placed_known", m_previouslyPlaced ? 1 : 0)
+    .Add("workers", awaited)
+    .Add("unlisted", unregistered);
+  if (last) {
+    line.Add("last_worker", last->m_report.m_id)
+      .Add("remaining_ms", ToMillis(last->m_leaseExpiresAt - aNow))
+      .Add("failed_looks", last->m_failedPolls);
+  }
+  Log(std::move(line));
+}
+
+void
+Scheduler::CheckRecovery(Instant aNow)
+{
+  if (m_recovered) {
+    return;
+  }
+  ReportRecovery(aNow);
+  const bool waits = std::any_of(
+    m_fleet.All().begin(), m_fleet.All().end(), [&](const std::unique_ptr<Worker>& aWorker) {
+      return MayRunEarlierTasks(*aWorker, aNow);
+    });
+  if (waits || !m_directoryRead) {
+    return;
   }
   m_recovered = true;
   m_previouslyPlaced.reset();
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -24,6 +24,7 @@
   , m_fleet(aLimits.m_lease)
   , m_nextBatchAt(aNow)
   , m_createdAt(aNow)
+  , m_nextRecoveryReportAt(aNow + kRecoveryReportInterval)
   , m_nextPlacementAt(aNow)
   , m_nextSweepAt(aNow)
   , m_modelsWrittenAt(aNow)
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -74,9 +74,14 @@
             continue;
           }
           any = true;
-          const bool blocked = job->m_recovered && !m_recovered && !m_previouslyPlaced;
-          if (!blocked && JobRegistry::IsReady(*job, occurrence, s)) {
-            waiting.push_back({ job, &occurrence, static_cast<uint16_t>(s), rank });
+          const WaitingStep step{ job, &occurrence, static_cast<uint16_t>(s), rank };
+          if (!JobRegistry::IsReady(*job, occurrence, s)) {
+            continue;
+          }
+          if (job->m_recovered && !m_recovered && !m_previouslyPlaced) {
+            ReportRecoveringTasks(step, occurrence.m_steps[s].m_waiting, aNow);
+          } else {
+            waiting.push_back(step);
           }
         }
       }
@@ -115,13 +120,13 @@
     return;
   }
   m_placementNeeded = false;
+  if (aNow >= m_nextWaitingReportAt) {
+    m_waitingReport.emplace();
+  }
   const std::vector<WaitingStep> steps = CollectReadySteps(aNow);
   m_nextPlacementAt =
     aNow + kMinPlacementInterval +
     std::min<Duration>(kPlacementIntervalPerStep * steps.size(), kMaxExtraPlacementInterval);
-  if (aNow >= m_nextWaitingReportAt) {
-    m_waitingReport.emplace();
-  }
   std::vector<PlacementRequest> failedRequests;
   for (const WaitingStep& waiting : steps) {
     const PlacementRequest request = MakePlacementRequest(waiting, aNow);
@@ -164,6 +169,16 @@
                                CountObstacles(m_fleet, aRequest, aNow));
 }
 
+void
+Scheduler::ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow)
+{
+  if (!m_waitingReport) {
+    return;
+  }
+  const ImageId image = m_interference.Intern(StepOf(aWaiting).m_image);
+  m_waitingReport->AddRecovering(image, aTasks, aNow - aWaiting.m_job->m_submittedAt);
+}
+
 void
 Scheduler::FinishWaitingReport(Instant aNow)
 {
@@ -174,6 +189,7 @@
   const WaitingTotals totals = m_waitingReport->Totals();
   m_counters.m_tasksWaiting = totals.m_tasks;
   m_counters.m_tasksSkipped = totals.m_skipped;
+  m_counters.m_tasksRecovering = totals.m_recovering;
   if (LogEnabled(LogLevel::Info)) {
     m_waitingReport->LogLines(m_interference);
     m_interference.LogChanges();
@@ -214,7 +230,11 @@
   for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
     const TaskRecord& task = record.m_tasks[i];
     const TaskRef ref = MakeTaskRef(aWaiting, i);
-    if (task.m_done || !task.m_attempts.empty() || MayRunElsewhere(*aWaiting.m_job, ref)) {
+    if (task.m_done || !task.m_attempts.empty()) {
+      continue;
+    }
+    if (MayRunElsewhere(*aWaiting.m_job, ref)) {
+      ReportRecoveringTasks(aWaiting, 1, aNow);
       continue;
     }
     aRequest.m_avoidedWorker = task.m_avoidedWorker;
@@ -238,6 +258,7 @@
   }
   for (size_t i = 0; i < record.m_tasks.size(); ++i) {
     if (MayRunElsewhere(*aWaiting.m_job, MakeTaskRef(aWaiting, i))) {
+      ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
       return;
     }
   }
--- a/lib/Scheduler/WaitingReport.cpp
+++ b/lib/Scheduler/WaitingReport.cpp
@@ -31,6 +31,12 @@
   AddTasks(aImage, aTasks, aAge).m_obstacles = aObstacles;
 }
 
+void
+WaitingReport::AddRecovering(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  AddTasks(aImage, aTasks, aAge).m_recovering += aTasks;
+}
+
 WaitingTotals
 WaitingReport::Totals() const
 {
@@ -38,6 +44,7 @@
   for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
     totals.m_tasks += imageEntry.second.m_tasks;
     totals.m_skipped += imageEntry.second.m_skipped;
+    totals.m_recovering += imageEntry.second.m_recovering;
   }
   return totals;
 }
@@ -52,6 +59,7 @@
       .Add("steps", image.m_steps)
       .Add("tasks", image.m_tasks)
       .Add("passed_over", image.m_skipped)
+      .Add("recovering", image.m_recovering)
       .Add("oldest_ms", ToMillis(image.m_oldestAge));
     for (size_t i = 0; i < image.m_obstacles.size(); ++i) {
       if (image.m_obstacles[i] > 0) {
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -126,6 +126,117 @@
   CHECK(stops == 1);
 }
 
+/// Returns a job with one long-running task, which an earlier epoch has accepted.
+static StoredJob
+MakeLongRunningJob(GraphId aId)
+{
+  StoredJob stored;
+  stored.m_id = aId;
+  stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+  GraphStep step;
+  step.m_demand = { 2000, 1000, 0 };
+  step.m_longRunning = true;
+  stored.m_graph.m_steps.push_back(step);
+  return stored;
+}
+
+namespace {
+
+/// A new leader with one worker that responds, "w". Polls of all other workers fail.
+struct Recovery
+{
+  Recovery()
+    : m_scheduler(SchedulerLimits(), 2, m_now)
+  {
+    m_scheduler.RestoreJob(MakeLongRunningJob(7), m_now, 0);
+    m_scheduler.RestoreWorker(MakeReport("w"), m_now);
+  }
+
+  void ReadDirectory()
+  {
+    m_scheduler.UpdateWorker(MakeReport("w"), m_now);
+    m_scheduler.OnDirectoryRead();
+  }
+
+  void Advance(Duration aTime)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Execute(action);
+      }
+    }
+  }
+
+  void Execute(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (std::get_if<StartTask>(&aAction)) {
+      m_startedAt = m_startedAt.value_or(m_now);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      if (poll->m_worker == "w") {
+        m_scheduler.OnPollResponse("w", poll->m_number, WorkerStatus(), m_now);
+      } else {
+        m_scheduler.OnPollFailed(poll->m_worker, poll->m_number, m_failure, m_now);
+      }
+    }
+  }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Instant m_epochStart = m_now;
+  Scheduler m_scheduler;
+  WorkerCallResult m_failure = WorkerCallResult::NoResponse; ///< Of the other workers' polls.
+  std::optional<Instant> m_startedAt;                        ///< When the first task was started.
+};
+
+} // namespace
+
+/// The longest lease that an earlier epoch can have granted before its successor's claim.
+static constexpr Duration kLongestLease = milliseconds(6123); // on a clock that is 2% slow
+/// Until then a new leader may wait for a worker that does not respond: the longest lease, and the
+/// time that an earlier leader may need to notice its successor.
+static constexpr Duration kMaxRecoveryTime = kLongestLease + milliseconds(2500);
+
+TEST_CASE("tasks that wait for the recovery are counted with the waiting tasks")
+{
+  Recovery recovery;
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  recovery.ReadDirectory();
+  recovery.Advance(milliseconds(2000));
+  CHECK(recovery.m_scheduler.Counters().m_tasksWaiting == 1);
+  CHECK(recovery.m_scheduler.Counters().m_tasksRecovering == 1);
+  recovery.Advance(kMaxRecoveryTime);
+  CHECK(recovery.m_startedAt);
+  CHECK(recovery.m_scheduler.Counters().m_tasksRecovering == 0);
+}
+
+TEST_CASE("a task is not started while it may run on a worker that does not respond")
+{
+  Recovery recovery;
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  recovery.ReadDirectory();
+  recovery.Advance(kMaxRecoveryTime);
+  REQUIRE(recovery.m_startedAt);
+  CHECK(*recovery.m_startedAt - recovery.m_epochStart >= kLongestLease);
+}
+
+// Guards against long-running tasks that wait without end after a change of leader, because each
+// entry that appears in the directory meanwhile prolongs the wait for all of them.
+TEST_CASE("workers that register during the recovery do not prolong it")
+{
+  Recovery recovery;
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  recovery.m_failure = WorkerCallResult::IncarnationMismatch;
+  recovery.ReadDirectory();
+  for (int i = 0; i < 10; ++i) {
+    recovery.m_scheduler.UpdateWorker(MakeReport("new" + std::to_string(i)), recovery.m_now);
+    recovery.Advance(std::chrono::seconds(2));
+  }
+  REQUIRE(recovery.m_startedAt);
+  CHECK(*recovery.m_startedAt - recovery.m_epochStart <= kMaxRecoveryTime);
+}
+
 namespace {
 
 /// A store that keeps the newest record of each key, and whose confirmations can be delayed.
