Hand the state of an unfinished recovery on to the next leader

Cause: a leader that had not recovered answered its successor's request for the placed tasks with nothing, so the successor waited a whole lease for each restored worker, counted from its own beginning, and blocked all earlier jobs, also those that the leader itself had accepted and placed.

Now it lists what it has placed, what its predecessor had told it of workers that are still unpolled, and these workers with the rest of their lease. It never polled them, so it granted no lease there, and those of the leaders before it count. A job waits only while a worker is left that may run tasks which no list names. The message keeps "epoch" at 0 in that case, so that an instance of the version before takes the list as unknown, as it did.

Tests: "a recovery that a successor continues does not begin anew" (bounds: not before the longest lease counted from the first epoch, and at most that and the time to notice a successor), "a successor does not wait for a worker that its predecessor has polled".

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -47,8 +47,8 @@
   void Submit(RequestToken aRequest, Submission aSubmission);
   void Cancel(RequestToken aRequest, GraphId aId);
 
-  /// Restores the tasks that the previous leader had placed when it stopped.
-  void RestorePlacedTasks(const std::vector<PlacedTask>& aPlaced);
+  /// Restores what the previous leader had placed when it stopped.
+  void RestorePlacements(const Placements& aPlacements);
 
   std::optional<JobState> StateOf(GraphId aId) { return m_scheduler.StateOf(aId); }
   uint64_t CountPending(const std::string& aRoute) { return m_scheduler.CountPending(aRoute); }
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -63,6 +63,9 @@
   void ServePing(const std::string& aBody, const PeerCallback& aDone);
   void ServeClaim(const PeerCallback& aDone);
   PlacedTasksResponse ServePlaced(const std::string& aBody);
+  /// Describes what the leader of \p aEpoch has placed. Instances without the later fields of the
+  /// response take a list with unknown tasks as none.
+  static PlacedTasksResponse MakePlacedTasksResponse(uint64_t aEpoch, Placements aPlacements);
   void RequestPlacedTasks(const StoredClaim& aPrevious);
   void ServeState(GraphId aId, const PeerCallback& aDone);
   void StartCall(PeerOperation aOperation,
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -83,14 +83,18 @@
 /// The tasks that the leader of \c m_epoch had placed when it stopped.
 struct PlacedTasksResponse
 {
-  uint64_t m_epoch = 0; ///< 0 if the tasks are not known.
+  uint64_t m_epoch = 0; ///< 0 if workers may run tasks that \c m_tasks does not name.
   std::vector<PlacedTask> m_tasks;
+  uint64_t m_recoveringEpoch = 0; ///< The epoch if \c m_epoch is 0 for that reason; otherwise 0.
+  std::vector<UnpolledWorker> m_unpolled;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
   {
     aVisit("epoch", aSelf.m_epoch);
     aVisit("tasks", aSelf.m_tasks);
+    aVisit("recovering_epoch", aSelf.m_recoveringEpoch);
+    aVisit("unpolled", aSelf.m_unpolled);
   }
 };
 
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -195,6 +195,29 @@
   }
 };
 
+/// A worker on which an epoch may have started tasks that its successors have not seen yet.
+struct UnpolledWorker
+{
+  WorkerName m_worker;
+  int64_t m_leaseMs = 0;         ///< All leases of earlier epochs have expired after this time.
+  bool m_hasUnknownTasks = true; ///< It may run tasks that the list of placed tasks does not name.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("worker", aSelf.m_worker);
+    aVisit("lease_ms", aSelf.m_leaseMs);
+    aVisit("unknown_tasks", aSelf.m_hasUnknownTasks);
+  }
+};
+
+/// What a leader that has stopped knows about the workers: where each task may be.
+struct Placements
+{
+  std::vector<PlacedTask> m_tasks;
+  std::vector<UnpolledWorker> m_unpolled;
+};
+
 using Action = std::
   variant<StartTask, StopTask, ThrottleTask, PollWorker, AppendRecords, CompleteRequest, StepDown>;
 
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -140,6 +140,7 @@
 
   /// Returns the worker, or nullptr if the id is unknown.
   Worker* Find(const WorkerName& aId);
+  const Worker* Find(const WorkerName& aId) const;
 
   std::vector<std::unique_ptr<Worker>>& All() { return m_workers; }
   const std::vector<std::unique_ptr<Worker>>& All() const { return m_workers; }
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -89,12 +89,12 @@
   void RestoreModels(const StoredModels& aStored);
 
   /// Returns all tasks that may be running on workers, or that have ended there without a durable
-  /// record. Returns nothing before IsRecovered().
-  std::optional<std::vector<PlacedTask>> ListPlacedTasks() const;
+  /// record, as far as they are known, and the workers that have not been polled yet.
+  Placements ListPlacements(Instant aNow) const;
 
-  /// Restores what ListPlacedTasks() of the previous epoch returned after its last worker call. All
-  /// other tasks run nowhere, so they can start before each worker has been polled.
-  void RestorePlacedTasks(const std::vector<PlacedTask>& aPlaced);
+  /// Restores what ListPlacements() of the previous epoch returned after its last worker call. A
+  /// task that is not listed can start once no worker is left that may run unknown tasks.
+  void RestorePlacements(const Placements& aPlacements, Instant aNow);
 
   // Callers.
 
@@ -300,7 +300,14 @@
   void CheckRecovery(Instant aNow);
   /// Logs which workers the recovery waits for, if a report is due.
   void ReportRecovery(Instant aNow);
-  bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask);
+  /// Returns whether no task of \p aJob can start yet, because tasks of earlier epochs may run on
+  /// workers without being known.
+  bool IsBlockedByRecovery(const Job& aJob) const;
+  /// Returns whether an earlier epoch may have started \p aTask on a worker that has not been
+  /// polled yet.
+  bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask, Instant aNow);
+  /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
+  void UpdateUnknownTasks(Instant aNow);
 
   // Scheduler.cpp
   /// Returns whether a state of \p aWorker can only change by its response. If so, a poll is in
@@ -338,7 +345,8 @@
   bool m_storeAvailable = true;
   bool m_directoryRead = false;
   bool m_recovered = false;
-  std::optional<PlacedIndex> m_previouslyPlaced; ///< If the previous leader has reported it.
+  std::optional<PlacedIndex> m_previouslyPlaced;     ///< If the previous leader has reported it.
+  std::vector<WorkerName> m_workersWithUnknownTasks; ///< By the previous leader's report.
   Instant m_createdAt;
   Instant m_nextRecoveryReportAt;
   int64_t m_wallMs = 0;
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -4,6 +4,8 @@
 #include "egretturn/Journal/Codec.h"
 #include "egretturn/Support/Log.h"
 
+#include <algorithm>
+
 namespace egretturn {
 
 static constexpr Duration kPlacedTimeout = std::chrono::milliseconds(1500);
@@ -16,6 +18,26 @@
 // A leader hands over to a peer whose processor share is at least this many times its own.
 static constexpr double kMinWeightRatio = 2.0;
 
+static uint64_t
+EpochOf(const PlacedTasksResponse& aPlaced)
+{
+  return std::max(aPlaced.m_epoch, aPlaced.m_recoveringEpoch);
+}
+
+PlacedTasksResponse
+Node::MakePlacedTasksResponse(uint64_t aEpoch, Placements aPlacements)
+{
+  const bool unknownTasks =
+    std::any_of(aPlacements.m_unpolled.begin(),
+                aPlacements.m_unpolled.end(),
+                [](const UnpolledWorker& aWorker) { return aWorker.m_hasUnknownTasks; });
+  PlacedTasksResponse response;
+  (unknownTasks ? response.m_recoveringEpoch : response.m_epoch) = aEpoch;
+  response.m_tasks = std::move(aPlacements.m_tasks);
+  response.m_unpolled = std::move(aPlacements.m_unpolled);
+  return response;
+}
+
 void
 Node::RequestPlacedTasks(const StoredClaim& aPrevious)
 {
@@ -29,13 +51,13 @@
       const ClientResponse& aResponse) {
       PlacedTasksResponse placed;
       if (aResponse.m_result != ClientResult::Completed ||
-          !UnpackCompact(aResponse.m_response.body(), placed) || placed.m_epoch != epoch) {
+          !UnpackCompact(aResponse.m_response.body(), placed) || EpochOf(placed) != epoch) {
         Log(LogLine(LogLevel::Info, "placed_unknown")
               .Add("predecessor_epoch", epoch)
               .Add("effect", "earlier jobs wait until every worker has been polled"));
         return;
       }
-      session->RestorePlacedTasks(placed.m_tasks);
+      session->RestorePlacements({ placed.m_tasks, placed.m_unpolled });
     });
 }
 
@@ -52,7 +74,7 @@
     OnStepDown("a new leader requested the placed tasks");
     EndSession();
   }
-  return m_lastPlaced.m_epoch + 1 == message.m_epoch ? m_lastPlaced : PlacedTasksResponse();
+  return EpochOf(m_lastPlaced) + 1 == message.m_epoch ? m_lastPlaced : PlacedTasksResponse();
 }
 
 void
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -90,15 +90,16 @@
 }
 
 void
-LeaderSession::RestorePlacedTasks(const std::vector<PlacedTask>& aPlaced)
+LeaderSession::RestorePlacements(const Placements& aPlacements)
 {
   if (m_stopped) {
     return;
   }
   Log(LogLine(LogLevel::Info, "placed_known")
         .Add("epoch", m_claim.m_epoch)
-        .Add("tasks", uint64_t{ aPlaced.size() }));
-  m_scheduler.RestorePlacedTasks(aPlaced);
+        .Add("tasks", uint64_t{ aPlacements.m_tasks.size() })
+        .Add("unpolled_workers", uint64_t{ aPlacements.m_unpolled.size() }));
+  m_scheduler.RestorePlacements(aPlacements, BootClockNow());
   Wake();
 }
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -267,11 +267,8 @@
 Node::EndSession()
 {
   m_session->Stop();
-  const std::optional<std::vector<PlacedTask>> placed = m_session->GetScheduler().ListPlacedTasks();
-  m_lastPlaced = {};
-  if (placed) {
-    m_lastPlaced = { m_session->Claim().m_epoch, *placed };
-  }
+  m_lastPlaced = MakePlacedTasksResponse(m_session->Claim().m_epoch,
+                                         m_session->GetScheduler().ListPlacements(BootClockNow()));
   m_session.reset();
   std::unordered_map<RequestToken, PeerCallback> requests = std::exchange(m_requests, {});
   for (std::pair<const RequestToken, std::function<void(const PeerResponse&)>>& doneEntry :
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -92,6 +92,12 @@
 
 Worker*
 Fleet::Find(const WorkerName& aId)
+{
+  return const_cast<Worker*>(std::as_const(*this).Find(aId));
+}
+
+const Worker*
+Fleet::Find(const WorkerName& aId) const
 {
   const auto it = m_byId.find(aId);
   return it == m_byId.end() ? nullptr : it->second;
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -53,63 +53,112 @@
   m_fleet.ExtendLease(*worker, aNow);
 }
 
-std::optional<std::vector<PlacedTask>>
-Scheduler::ListPlacedTasks() const
+/// Returns whether \p aWorker may run tasks that an earlier epoch has started.
+static bool
+MayRunEarlierTasks(const Worker& aWorker, Instant aNow)
 {
-  if (!m_recovered) {
-    return std::nullopt;
-  }
-  std::vector<PlacedTask> placed;
+  return !aWorker.m_polled && aNow < aWorker.m_leaseExpiresAt;
+}
+
+Placements
+Scheduler::ListPlacements(Instant aNow) const
+{
+  Placements placements;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    const WorkerName& name = worker->m_report.m_id;
     for (const std::pair<const TaskRef, AttemptState>& taskEntry : worker->m_attempts) {
-      const TaskRef& task = taskEntry.first;
-      placed.push_back({ worker->m_report.m_id, task });
+      placements.m_tasks.push_back({ name, taskEntry.first });
     }
     for (const EndedAttempt& reported : worker->m_nonDurableEnds) {
-      placed.push_back({ worker->m_report.m_id, reported.m_task });
+      placements.m_tasks.push_back({ name, reported.m_task });
+    }
+    if (m_recovered || !MayRunEarlierTasks(*worker, aNow)) {
+      continue;
     }
+    const bool listed =
+      m_previouslyPlaced &&
+      std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), name) == 0;
+    placements.m_unpolled.push_back({ name, ToMillis(worker->m_leaseExpiresAt - aNow), !listed });
+  }
+  if (m_recovered || !m_previouslyPlaced) {
+    return placements;
   }
-  return placed;
+  for (const std::pair<const TaskRef, std::vector<WorkerName>>& taskEntry : *m_previouslyPlaced) {
+    for (const WorkerName& name : taskEntry.second) {
+      const Worker* worker = m_fleet.Find(name);
+      if (worker && MayRunEarlierTasks(*worker, aNow)) {
+        placements.m_tasks.push_back({ name, taskEntry.first });
+      }
+    }
+  }
+  return placements;
 }
 
 void
-Scheduler::RestorePlacedTasks(const std::vector<PlacedTask>& aPlaced)
+Scheduler::RestorePlacements(const Placements& aPlacements, Instant aNow)
 {
+  if (m_recovered) {
+    return;
+  }
   m_placementNeeded = true;
   m_previouslyPlaced.emplace();
-  for (const PlacedTask& placed : aPlaced) {
+  for (const PlacedTask& placed : aPlacements.m_tasks) {
     (*m_previouslyPlaced)[placed.m_task].push_back(placed.m_worker);
   }
+  for (const UnpolledWorker& unpolled : aPlacements.m_unpolled) {
+    Worker* worker = m_fleet.Find(unpolled.m_worker);
+    if (!worker || worker->m_polled) {
+      continue;
+    }
+    // The previous leader has granted no lease there, so those of the leaders before it count.
+    const Instant expiresAt = aNow + std::chrono::milliseconds(unpolled.m_leaseMs);
+    worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, expiresAt);
+    if (unpolled.m_hasUnknownTasks) {
+      m_workersWithUnknownTasks.push_back(unpolled.m_worker);
+    }
+  }
+}
+
+void
+Scheduler::UpdateUnknownTasks(Instant aNow)
+{
+  const auto end = std::remove_if(m_workersWithUnknownTasks.begin(),
+                                  m_workersWithUnknownTasks.end(),
+                                  [&](const WorkerName& aName) {
+                                    const Worker* worker = m_fleet.Find(aName);
+                                    return !worker || !MayRunEarlierTasks(*worker, aNow);
+                                  });
+  m_placementNeeded = m_placementNeeded || end != m_workersWithUnknownTasks.end();
+  m_workersWithUnknownTasks.erase(end, m_workersWithUnknownTasks.end());
 }
 
-/// Returns whether an earlier epoch may have started \p aTask on a worker that has not been polled
-/// yet.
 bool
-Scheduler::MayRunElsewhere(const Job& aJob, const TaskRef& aTask)
+Scheduler::IsBlockedByRecovery(const Job& aJob) const
+{
+  const bool unknownTasks = !m_previouslyPlaced || !m_workersWithUnknownTasks.empty();
+  return aJob.m_recovered && !m_recovered && unknownTasks;
+}
+
+bool
+Scheduler::MayRunElsewhere(const Job& aJob, const TaskRef& aTask, Instant aNow)
 {
   if (m_recovered || !aJob.m_recovered) {
     return false;
   }
-  if (!m_previouslyPlaced) {
+  if (IsBlockedByRecovery(aJob)) {
     return true;
   }
   const auto it = m_previouslyPlaced->find(aTask);
   if (it == m_previouslyPlaced->end()) {
     return false;
   }
+  // A restored worker is only removed once none of its leases can be valid.
   return std::any_of(it->second.begin(), it->second.end(), [&](const WorkerName& aName) {
     const Worker* worker = m_fleet.Find(aName);
-    return !worker || !worker->m_polled;
+    return worker && MayRunEarlierTasks(*worker, aNow);
   });
 }
 
-/// Returns whether \p aWorker may run tasks that an earlier epoch has started.
-static bool
-MayRunEarlierTasks(const Worker& aWorker, Instant aNow)
-{
-  return !aWorker.m_polled && aNow < aWorker.m_leaseExpiresAt;
-}
-
 void
 Scheduler::ReportRecovery(Instant aNow)
 {
@@ -134,6 +183,7 @@
     .Add("directory_read", m_directoryRead ? 1 : 0)
     .Add("placed_known", m_previouslyPlaced ? 1 : 0)
     .Add("workers", awaited)
+    .Add("workers_with_unknown_tasks", uint64_t{ m_workersWithUnknownTasks.size() })
     .Add("unlisted", unregistered);
   if (last) {
     line.Add("last_worker", last->m_report.m_id)
@@ -150,6 +200,7 @@
     return;
   }
   ReportRecovery(aNow);
+  UpdateUnknownTasks(aNow);
   const bool waits = std::any_of(
     m_fleet.All().begin(), m_fleet.All().end(), [&](const std::unique_ptr<Worker>& aWorker) {
       return MayRunEarlierTasks(*aWorker, aNow);
@@ -159,6 +210,7 @@
   }
   m_recovered = true;
   m_previouslyPlaced.reset();
+  m_workersWithUnknownTasks.clear();
   m_placementNeeded = true;
   Log(LogLine(LogLevel::Info, "recovered")
         .Add("epoch", m_epoch)
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -79,7 +79,7 @@
           if (!JobRegistry::IsReady(*job, occurrence, s)) {
             continue;
           }
-          if (job->m_recovered && !m_recovered && !m_previouslyPlaced) {
+          if (IsBlockedByRecovery(*job)) {
             ReportRecoveringTasks(step, occurrence.m_steps[s].m_waiting, aNow);
           } else {
             waiting.push_back(step);
@@ -234,7 +234,7 @@
     if (task.m_done || !task.m_attempts.empty()) {
       continue;
     }
-    if (MayRunElsewhere(*aWaiting.m_job, ref)) {
+    if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
       ReportRecoveringTasks(aWaiting, 1, aNow);
       continue;
     }
@@ -258,7 +258,7 @@
     return; // members of the last attempt are still being stopped
   }
   for (size_t i = 0; i < record.m_tasks.size(); ++i) {
-    if (MayRunElsewhere(*aWaiting.m_job, MakeTaskRef(aWaiting, i))) {
+    if (MayRunElsewhere(*aWaiting.m_job, MakeTaskRef(aWaiting, i), aNow)) {
       ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
       return;
     }
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -198,6 +198,45 @@
 /// time that an earlier leader may need to notice its successor.
 static constexpr Duration kMaxRecoveryTime = kLongestLease + milliseconds(2500);
 
+// Guards against long-running tasks that wait anew in each of several short epochs, although each
+// leader is alive when its successor asks it.
+TEST_CASE("a recovery that a successor continues does not begin anew")
+{
+  Recovery first;
+  first.m_scheduler.RestoreWorker(MakeReport("unreachable"), first.m_now);
+  first.ReadDirectory();
+  first.Advance(milliseconds(5000));
+  const Placements placements = first.m_scheduler.ListPlacements(first.m_now);
+  REQUIRE_FALSE(first.m_startedAt);
+
+  Recovery second;
+  second.m_now = first.m_now;
+  second.m_scheduler.RestoreWorker(MakeReport("unreachable"), second.m_now);
+  second.ReadDirectory();
+  second.m_scheduler.RestorePlacements(placements, second.m_now);
+  second.Advance(kMaxRecoveryTime);
+  REQUIRE(second.m_startedAt);
+  const Duration waited = *second.m_startedAt - first.m_epochStart;
+  CHECK(waited >= kLongestLease);
+  CHECK(waited <= kMaxRecoveryTime);
+}
+
+TEST_CASE("a successor does not wait for a worker that its predecessor has polled")
+{
+  Recovery first;
+  first.m_scheduler.RestoreWorker(MakeReport("unreachable"), first.m_now);
+  first.ReadDirectory();
+  first.Advance(milliseconds(1000));
+
+  Recovery second;
+  second.m_now = first.m_now;
+  second.m_scheduler.RestoreWorker(MakeReport("w2"), second.m_now);
+  second.ReadDirectory();
+  second.m_scheduler.RestorePlacements(first.m_scheduler.ListPlacements(first.m_now), second.m_now);
+  second.Advance(milliseconds(1000));
+  CHECK(second.m_startedAt); // "unreachable" was removed from the store: no task can be there
+}
+
 TEST_CASE("tasks that wait for the recovery are counted with the waiting tasks")
 {
   Recovery recovery;
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -118,10 +118,10 @@
 void
 SchedulerWorld::ElectLeader(bool aKeepPrevious)
 {
-  std::optional<std::vector<PlacedTask>> placed;
+  std::optional<Placements> placed;
   if (!m_leaders.empty() && m_random.Unit() < 0.5) {
     m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
-    placed = m_leaders.back()->m_scheduler->ListPlacedTasks();
+    placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
   }
   if (!aKeepPrevious) {
     m_leaders.clear();
@@ -155,7 +155,7 @@
     leader->m_scheduler->RestoreProgress(id, one);
   }
   if (placed) {
-    leader->m_scheduler->RestorePlacedTasks(*placed);
+    leader->m_scheduler->RestorePlacements(*placed, m_now);
   }
   m_leaders.push_back(leader);
   ReadDirectory(leader);
