Wait for leases that a superseded leader grants before it notices

What callers could see: a task that runs twice, when a leader without access to the store goes on extending leases for a moment after its successor's claim, on a worker that only it can reach.

Cause: a new leader counted the longest lease of restored workers from its own beginning, though its predecessor may have called them after the claim.

Now the wait includes the time in which a superseded leader notices (LeaseLimits::m_noticeTime, 1.1 s); it is cut once the leader has answered its successor, since it has stopped by then.

The random test also lists workers that are gone, and checks that each recovery ends within a lease and the time to notice.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -121,6 +121,9 @@
 {
   Duration m_maxDuration = std::chrono::milliseconds(6000); ///< Workers shorten longer leases.
   double m_maxClockSlowness = 0.02; ///< How much slower a worker's clock may run, as a share.
+  /// A superseded leader sends its last call to a worker no later than this after the claim of its
+  /// successor.
+  Duration m_noticeTime = std::chrono::milliseconds(1100);
 };
 
 /// Holds all workers by id, with the capacity that their attempts use. Not thread-safe.
@@ -167,6 +170,11 @@
   /// Records that a call with a new lease is sent at \p aNow.
   void ExtendLease(Worker& aWorker, Instant aNow) const;
 
+  /// Returns by when all leases that were granted until \p aGrantedUntil have expired.
+  Instant LatestLeaseExpiry(Instant aGrantedUntil) const;
+
+  const LeaseLimits& Limits() const { return m_limits; }
+
 private:
   LeaseLimits m_limits;
   std::vector<std::unique_ptr<Worker>> m_workers;
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -215,12 +215,18 @@
   return aWorker.m_clockMs + static_cast<int64_t>(sinceMs) + ToMillis(m_limits.m_maxDuration);
 }
 
-void
-Fleet::ExtendLease(Worker& aWorker, Instant aNow) const
+Instant
+Fleet::LatestLeaseExpiry(Instant aGrantedUntil) const
 {
   const double maxDuration = static_cast<double>(m_limits.m_maxDuration.count());
   const Duration length(static_cast<int64_t>(maxDuration / (1.0 - m_limits.m_maxClockSlowness)));
-  aWorker.m_leaseExpiresAt = std::max(aWorker.m_leaseExpiresAt, aNow + length + kLeaseMargin);
+  return aGrantedUntil + length + kLeaseMargin;
+}
+
+void
+Fleet::ExtendLease(Worker& aWorker, Instant aNow) const
+{
+  aWorker.m_leaseExpiresAt = std::max(aWorker.m_leaseExpiresAt, LatestLeaseExpiry(aNow));
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -50,7 +50,7 @@
   Worker* worker = m_fleet.Find(aReport.m_id);
   worker->m_record = RecordState::Durable;
   worker->m_registered = false; // until the directory has an entry
-  m_fleet.ExtendLease(*worker, aNow);
+  worker->m_leaseExpiresAt = m_fleet.LatestLeaseExpiry(aNow + m_fleet.Limits().m_noticeTime);
 }
 
 /// Returns whether \p aWorker may run tasks that an earlier epoch has started.
@@ -102,6 +102,10 @@
   }
   m_placementNeeded = true;
   m_previouslyPlaced.emplace();
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    // The previous leader has stopped, so it grants no more leases.
+    worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, m_fleet.LatestLeaseExpiry(aNow));
+  }
   for (const PlacedTask& placed : aPlacements.m_tasks) {
     (*m_previouslyPlaced)[placed.m_task].push_back(placed.m_worker);
   }
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -145,7 +145,9 @@
   attempt.m_end = fails ? AttemptEnd::Failed : AttemptEnd::Done;
   const Duration length = step.m_longRunning ? kLongRunningFailureTime
                                              : Duration(milliseconds(100 + m_random.Below(2500)));
+  attempt.m_startedAt = aNow;
   attempt.m_endsAt = aNow + (fails ? length / 3 : length);
+  attempt.m_showsNoProgress = m_random.Below(6) == 0;
   if (step.m_longRunning) {
     attempt.m_end = AttemptEnd::Failed;
   }
@@ -179,6 +181,16 @@
   return WorkerCallResult::Accepted;
 }
 
+int
+FakeWorker::PercentOf(const Attempt& aAttempt, Instant aNow)
+{
+  const Duration length = aAttempt.m_endsAt - aAttempt.m_startedAt;
+  if (aAttempt.m_showsNoProgress || length <= Duration::zero()) {
+    return 50;
+  }
+  return static_cast<int>(100 * (aNow - aAttempt.m_startedAt) / length);
+}
+
 WorkerCallResult
 FakeWorker::Poll(const PollWorker& aPoll, uint64_t aFence, Instant aNow, WorkerStatus& aStatus)
 {
@@ -198,7 +210,8 @@
   aStatus.m_incarnation = m_report.m_incarnation;
   for (const std::pair<const std::string, std::pair<TaskRef, Attempt>>& attemptEntry : m_attempts) {
     const std::pair<TaskRef, Attempt>& attempt = attemptEntry.second;
-    aStatus.m_running.push_back({ attempt.first, attempt.second.m_attempt, "", 50, 0 });
+    aStatus.m_running.push_back(
+      { attempt.first, attempt.second.m_attempt, "", PercentOf(attempt.second, aNow), 0 });
   }
   aStatus.m_ended = m_ended;
   return WorkerCallResult::Accepted;
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -76,12 +76,15 @@
   struct Attempt
   {
     AttemptNumber m_attempt = 0;
+    Instant m_startedAt;
     Instant m_endsAt;
+    bool m_showsNoProgress = false; ///< Its percentage never rises.
     AttemptEnd m_end = AttemptEnd::Done;
     Demand m_demand;
   };
 
   int64_t ClockMs(Instant aNow) const;
+  static int PercentOf(const Attempt& aAttempt, Instant aNow);
   void End(const TaskRef& aTask, AttemptEnd aEnd);
   bool Fence(uint64_t aFence);
   Demand InUse() const;
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -14,13 +14,14 @@
 
 static constexpr uint64_t kSeeds = 60;
 static constexpr int kSteps = 120;
+static constexpr uint64_t kMaxNoticeMs = 1000; // until a superseded leader calls no workers
 
 static void
 InjectWorkerFault(SchedulerWorld& aWorld)
 {
   FakeWorker& worker = *aWorld.m_workers[aWorld.m_random.Below(aWorld.m_workers.size())];
   const Duration span = milliseconds(500 + aWorld.m_random.Below(9000));
-  switch (aWorld.m_random.Below(4)) {
+  switch (aWorld.m_random.Below(5)) {
     case 0:
       worker.Restart(aWorld.Now());
       break;
@@ -30,6 +31,9 @@
     case 2:
       worker.m_deregisteredUntil = aWorld.Now() + span;
       break;
+    case 3:
+      aWorld.ListGoneWorker(span);
+      break;
     default:
       worker.m_failsAll = !worker.m_failsAll && aWorld.m_random.Below(3) == 0;
   }
@@ -38,7 +42,7 @@
 static void
 InjectSystemFault(SchedulerWorld& aWorld)
 {
-  switch (aWorld.m_random.Below(6)) {
+  switch (aWorld.m_random.Below(7)) {
     case 0:
       aWorld.ElectLeader(true);
       break;
@@ -51,9 +55,12 @@
       aWorld.ElectLeader(false);
       break;
     case 3:
-      aWorld.m_faults.m_storeDown = !aWorld.m_faults.m_storeDown;
+      aWorld.SupersedeUnnoticed(milliseconds(aWorld.m_random.Below(kMaxNoticeMs)));
       break;
     case 4:
+      aWorld.m_faults.m_storeDown = !aWorld.m_faults.m_storeDown;
+      break;
+    case 5:
       aWorld.m_faults.m_lateCallProbability = aWorld.m_random.Below(2) == 0 ? 0.0 : 0.06;
       break;
     default:
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -16,7 +16,8 @@
 static constexpr Duration kMaxPollTime = seconds(2); // including its timeout
 static constexpr Duration kRestartDetectionTime = seconds(2);
 static constexpr Duration kRestartedJobTime = seconds(20);
-static constexpr int64_t kRestartClockMs = 3600000; // of a restarted worker
+static constexpr Duration kMaxRecoveryTime = milliseconds(8000); // a lease and the time to notice
+static constexpr int64_t kRestartClockMs = 3600000;              // of a restarted worker
 
 SchedulerWorld::SchedulerWorld(uint64_t aSeed, size_t aWorkers)
   : m_random(aSeed)
@@ -115,19 +116,12 @@
   return m_leaders.empty() ? std::nullopt : m_leaders.back()->m_scheduler->StateOf(aId);
 }
 
-void
-SchedulerWorld::ElectLeader(bool aKeepPrevious)
+std::shared_ptr<SchedulerWorld::Leader>
+SchedulerWorld::MakeLeader()
 {
-  std::optional<Placements> placed;
-  if (!m_leaders.empty() && m_random.Unit() < 0.5) {
-    m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
-    placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
-  }
-  if (!aKeepPrevious) {
-    m_leaders.clear();
-  }
   const std::shared_ptr<Leader> leader = std::make_shared<Leader>();
   leader->m_epoch = ++m_epoch;
+  leader->m_electedAt = m_now;
   SchedulerLimits limits;
   limits.m_endedJobRetention = std::chrono::hours(1); // states are queried at the end
   leader->m_scheduler = std::make_unique<Scheduler>(limits, leader->m_epoch, m_now);
@@ -154,6 +148,21 @@
     const StoredProgress& one = oneEntry.second;
     leader->m_scheduler->RestoreProgress(id, one);
   }
+  return leader;
+}
+
+void
+SchedulerWorld::ElectLeader(bool aKeepPrevious)
+{
+  std::optional<Placements> placed;
+  if (!m_leaders.empty() && m_random.Unit() < 0.5) {
+    m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
+    placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
+  }
+  if (!aKeepPrevious) {
+    m_leaders.clear();
+  }
+  const std::shared_ptr<Leader> leader = MakeLeader();
   if (placed) {
     leader->m_scheduler->RestorePlacements(*placed, m_now);
   }
@@ -161,6 +170,33 @@
   ReadDirectory(leader);
 }
 
+void
+SchedulerWorld::SupersedeUnnoticed(Duration aNoticeTime)
+{
+  if (m_leaders.empty()) {
+    return;
+  }
+  const std::shared_ptr<Leader> previous = m_leaders.back();
+  previous->m_reachesStore = false;
+  After(aNoticeTime, [previous] { previous->m_stopped = true; });
+  const std::shared_ptr<Leader> leader = MakeLeader();
+  for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    if (m_random.Below(2) == 0) {
+      leader->m_unreachableUntil[worker->Report().m_id] =
+        m_now + milliseconds(m_random.Below(12000));
+    }
+  }
+  m_leaders.push_back(leader);
+  ReadDirectory(leader);
+}
+
+void
+SchedulerWorld::ListGoneWorker(Duration aTime)
+{
+  const FakeWorker& successor = *m_workers[m_random.Below(m_workers.size())];
+  m_goneWorkers[successor.Report().m_id + "-" + std::to_string(m_random.Below(4))] = m_now + aTime;
+}
+
 void
 SchedulerWorld::ReadDirectory(const std::shared_ptr<Leader>& aLeader)
 {
@@ -178,6 +214,18 @@
     }
     aLeader->m_registered[id] = registered;
   }
+  for (const std::pair<const WorkerName, Instant>& goneEntry : m_goneWorkers) {
+    const WorkerName& id = goneEntry.first;
+    const bool registered = goneEntry.second > m_now;
+    WorkerReport report = WorkerOf(id).Report();
+    report.m_id = id;
+    if (registered) {
+      aLeader->m_scheduler->UpdateWorker(report, m_now);
+    } else if (aLeader->m_registered[id]) {
+      aLeader->m_scheduler->DeregisterWorker(id, m_now);
+    }
+    aLeader->m_registered[id] = registered;
+  }
   aLeader->m_scheduler->OnDirectoryRead();
   RunScheduler(aLeader);
   After(kDirectoryInterval, [this, aLeader] { ReadDirectory(aLeader); });
@@ -213,24 +261,26 @@
     After(milliseconds(2000 + m_random.Below(10000)),
           [this, aWorker, aCall, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
             FakeWorker& worker = WorkerOf(aWorker);
-            if (worker.Report().m_incarnation == incarnation) {
+            if (worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation) {
               aCall(worker, true);
             }
           });
     return;
   }
-  After(Delay(),
-        [this, aWorker, aCall, done, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
-          FakeWorker& worker = WorkerOf(aWorker);
-          if (worker.m_unreachableUntil > m_now) {
-            After(kResponseTimeout, [done] { done(WorkerCallResult::NotSent); });
-            return;
-          }
-          const WorkerCallResult result = worker.Report().m_incarnation == incarnation
-                                            ? aCall(worker, false)
-                                            : WorkerCallResult::IncarnationMismatch;
-          After(Delay(), [done, result] { done(result); });
-        });
+  After(
+    Delay(),
+    [this, aLeader, aWorker, aCall, done, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
+      FakeWorker& worker = WorkerOf(aWorker);
+      if (worker.m_unreachableUntil > m_now || aLeader->m_unreachableUntil[aWorker] > m_now) {
+        After(kResponseTimeout, [done] { done(WorkerCallResult::NotSent); });
+        return;
+      }
+      const bool intended =
+        worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation;
+      const WorkerCallResult result =
+        intended ? aCall(worker, false) : WorkerCallResult::IncarnationMismatch;
+      After(Delay(), [done, result] { done(result); });
+    });
 }
 
 void
@@ -299,7 +349,7 @@
     if (aLeader->m_stopped) {
       return;
     }
-    if (m_faults.m_storeDown) {
+    if (m_faults.m_storeDown || !aLeader->m_reachesStore) {
       Append(aLeader, aAppend); // retried until the store is available
       return;
     }
@@ -368,6 +418,7 @@
       RunScheduler(leader);
     }
     CheckPolls();
+    CheckRecoveryTime();
   }
 }
 
@@ -380,6 +431,12 @@
     worker->m_deregisteredUntil = m_now;
     worker->m_failsAll = false;
   }
+  for (std::pair<const WorkerName, Instant>& goneEntry : m_goneWorkers) {
+    goneEntry.second = m_now;
+  }
+  for (const std::shared_ptr<Leader>& leader : m_leaders) {
+    leader->m_unreachableUntil.clear();
+  }
   if (m_leaders.empty() || m_leaders.back()->m_stopped) {
     ElectLeader(false);
   }
@@ -420,6 +477,18 @@
   }
 }
 
+void
+SchedulerWorld::CheckRecoveryTime()
+{
+  if (m_leaders.empty() || m_leaders.back()->m_stopped) {
+    return;
+  }
+  const Leader& leader = *m_leaders.back();
+  if (!leader.m_scheduler->IsRecovered() && m_now - leader.m_electedAt > kMaxRecoveryTime) {
+    m_oracle.ReportViolation("a recovery takes too long");
+  }
+}
+
 void
 SchedulerWorld::CheckRestarts()
 {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -30,6 +30,14 @@
   /// running unaware.
   void ElectLeader(bool aKeepPrevious);
 
+  /// Lets a new instance claim the leadership while the leader can't reach the store or its
+  /// successor, and stops calling workers only after \p aNoticeTime. Meanwhile some workers respond
+  /// to the previous leader only.
+  void SupersedeUnnoticed(Duration aNoticeTime);
+
+  /// Lets the directory list a worker that is gone, for \p aTime.
+  void ListGoneWorker(Duration aTime);
+
   /// Removes all leaders.
   void RemoveLeaders() { m_leaders.clear(); }
 
@@ -63,6 +71,9 @@
     uint64_t m_epoch = 0;
     size_t m_end = 0;
     bool m_stopped = false;
+    bool m_reachesStore = true;
+    Instant m_electedAt;
+    std::map<WorkerName, Instant> m_unreachableUntil;            ///< For this leader only.
     std::map<RequestToken, std::pair<GraphId, bool>> m_requests; ///< The job; true to cancel it.
     std::map<WorkerName, bool> m_registered;
   };
@@ -88,6 +99,10 @@
   /// Checks that each state that only a response of a worker can change has a poll in flight, or
   /// due soon.
   void CheckPolls();
+  /// Checks that the recovery of the leader takes no longer than its predecessors' leases allow.
+  void CheckRecoveryTime();
+  /// Restores a new leader from the store.
+  std::shared_ptr<Leader> MakeLeader();
   void ReadDirectory(const std::shared_ptr<Leader>& aLeader);
   void CallWorker(const std::shared_ptr<Leader>& aLeader,
                   const WorkerName& aWorker,
@@ -101,6 +116,7 @@
   uint64_t m_sequence = 0;
   std::map<std::string, std::string> m_store;
   size_t m_storeEnd = 0;
+  std::map<WorkerName, Instant> m_goneWorkers;    ///< Until when the directory lists each of them.
   std::vector<std::shared_ptr<Leader>> m_leaders; ///< The last one has the highest epoch.
   uint64_t m_epoch = 0;
   RequestToken m_request = 0;
