Let a leader call workers only while there is evidence that it still leads

What callers could see: a task that runs twice. A leader that is cut off from the store, or wakes from a suspension, went on extending leases and starting tasks until a worker fenced it or the store answered: on a worker that its successor could not reach, without any bound.

CallAuthority: workers are called while the store has confirmed the claim by a request sent less than 1 s ago, or a peer has pinged within 0.6 s. Peers ping the leader that they know, so they stop soon after a successor's claim; in an outage of the whole store they go on, and so do tasks. Pings read within 0.3 s after a suspension (runs more than 0.4 s apart) may be old and do not count. So the last call is sent within LeaseLimits::m_noticeTime of the successor's claim, which its recovery waits for. The claim is confirmed again every 0.4 s (1 s before) when nothing else is written.

Tests failed without the change: "a leader that was suspended calls no worker until the store has confirmed its claim" (5 == 3 polls).

Left: an isolated leader next to peers that are cut off from the store and the successor as well, and go on pinging it; a site of one instance loses its tasks a lease after its store.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -2,6 +2,7 @@
 // workers and the directory.
 #pragma once
 
+#include "egretturn/Node/CallAuthority.h"
 #include "egretturn/Node/TopicFollower.h"
 #include "egretturn/Scheduler/Scheduler.h"
 #include "egretturn/Support/LogRateLimiter.h"
@@ -15,7 +16,8 @@
   std::vector<std::pair<GraphId, StoredProgress>> m_progress;
   std::vector<WorkerReport> m_workers;
   StoredModels m_models;
-  LogOffset m_end = 0; ///< End of the topic of jobs, after the claim.
+  LogOffset m_end = 0;   ///< End of the topic of jobs, after the claim.
+  Instant m_confirmedAt; ///< When the request was sent whose response has confirmed the claim.
 };
 
 /// The leadership of one instance for one epoch. Pending calls keep it alive.
@@ -56,6 +58,9 @@
   /// When the store last confirmed that no other instance has claimed the leadership.
   Instant ConfirmedAt() const { return m_confirmedAt; }
 
+  /// Records that a peer has pinged this leader.
+  void OnPing();
+
   /// Whether the store has recently responded to appends.
   bool IsStoreAvailable() const { return m_storeAvailable; }
 
@@ -73,6 +78,8 @@
   void Wake();
   void WakeAt(Instant aAt);
   void RunScheduler();
+  /// Returns whether workers may be called, and logs when that changes.
+  bool CheckAuthority(Instant aNow);
   void Execute(const Action& aAction);
   void Append(std::vector<KeyedRecord> aRecords, uint64_t aBatch);
   void SendAppend();
@@ -102,6 +109,8 @@
   LogOffset m_end = 0;
   Instant m_confirmedAt;
   Instant m_appendStartedAt;
+  CallAuthority m_authority;
+  bool m_mayCall = true; ///< As of the last check.
   bool m_storeAvailable = true;
   bool m_stopped = false;
   bool m_timerSet = false;
--- a/include/egretturn/Node/LeadershipClaimer.h
+++ b/include/egretturn/Node/LeadershipClaimer.h
@@ -51,6 +51,7 @@
   std::unordered_map<std::string, std::string> m_values; ///< Latest value of each key.
   StoredClaim m_newest;
   LogOffset m_end = 0;
+  Instant m_requestSentAt; ///< When the last request to the store was sent.
   uint32_t m_tries = 0;
 };
 
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -10,7 +10,9 @@
 static constexpr Duration kAppendRetryDelay = std::chrono::milliseconds(100);
 static constexpr Duration kStoreUnavailableAfter = std::chrono::milliseconds(800);
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
-static constexpr Duration kConfirmInterval = std::chrono::milliseconds(1000);
+static constexpr Duration kConfirmInterval = std::chrono::milliseconds(400);
+static constexpr Duration kSuspendedInterval =
+  std::chrono::milliseconds(50); // between checks whether workers may be called again
 
 LeaderSession::LeaderSession(boost::asio::io_context& aIo,
                              StorePort& aStore,
@@ -28,7 +30,6 @@
   , m_claim(std::move(aClaim))
   , m_callbacks(std::move(aCallbacks))
   , m_scheduler(aLimits, m_claim.m_epoch, BootClockNow())
-  , m_confirmedAt(BootClockNow())
 {
 }
 
@@ -38,6 +39,8 @@
   const Instant now = BootClockNow();
   const int64_t wallMs = WallNowMs();
   m_end = aState.m_end;
+  m_confirmedAt = aState.m_confirmedAt;
+  m_authority.OnConfirmed(m_confirmedAt);
   m_scheduler.RestoreModels(aState.m_models);
   for (StoredJob& job : aState.m_jobs) {
     m_scheduler.RestoreJob(std::move(job), now, wallMs);
@@ -169,14 +172,38 @@
   if (!m_appending.empty() && now - m_appendStartedAt >= kStoreUnavailableAfter) {
     SetStoreAvailable(false);
   }
-  m_scheduler.Tick(now, WallNowMs());
+  const bool mayCall = CheckAuthority(now);
+  if (mayCall) {
+    m_scheduler.Tick(now, WallNowMs());
+  }
   for (const Action& action : m_scheduler.TakeActions()) {
     Execute(action);
     if (m_stopped) {
       return;
     }
   }
-  WakeAt(std::max(m_scheduler.NextTickAt(now), now + kBatchingDelay));
+  WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + kBatchingDelay)
+                 : now + kSuspendedInterval);
+}
+
+bool
+LeaderSession::CheckAuthority(Instant aNow)
+{
+  m_authority.OnRun(aNow);
+  const bool mayCall = m_authority.MayCall(aNow);
+  if (mayCall != m_mayCall) {
+    m_mayCall = mayCall;
+    Log(LogLine(LogLevel::Warning, mayCall ? "calls_resumed" : "calls_suspended")
+          .Add("epoch", m_claim.m_epoch)
+          .Add("confirmed_ms", ToMillis(aNow - m_confirmedAt)));
+  }
+  return mayCall;
+}
+
+void
+LeaderSession::OnPing()
+{
+  m_authority.OnPing(BootClockNow());
 }
 
 void
@@ -347,6 +374,7 @@
   m_end = aEnd;
   m_appending.clear();
   m_confirmedAt = m_appendStartedAt;
+  m_authority.OnConfirmed(m_confirmedAt);
   SetStoreAvailable(true);
   if (m_appendingBatch > 0) {
     m_scheduler.OnAppended(m_appendingBatch, BootClockNow());
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -58,6 +58,7 @@
 {
   // The pages are read one by one while the topic may change. Replaying the records that follow
   // them yields a consistent state.
+  m_requestSentAt = BootClockNow();
   m_store.ReadTail(
     Topic::Jobs, m_end, Duration::zero(), [self = shared_from_this()](Expected<TopicPage> aPage) {
       if (!aPage) {
@@ -90,6 +91,7 @@
     return;
   }
   m_identity.m_epoch = m_newest.m_epoch + 1;
+  m_requestSentAt = BootClockNow();
   m_store.AppendAt(Topic::Jobs,
                    m_end,
                    { { std::string(kClaimKey), PackCompact(m_identity) } },
@@ -145,6 +147,7 @@
   Outcome outcome;
   outcome.m_own = m_identity;
   outcome.m_state.m_end = m_end;
+  outcome.m_state.m_confirmedAt = m_requestSentAt;
   for (const std::pair<const std::string, std::string>& valueEntry : m_values) {
     const std::string& key = valueEntry.first;
     const std::string& value = valueEntry.second;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -333,6 +333,7 @@
   PingMessage ping;
   if (UnpackCompact(aBody, ping)) {
     m_peers[ping.m_instance] = { ping, BootClockNow() };
+    m_session->OnPing();
   }
   PeerResponse response;
   response.m_outcome = PeerOutcome::Ok;
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -4,6 +4,7 @@
 #include "egretturn/Node/LeaderSession.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace egretturn;
 using namespace egretturn::nodetest;
@@ -48,8 +49,97 @@
   int m_conflictReads = 0;
 };
 
+/// A store with one worker in the directory. Appends are confirmed only while \c m_available.
+class OneWorkerStore : public StorePort
+{
+public:
+  void ReadNewest(Topic aTopic, std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    aDone(aTopic == Topic::Directory ? TopicPage{ { { "w", "entry" } }, 1 } : TopicPage());
+  }
+  void ReadTail(Topic aTopic,
+                LogOffset,
+                Duration,
+                std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    aDone(TopicPage{ {}, aTopic == Topic::Directory ? LogOffset(1) : LogOffset(0) });
+  }
+  void AppendAt(Topic,
+                LogOffset aAt,
+                const std::vector<KeyedRecord>& aRecords,
+                std::function<void(AppendResult)> aDone) override
+  {
+    if (m_available) {
+      aDone({ AppendResult::Kind::Appended, aAt + aRecords.size() });
+    } else {
+      aDone({ AppendResult::Kind::NotAppended, aAt });
+    }
+  }
+  void Append(Topic, const std::vector<KeyedRecord>&, std::function<void(AppendResult)>) override {}
+
+  bool m_available = true;
+};
+
+/// Workers that don't respond to any call. Counts the polls.
+class CountingWorkers : public SilentWorkers
+{
+public:
+  void Poll(const PollWorker&, uint64_t, PollCallback aDone) override
+  {
+    ++m_polls;
+    aDone(WorkerCallResult::NoResponse, WorkerStatus());
+  }
+
+  int m_polls = 0;
+};
+
 } // namespace
 
+/// Decodes every entry of the directory as the worker "w".
+static Expected<WorkerReport>
+DecodeAsWorker(const KeyedRecord&)
+{
+  WorkerReport report;
+  report.m_id = "w";
+  report.m_service = "desk";
+  report.m_address = "10.0.0.1:80";
+  return report;
+}
+
+// Guards against tasks that run twice, because a leader that was suspended extends leases before it
+// learns that another instance has claimed meanwhile.
+TEST_CASE("a leader that was suspended calls no worker until the store has confirmed its claim")
+{
+  boost::asio::io_context io;
+  OneWorkerStore store;
+  CountingWorkers workers;
+  RecoveredState state;
+  state.m_confirmedAt = BootClockNow();
+  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    io,
+    store,
+    workers,
+    DecodeAsWorker,
+    SchedulerLimits(),
+    StoredClaim(),
+    LeaderSession::Callbacks{ [](RequestToken, SubmitResult) {}, [](const std::string&) {} });
+  session->Start(std::move(state));
+  io.run_for(milliseconds(700));
+  CHECK(workers.m_polls > 0);
+
+  store.m_available = false;
+  std::this_thread::sleep_for(milliseconds(1200));
+  const int polls = workers.m_polls;
+  session->OnPing(); // it was sent before the suspension
+  io.run_for(milliseconds(800));
+  CHECK(workers.m_polls == polls);
+
+  store.m_available = true;
+  io.run_for(milliseconds(2500));
+  CHECK(workers.m_polls > polls);
+  session->Stop();
+}
+
 // Guards against an instance that stays leader forever without ever writing again.
 TEST_CASE("a leader steps down if its append was deleted before it could be read back")
 {
