Take a worker as gone when another process responds at its address

Callers saw: tasks of a worker that was restarted wait for its lease, 6 to 10 s, though the worker's own address says that it is gone; a new leader let all earlier jobs wait for it.

Cause: the answer other_instance counted as a lost contact. It says more: the process that had the address has ended, and all that it ran. Now the attempts that were started before the poll are lost at once, and no lease is waited for, if the poll went to the address in the worker's record, at which the worker has answered. An entry of another writer that names a wrong address proves nothing, so the record now holds the address that last answered, and is written again before a task is started at another one.

Tests: "a new leader does not wait for a worker whose address another incarnation has", "tasks of a worker whose address another process has start elsewhere immediately", and for wrong entries "a new leader waits for a worker that may live at its recorded address", "a worker is not taken as gone because its entry names the address of another process".

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -77,9 +77,10 @@
   WorkerReport m_report;
   bool m_registered = true;                    ///< The directory has an entry for the worker.
   RecordState m_record = RecordState::Missing; ///< With a record, the next leader polls the worker.
-  bool m_polled = false;                ///< It has responded to a poll under the current epoch.
-  bool m_statusStale = false;           ///< Its last response may be outdated by a restart.
-  int64_t m_incarnation = 0;            ///< By its own responses; 0 before the first one.
+  std::string m_recordedAddress; ///< As in its record: where earlier calls were answered, if any.
+  bool m_polled = false;         ///< It has responded to a poll under the current epoch.
+  bool m_statusStale = false;    ///< Its last response may be outdated by a restart.
+  int64_t m_incarnation = 0;     ///< By its own responses; 0 before the first one.
   int64_t m_unconfirmedIncarnation = 0; ///< Of a response older than the directory's entry.
   std::unordered_map<TaskRef, AttemptState, TaskRefHash> m_attempts;
   Demand m_used; ///< CPU of all attempts but best-effort ones; memory and accelerators of all.
@@ -93,11 +94,13 @@
   bool m_pollInFlight = false;
   uint64_t m_pollNumber = 0; ///< Of the poll in flight.
   Instant m_pollSentAt;
-  Instant m_nextPollAt;                       ///< Earliest time of the next poll, if needed.
-  uint32_t m_failedPolls = 0;                 ///< Consecutive failures.
-  Instant m_lostContactAt;                    ///< When the first of these polls failed.
-  uint64_t m_endsProcessed = 0;               ///< Highest number of a processed end.
-  uint64_t m_endsDurable = 0;                 ///< Highest number whose effects are in the store.
+  std::string m_pollAddress;    ///< Where the poll in flight was sent.
+  std::string m_lastAddress;    ///< Where it has last responded under this epoch, if it has.
+  Instant m_nextPollAt;         ///< Earliest time of the next poll, if needed.
+  uint32_t m_failedPolls = 0;   ///< Consecutive failures.
+  Instant m_lostContactAt;      ///< When the first of these polls failed.
+  uint64_t m_endsProcessed = 0; ///< Highest number of a processed end.
+  uint64_t m_endsDurable = 0;   ///< Highest number whose effects are in the store.
   std::vector<EndedAttempt> m_nonDurableEnds; ///< Processed ends above m_endsDurable.
   uint64_t m_endsInBatch = 0;                 ///< Highest number covered by the batch in flight.
   uint64_t m_endsAcknowledged = 0;            ///< Highest number the worker may have discarded.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -223,6 +223,8 @@
   static bool IsCurrentIncarnation(Worker& aWorker, int64_t aIncarnation);
   /// Records the incarnation that has responded, and resets the counters of an earlier one.
   static void SetIncarnation(Worker& aWorker, int64_t aIncarnation);
+  /// Handles that another process has responded at the last address of \p aWorker.
+  void OnWorkerGone(Worker& aWorker, Instant aNow);
   static void LogAttempt(const char* aEvent,
                          const Worker& aWorker,
                          const TaskRef& aTask,
@@ -293,6 +295,9 @@
   Instant BatchDueAt() const;
   void WriteBatch(Instant aNow);
   void AppendWorkerRecords(AppendRecords& aBatch);
+  /// Writes the record of \p aWorker again if it has responded at another address. No task is
+  /// started there before that is durable.
+  void RecordAddress(Worker& aWorker);
   bool AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes);
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -456,6 +456,8 @@
   }
   worker->m_failedPolls = 0;
   worker->m_polled = true;
+  worker->m_lastAddress = worker->m_pollAddress;
+  RecordAddress(*worker);
   worker->m_statusStale = false;
   worker->m_clockMs = aStatus.m_clockMs;
   worker->m_clockReadAt = aNow;
@@ -488,6 +490,24 @@
   CheckRecovery(aNow);
 }
 
+void
+Scheduler::OnWorkerGone(Worker& aWorker, Instant aNow)
+{
+  // The process that had the address has ended, and all that it ran.
+  std::vector<TaskRef> lost;
+  for (const std::pair<const TaskRef, AttemptState>& attemptEntry : aWorker.m_attempts) {
+    if (attemptEntry.second.m_startedAt < aWorker.m_pollSentAt) {
+      lost.push_back(attemptEntry.first);
+    }
+  }
+  for (const TaskRef& task : lost) {
+    MarkAttemptLost(aWorker, task, aNow, "other_instance");
+  }
+  if (aWorker.m_attempts.empty()) {
+    aWorker.m_leaseExpiresAt = std::min(aWorker.m_leaseExpiresAt, aNow);
+  }
+}
+
 void
 Scheduler::OnPollFailed(const WorkerName& aId,
                         uint64_t aNumber,
@@ -502,6 +522,10 @@
     return;
   }
   worker->m_pollInFlight = false;
+  if (aResult == WorkerCallResult::IncarnationMismatch &&
+      worker->m_pollAddress == worker->m_recordedAddress) {
+    OnWorkerGone(*worker, aNow);
+  }
   if (++worker->m_failedPolls == 1) {
     worker->m_lostContactAt = aNow;
     Log(LogLine(LogLevel::Warning, "worker_lost_contact")
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -48,13 +48,28 @@
   m_hasUnrecordedWorkers = false;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     if (worker->m_record == RecordState::Missing) {
+      WorkerReport report = worker->m_report;
+      if (!worker->m_lastAddress.empty()) {
+        report.m_address = worker->m_lastAddress; // the directory's entry may be wrong
+      }
       worker->m_record = RecordState::InBatch;
-      aBatch.m_records.push_back(
-        { WorkerKey(worker->m_report.m_id), PackCompact(worker->m_report) });
+      worker->m_recordedAddress = report.m_address;
+      aBatch.m_records.push_back({ WorkerKey(report.m_id), PackCompact(report) });
     }
   }
 }
 
+void
+Scheduler::RecordAddress(Worker& aWorker)
+{
+  if (aWorker.m_record != RecordState::Durable ||
+      aWorker.m_lastAddress == aWorker.m_recordedAddress) {
+    return; // a record in flight is compared after the next response
+  }
+  aWorker.m_record = RecordState::Missing;
+  m_hasUnrecordedWorkers = true;
+}
+
 bool
 Scheduler::HasUnwrittenChanges() const
 {
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -50,6 +50,7 @@
   Worker* worker = m_fleet.Find(aReport.m_id);
   worker->m_record = RecordState::Durable;
   worker->m_registered = false; // until the directory has an entry
+  worker->m_recordedAddress = aReport.m_address;
   worker->m_leaseExpiresAt = m_fleet.LatestLeaseExpiry(aNow + m_fleet.Limits().m_noticeTime);
 }
 
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -191,6 +191,7 @@
                     ? kServingPollWait
                     : kPollWait;
   }
+  aWorker.m_pollAddress = poll.m_address;
   aWorker.m_pollInFlight = true;
   aWorker.m_pollSentAt = aNow;
   ++m_counters.m_polls;
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -198,6 +198,31 @@
 /// time that an earlier leader may need to notice its successor.
 static constexpr Duration kMaxRecoveryTime = kLongestLease + milliseconds(2500);
 
+// Guards against tasks that wait for the lease of a worker that is known to be gone.
+TEST_CASE("a new leader does not wait for a worker whose address another incarnation has")
+{
+  Recovery recovery;
+  recovery.m_scheduler.RestoreWorker(MakeReport("gone"), recovery.m_now);
+  recovery.m_failure = WorkerCallResult::IncarnationMismatch;
+  recovery.ReadDirectory();
+  recovery.Advance(milliseconds(500));
+  CHECK(recovery.m_startedAt);
+}
+
+// Guards against a task that runs twice, because a wrong entry names the address of another worker.
+TEST_CASE("a new leader waits for a worker that may live at its recorded address")
+{
+  Recovery recovery;
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  WorkerReport wrong = MakeReport("unreachable");
+  wrong.m_address = "10.0.0.2:80";
+  recovery.m_scheduler.UpdateWorker(wrong, recovery.m_now);
+  recovery.m_failure = WorkerCallResult::IncarnationMismatch;
+  recovery.ReadDirectory();
+  recovery.Advance(kLongestLease);
+  CHECK_FALSE(recovery.m_startedAt);
+}
+
 // Guards against long-running tasks that wait anew in each of several short epochs, although each
 // leader is alive when its successor asks it.
 TEST_CASE("a recovery that a successor continues does not begin anew")
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -119,7 +119,7 @@
 std::shared_ptr<SchedulerWorld::Leader>
 SchedulerWorld::MakeLeader()
 {
-  const std::shared_ptr<Leader> leader = std::make_shared<Leader>();
+  std::shared_ptr<Leader> leader = std::make_shared<Leader>();
   leader->m_epoch = ++m_epoch;
   leader->m_electedAt = m_now;
   SchedulerLimits limits;
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -70,6 +70,7 @@
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   std::set<WorkerName> m_unreachable;
+  std::set<WorkerName> m_replaced; ///< Another process responds at their address.
   std::map<WorkerName, std::vector<RunningAttempt>> m_running;
   std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves report them.
   std::map<WorkerName, int64_t> m_clockLeadsMs; ///< Ahead of the wall clock.
@@ -147,6 +148,11 @@
       }
     } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
       ++m_polls;
+      if (m_replaced.count(poll->m_worker) > 0) {
+        m_scheduler.OnPollFailed(
+          poll->m_worker, poll->m_number, WorkerCallResult::IncarnationMismatch, m_now);
+        return;
+      }
       if (!IsReachable(poll->m_worker, poll->m_address)) {
         m_scheduler.OnPollFailed(
           poll->m_worker, poll->m_number, WorkerCallResult::NoResponse, m_now);
@@ -438,3 +444,35 @@
   REQUIRE(world.m_running["w"].size() == 1);
   CHECK(world.m_lastLease >= seconds(4));
 }
+
+// Guards against tasks that wait for the lease of a worker that is known to be gone.
+TEST_CASE("tasks of a worker whose address another process has start elsewhere immediately")
+{
+  ContactWorld world;
+  world.RegisterWorker("w");
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+
+  world.m_replaced.insert("w");
+  world.RegisterWorker("successor");
+  world.Advance(seconds(1));
+  CHECK(world.m_running["successor"].size() == 1);
+}
+
+// Guards against a task that runs twice, because a wrong entry names the address of another
+// process.
+TEST_CASE("a worker is not taken as gone because its entry names the address of another process")
+{
+  ContactWorld world;
+  world.RegisterWorker("w");
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["w"].size() == 1);
+
+  world.RegisterWorker("w", 1, "10.0.0.2:80");
+  world.m_replaced.insert("w");
+  world.RegisterWorker("other");
+  world.Advance(seconds(4)); // less than a lease
+  CHECK(world.m_running["other"].empty());
+}
