Do not start a task while a worker still has an attempt of it

Cause: a worker can have an attempt that the task's record does not name: one that it lists although the leader wants none (run_unwanted), as long as it is being stopped. Placement looked only at the record. If another worker was the better one, the task started there beside the run that still went on. If that worker was the best one, StartAttempt() returned without a start, at each pass; PlaceStep() took the task as started, no line said that it waits, and of a gang the other tasks started alone. A task whose own attempt is being stopped was never concerned: the record keeps it until its end, so the task does not wait.

Fix: the fleet counts the attempts of each task on all workers. A task that has one waits for its end, and a gang waits as a whole; StartAttempt() asserts that there is none. The count makes the check one lookup, whatever the number of workers, and is not part of the request, so RulesOut() and the avoided worker are not concerned. The wait is in tasks_waiting as "stopping". Steps with speculative attempts wait as well.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -147,12 +147,13 @@
 
   /// Adds an attempt to \p aWorker; its demand counts from now on. \pre The worker has no attempt
   /// of the task.
-  static AttemptState& AddAttempt(Worker& aWorker,
-                                  const TaskRef& aTask,
-                                  const AttemptState& aAttempt);
+  AttemptState& AddAttempt(Worker& aWorker, const TaskRef& aTask, const AttemptState& aAttempt);
 
   /// Removes the attempt of \p aTask from \p aWorker, if there is one.
-  static void RemoveAttempt(Worker& aWorker, const TaskRef& aTask);
+  void RemoveAttempt(Worker& aWorker, const TaskRef& aTask);
+
+  /// Returns whether any worker has an attempt of \p aTask, also one that is being stopped.
+  bool HasAttempt(const TaskRef& aTask) const { return m_attemptsByTask.count(aTask) > 0; }
 
   /// Returns the share of all processors that attempts reserve or request.
   double ShareInUse() const;
@@ -171,6 +172,7 @@
   LeaseLimits m_limits;
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::unordered_map<WorkerName, Worker*> m_byId;
+  std::unordered_map<TaskRef, uint32_t, TaskRefHash> m_attemptsByTask; ///< On all workers.
 };
 
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -260,10 +260,11 @@
                           const PlacementRequest& aRequest,
                           Instant aNow);
   void ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
+  void ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
   void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   /// If \p aThrottled is set, a best-effort attempt is throttled for its serving neighbors from the
-  /// start.
+  /// start. \pre No worker has an attempt of the task.
   void StartAttempt(const WaitingStep& aWaiting,
                     size_t aIndex,
                     Worker& aWorker,
--- a/include/egretturn/Scheduler/WaitingReport.h
+++ b/include/egretturn/Scheduler/WaitingReport.h
@@ -15,6 +15,7 @@
   uint32_t m_tasks = 0;
   uint32_t m_skipped = 0;       ///< Tasks that were not tried, because a similar step did not fit.
   uint32_t m_recovering = 0;    ///< Tasks that may run on a worker of an earlier epoch.
+  uint32_t m_stopping = 0;      ///< Tasks of which a worker still stops an attempt.
   Duration m_oldestAge{};       ///< Age of the oldest of their jobs.
   ObstacleCounts m_obstacles{}; ///< Workers by what keeps the last tried step from them.
 };
@@ -44,6 +45,9 @@
   /// not been polled yet.
   void AddRecovering(ImageId aImage, uint32_t aTasks, Duration aAge);
 
+  /// Adds \p aTasks tasks of \p aImage of which a worker still stops an attempt, or of whose gang.
+  void AddStopping(ImageId aImage, uint32_t aTasks, Duration aAge);
+
   /// Returns the totals over all images.
   WaitingTotals Totals() const;
 
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -203,7 +203,7 @@
     if (aReported.m_end == AttemptEnd::Done && it->second.m_hasValidDuration) {
       RecordDuration(aReported.m_task, aNow - it->second.m_startedAt);
     }
-    Fleet::RemoveAttempt(aWorker, aReported.m_task);
+    m_fleet.RemoveAttempt(aWorker, aReported.m_task);
     m_placementNeeded = true;
   }
   if (aReported.m_end == AttemptEnd::Done) {
@@ -275,7 +275,7 @@
   }
   attempt.m_throttlePercent =
     attempt.m_bestEffort ? EstimateThrottle(aReported.m_usage, attempt.m_demand.m_cpuMilli) : 100;
-  Fleet::AddAttempt(aWorker, aReported.m_task, attempt);
+  m_fleet.AddAttempt(aWorker, aReported.m_task, attempt);
   for (BestEffortGroup& group : aWorker.m_bestEffortGroups) {
     if (group.m_image == attempt.m_image && attempt.m_bestEffort) {
       group.m_throttlePercent = std::min(group.m_throttlePercent, attempt.m_throttlePercent);
@@ -339,7 +339,7 @@
 {
   const AttemptNumber attempt = aWorker.m_attempts.at(aTask).m_attempt;
   LogAttempt("run_lost", aWorker, aTask, attempt, aCause);
-  Fleet::RemoveAttempt(aWorker, aTask);
+  m_fleet.RemoveAttempt(aWorker, aTask);
   m_placementNeeded = true;
   Job* job = m_jobs.Find(aTask.m_job);
   if (!job || IsEnded(job->m_state)) {
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -160,6 +160,7 @@
   assert(added && "a worker has at most one attempt of a task");
   (void)added;
   AccountDemand(aWorker, aAttempt, 1);
+  ++m_attemptsByTask[aTask];
   return it->second;
 }
 
@@ -172,6 +173,11 @@
   }
   AccountDemand(aWorker, it->second, -1);
   aWorker.m_attempts.erase(it);
+  const auto count = m_attemptsByTask.find(aTask);
+  assert(count != m_attemptsByTask.end() && "the attempt was not counted");
+  if (--count->second == 0) {
+    m_attemptsByTask.erase(count);
+  }
 }
 
 double
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -180,6 +180,16 @@
   m_waitingReport->AddRecovering(image, aTasks, aNow - aWaiting.m_job->m_submittedAt);
 }
 
+void
+Scheduler::ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow)
+{
+  if (!m_waitingReport) {
+    return;
+  }
+  const ImageId image = m_interference.Intern(StepOf(aWaiting).m_image);
+  m_waitingReport->AddStopping(image, aTasks, aNow - aWaiting.m_job->m_submittedAt);
+}
+
 void
 Scheduler::FinishWaitingReport(Instant aNow)
 {
@@ -238,6 +248,10 @@
       ReportRecoveringTasks(aWaiting, 1, aNow);
       continue;
     }
+    if (m_fleet.HasAttempt(ref)) {
+      ReportStoppingTasks(aWaiting, 1, aNow);
+      continue;
+    }
     aRequest.m_avoidedWorker = task.m_avoidedWorker;
     Worker* worker = ChooseWorker(m_fleet, aRequest, aNow);
     if (!worker) {
@@ -258,10 +272,15 @@
     return; // members of the last attempt are still being stopped
   }
   for (size_t i = 0; i < record.m_tasks.size(); ++i) {
-    if (MayRunElsewhere(*aWaiting.m_job, MakeTaskRef(aWaiting, i), aNow)) {
+    const TaskRef ref = MakeTaskRef(aWaiting, i);
+    if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
       ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
       return;
     }
+    if (m_fleet.HasAttempt(ref)) {
+      ReportStoppingTasks(aWaiting, record.m_waiting, aNow);
+      return;
+    }
   }
   // Capacity is reserved tentatively, member by member, so that members on one worker add up.
   std::vector<Worker*> chosen;
@@ -314,9 +333,7 @@
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   TaskRecord& task = record.m_tasks[aIndex];
   const TaskRef ref = MakeTaskRef(aWaiting, aIndex);
-  if (aWorker.m_attempts.count(ref) > 0) {
-    return; // an attempt of the task is still being stopped there
-  }
+  assert(!m_fleet.HasAttempt(ref) && "two attempts of a task would run at the same time");
   assert(aWorker.m_record == RecordState::Durable && "the next leader finds no attempt there");
   const AttemptNumber number = (m_epoch - 1) * kAttemptsPerEpoch + ++task.m_starts;
   if (task.m_attempts.empty()) {
@@ -339,7 +356,7 @@
   if (!NeedsPoll(aWorker)) {
     aWorker.m_nextPollAt = aNow + kPollDelayAfterStart;
   }
-  Fleet::AddAttempt(aWorker, ref, attempt);
+  m_fleet.AddAttempt(aWorker, ref, attempt);
   if (attempt.m_bestEffort && aThrottled) {
     ThrottleForNewAttempt(aWorker, attempt.m_image, aNow);
   }
--- a/lib/Scheduler/WaitingReport.cpp
+++ b/lib/Scheduler/WaitingReport.cpp
@@ -37,6 +37,12 @@
   AddTasks(aImage, aTasks, aAge).m_recovering += aTasks;
 }
 
+void
+WaitingReport::AddStopping(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  AddTasks(aImage, aTasks, aAge).m_stopping += aTasks;
+}
+
 WaitingTotals
 WaitingReport::Totals() const
 {
@@ -60,6 +66,7 @@
       .Add("tasks", image.m_tasks)
       .Add("passed_over", image.m_skipped)
       .Add("recovering", image.m_recovering)
+      .Add("stopping", image.m_stopping)
       .Add("oldest_ms", ToMillis(image.m_oldestAge));
     for (size_t i = 0; i < image.m_obstacles.size(); ++i) {
       if (image.m_obstacles[i] > 0) {
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -25,7 +25,12 @@
 }
 
 static void
-AddAttempt(Worker& aWorker, uint16_t aIndex, ImageId aImage, int64_t aCpu, bool aBestEffort)
+AddAttempt(Fleet& aFleet,
+           Worker& aWorker,
+           uint16_t aIndex,
+           ImageId aImage,
+           int64_t aCpu,
+           bool aBestEffort)
 {
   AttemptState attempt;
   attempt.m_attempt = 1;
@@ -34,7 +39,7 @@
   attempt.m_bestEffort = aBestEffort;
   attempt.m_longRunning = !aBestEffort;
   attempt.m_targetMs = aBestEffort ? 0 : 18;
-  Fleet::AddAttempt(aWorker, { 7, 0, 0, aIndex }, attempt);
+  aFleet.AddAttempt(aWorker, { 7, 0, 0, aIndex }, attempt);
 }
 
 static PlacementRequest
@@ -52,22 +57,22 @@
 {
   Fleet fleet{ LeaseLimits() };
   Worker& worker = AddWorker(fleet, "w1");
-  AddAttempt(worker, 0, 0, 15000, false);
+  AddAttempt(fleet, worker, 0, 0, 15000, false);
   worker.m_attempts.begin()->second.m_phase = AttemptPhase::Stopping;
   GraphStep step;
   step.m_demand = { 2000, 100, 0 };
   const ImageInterferenceModel model;
   CHECK(ChooseWorker(fleet, RequestFor(step, model, 9), kNow) == nullptr);
-  Fleet::RemoveAttempt(worker, { 7, 0, 0, 0 });
+  fleet.RemoveAttempt(worker, { 7, 0, 0, 0 });
   CHECK(ChooseWorker(fleet, RequestFor(step, model, 9), kNow) == &worker);
 }
 
 TEST_CASE("serving tasks of one image share a worker, so that fewer images interfere")
 {
   Fleet fleet{ LeaseLimits() };
-  AddAttempt(AddWorker(fleet, "w1"), 0, 1, 3000, false);
+  AddAttempt(fleet, AddWorker(fleet, "w1"), 0, 1, 3000, false);
   Worker& own = AddWorker(fleet, "w2");
-  AddAttempt(own, 1, 2, 3000, false);
+  AddAttempt(fleet, own, 1, 2, 3000, false);
   AddWorker(fleet, "w3");
   GraphStep step;
   step.m_demand = { 3000, 1000, 0 };
@@ -86,7 +91,7 @@
   for (int i = 0; i < 50; ++i) {
     model.Learn(serving, 0.5, { { heavy, 0.1 } });
   }
-  AddAttempt(AddWorker(fleet, "w1", 32000), 0, serving, 3000, false);
+  AddAttempt(fleet, AddWorker(fleet, "w1", 32000), 0, serving, 3000, false);
   Worker& empty = AddWorker(fleet, "w2", 8000);
   GraphStep step;
   step.m_demand = { 3000, 1000, 0 };
@@ -123,10 +128,10 @@
   model.Restore({ { { "serving", "heavy", 8.0, 0.01 } } });
   const ImageId heavy = model.Intern("heavy");
   AddWorker(fleet, "free");
-  AddAttempt(AddWorker(fleet, "beside"), 0, serving, 3000, false);
-  AddAttempt(AddWorker(fleet, "full"), 0, heavy, 15000, true);
+  AddAttempt(fleet, AddWorker(fleet, "beside"), 0, serving, 3000, false);
+  AddAttempt(fleet, AddWorker(fleet, "full"), 0, heavy, 15000, true);
   Worker& nearTarget = AddWorker(fleet, "pressed");
-  AddAttempt(nearTarget, 0, serving, 3000, false);
+  AddAttempt(fleet, nearTarget, 0, serving, 3000, false);
   nearTarget.m_nearTarget = true;
   AddWorker(fleet, "leaving").m_report.m_draining = true;
   GraphStep step;
@@ -174,8 +179,8 @@
   model.Restore({ { { "serving", "filling", 1.0, 0.01 } } });
   const ImageId bestEffort = model.Intern("filling");
   Worker& worker = AddWorker(fleet, "w1");
-  AddAttempt(worker, 0, serving, 3000, false);
-  AddAttempt(worker, 1, bestEffort, 1400, true);
+  AddAttempt(fleet, worker, 0, serving, 3000, false);
+  AddAttempt(fleet, worker, 1, bestEffort, 1400, true);
   GraphStep small;
   small.m_demand = { 500, 1000, 0 };
   small.m_bestEffort = true;
--- a/unittests/Scheduler/WaitingTasksTest.cpp
+++ b/unittests/Scheduler/WaitingTasksTest.cpp
@@ -171,7 +171,7 @@
     attempt.m_bestEffort = m_random.Below(2) == 0;
     attempt.m_longRunning = !attempt.m_bestEffort;
     attempt.m_targetMs = attempt.m_bestEffort ? 0 : 18;
-    Fleet::AddAttempt(aWorker, { 7, 0, 0, aIndex }, attempt);
+    m_fleet.AddAttempt(aWorker, { 7, 0, 0, aIndex }, attempt);
   }
 
   GraphStep RandomStep()
