Count what an earlier epoch started before the clock says it is due

Callers can see a task of a scheduled job run again after its end was taken note of, or stopped and done again (rule TWICE; prices of stopped work). Found by the random test once its leaders had clocks of their own; not traced to a report.

Cause: a new leader opens an occurrence when it is due by its own clock. If that is behind the clock of the leader before, a worker reports tasks of an occurrence that is not open. An end found no record, had no effect and was acknowledged all the same, so the task ran again later. A running attempt was taken as unwanted and stopped. AdoptAttempt() called OpenDue(), but with the clock of the last tick, which had opened all that was due by then.

Fix: a report of a task of a restored job opens its occurrence, as the stored progress of an occurrence does after a take-over: it was due for the leader that started it. The other tasks of the occurrence may then start before the time by the new leader's clock, as they may after a take-over with progress in the store; by no more than the two clocks differ.

Tests: "an end that is reported before its occurrence is due by the leader's clock counts" and "a task of an occurrence that is not due by the leader's clock runs on" failed before (two starts instead of one; the attempt stopped).

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -91,6 +91,10 @@
   /// Opens the occurrences that are due at \p aWallMs. Returns true if any was opened.
   bool OpenDue(Job& aJob, int64_t aWallMs);
 
+  /// Opens the occurrences up to \p aNumber, whether they are due or not. Returns true if any was
+  /// opened; opens none if the job has no occurrence \p aNumber.
+  bool OpenThrough(Job& aJob, uint32_t aNumber);
+
   /// Returns the task, or nullptr if the job has no such open occurrence, step or index.
   static TaskRecord* FindTask(Job& aJob, const TaskRef& aTask);
   static OccurrenceRecord* FindOccurrence(Job& aJob, uint32_t aNumber);
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -214,6 +214,10 @@
                         Worker& aWorker,
                         Instant aNow);
   void UpdateRunningAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow);
+  /// Returns the record of a task that a worker has reported, and opens its occurrence if an
+  /// earlier epoch may have started it; nullptr if \p aJob is nullptr, has ended, or has no such
+  /// task.
+  TaskRecord* FindReportedTask(Job* aJob, const TaskRef& aTask);
   void AdoptAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow);
   void RemoveLostAttempts(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
   void MarkAttemptLost(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -216,10 +216,7 @@
     ++m_counters.m_endsOther;
   }
   Job* job = m_jobs.Find(aReported.m_task.m_job);
-  if (!job || IsEnded(job->m_state)) {
-    return;
-  }
-  TaskRecord* task = JobRegistry::FindTask(*job, aReported.m_task);
+  TaskRecord* task = FindReportedTask(job, aReported.m_task);
   if (!task) {
     return;
   }
@@ -249,15 +246,25 @@
   return percent >= kMinUnthrottledUsePercent ? 100 : percent;
 }
 
+TaskRecord*
+Scheduler::FindReportedTask(Job* aJob, const TaskRef& aTask)
+{
+  if (!aJob || IsEnded(aJob->m_state)) {
+    return nullptr;
+  }
+  // The clock of the leader that started the task may have been ahead of this one's.
+  if (aJob->m_recovered && m_jobs.OpenThrough(*aJob, aTask.m_occurrence)) {
+    m_waitingJobs.insert(aTask.m_job);
+    m_placementNeeded = true;
+  }
+  return JobRegistry::FindTask(*aJob, aTask);
+}
+
 void
 Scheduler::AdoptAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow)
 {
   Job* job = m_jobs.Find(aReported.m_task.m_job);
-  if (job && !IsEnded(job->m_state)) {
-    m_jobs.OpenDue(*job, m_wallMs);
-  }
-  TaskRecord* task =
-    job && !IsEnded(job->m_state) ? JobRegistry::FindTask(*job, aReported.m_task) : nullptr;
+  TaskRecord* task = FindReportedTask(job, aReported.m_task);
   AttemptState attempt;
   attempt.m_attempt = aReported.m_attempt;
   attempt.m_phase = AttemptPhase::Running;
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -123,6 +123,19 @@
   return opened;
 }
 
+bool
+JobRegistry::OpenThrough(Job& aJob, uint32_t aNumber)
+{
+  const uint32_t total = std::max<uint32_t>(1, aJob.m_stored.m_graph.m_occurrences);
+  if (aNumber >= total || aNumber < aJob.m_nextOccurrence) {
+    return false;
+  }
+  while (aJob.m_nextOccurrence <= aNumber) {
+    OpenOccurrence(aJob, aJob.m_nextOccurrence++);
+  }
+  return true;
+}
+
 OccurrenceRecord*
 JobRegistry::FindOccurrence(Job& aJob, uint32_t aNumber)
 {
--- a/unittests/Scheduler/UnwantedAttemptsTest.cpp
+++ b/unittests/Scheduler/UnwantedAttemptsTest.cpp
@@ -1,4 +1,4 @@
-// Tests tasks that a worker runs although the leader has not started them there.
+// Tests tasks that a worker runs, or has ended, although this leader has not started them there.
 #include "egretturn/Scheduler/Scheduler.h"
 
 #include <algorithm>
@@ -154,3 +154,87 @@
   CHECK(world.m_mostStartsInOneTick == 2);
   CHECK_FALSE(world.m_startedTwice);
 }
+
+namespace {
+
+/// A new leader whose clock is behind that of its predecessor: worker "w" reports the first task of
+/// an occurrence that is not due yet.
+struct ClockBehindWorld
+{
+  explicit ClockBehindWorld(WorkerStatus aStatus)
+    : m_scheduler(SchedulerLimits(), 2, m_now)
+    , m_status(std::move(aStatus))
+  {
+    StoredJob stored;
+    stored.m_id = kJob;
+    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    stored.m_graph.m_steps.push_back(MakeStep(2, false));
+    stored.m_graph.m_occurrences = 1;
+    stored.m_graph.m_firstDueMs = ToMillis((m_now + seconds(3)).time_since_epoch());
+    WorkerReport report;
+    report.m_id = "w";
+    report.m_service = "desk";
+    report.m_address = "10.0.0.1:80";
+    report.m_capacity = { 16000, 64000, 0 };
+    m_scheduler.RestoreJob(stored, m_now, ToMillis(m_now.time_since_epoch()));
+    m_scheduler.RestoreWorker(report, m_now);
+    m_scheduler.UpdateWorker(report, m_now);
+    m_scheduler.OnDirectoryRead();
+    for (const Instant end = m_now + seconds(5); m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Execute(action);
+      }
+    }
+  }
+
+  void Execute(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (std::get_if<StopTask>(&aAction)) {
+      ++m_stops;
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      m_started.push_back(start->m_task);
+      m_status.m_running.push_back({ start->m_task, start->m_attempt, "", 10, 0 });
+      m_scheduler.OnStartResult(
+        start->m_worker, start->m_task, start->m_attempt, WorkerCallResult::Accepted, m_now);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      m_status.m_clockMs = ToMillis(m_now.time_since_epoch());
+      for (RunningAttempt& running : m_status.m_running) {
+        running.m_percent = static_cast<int>((m_now - m_beginsAt) / kPerPercent);
+      }
+      m_scheduler.OnPollResponse(poll->m_worker, poll->m_number, m_status, m_now);
+    }
+  }
+
+  static constexpr Duration kPerPercent = milliseconds(100); // an attempt makes steady progress
+
+  Instant m_beginsAt{ std::chrono::hours(1) };
+  Instant m_now = m_beginsAt;
+  Scheduler m_scheduler;
+  WorkerStatus m_status;
+  std::vector<TaskRef> m_started;
+  size_t m_stops = 0;
+};
+
+} // namespace
+
+// Guards against a second run of a task whose end was reported to a leader with a slower clock.
+TEST_CASE("an end that is reported before its occurrence is due by the leader's clock counts")
+{
+  WorkerStatus status;
+  status.m_ended.push_back({ 1, kFirstTask, 1, AttemptEnd::Done, "" });
+  const ClockBehindWorld world(status);
+  CHECK(world.m_started == std::vector<TaskRef>{ { kJob, 0, 0, 1 } });
+}
+
+// Guards against work that is stopped and done again, because the new leader's clock is slower.
+TEST_CASE("a task of an occurrence that is not due by the leader's clock runs on")
+{
+  WorkerStatus status;
+  status.m_running.push_back({ kFirstTask, 1, "", 10, 0 });
+  const ClockBehindWorld world(status);
+  CHECK(world.m_stops == 0);
+  CHECK(world.m_started == std::vector<TaskRef>{ { kJob, 0, 0, 1 } });
+}
