Let the random test have gangs, due times and leaders whose clocks differ

The random test of the scheduler had none of these, so it met neither a gang that starts in part nor an occurrence that is not due by a later leader's clock. It now checks that the starts of a gang leave in one tick, all tasks with one attempt number; a gang is done with its first task, as for the leader. Half of the leaders have a clock that is up to 3 s behind.

The fake workers now report the progress of their attempts, but for a quarter that stands still as all did before.

--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -19,6 +19,23 @@
   return it == m_jobs.end() ? nullptr : &it->second.m_submission.m_graph.m_steps[aTask.m_step];
 }
 
+bool
+Oracle::IsDone(const TaskRef& aTask) const
+{
+  const GraphStep* step = StepOf(aTask);
+  if (!step || !step->m_gang) {
+    return m_done.count(Key(aTask)) > 0;
+  }
+  TaskRef member = aTask;
+  for (uint32_t i = 0; i < step->m_count; ++i) {
+    member.m_index = static_cast<uint16_t>(i);
+    if (m_done.count(Key(member)) > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 Oracle::OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate)
 {
@@ -41,7 +58,7 @@
       const TaskRef needed{
         aTask.m_job, aTask.m_occurrence, static_cast<uint16_t>(dependency), static_cast<uint16_t>(i)
       };
-      if (m_done.count(Key(needed)) == 0) {
+      if (!IsDone(needed)) {
         ReportViolation("started before its dependencies: " + key);
       }
     }
@@ -84,6 +101,15 @@
 {
 }
 
+int
+FakeWorker::PercentOf(const Attempt& aAttempt, Instant aNow)
+{
+  const Duration length = aAttempt.m_endsAt - aAttempt.m_startedAt;
+  const Duration elapsed = aNow - aAttempt.m_startedAt;
+  return aAttempt.m_stalls || length <= Duration::zero() ? 50
+                                                         : static_cast<int>(100 * elapsed / length);
+}
+
 int64_t
 FakeWorker::ClockMs(Instant aNow) const
 {
@@ -145,7 +171,9 @@
   attempt.m_end = fails ? AttemptEnd::Failed : AttemptEnd::Done;
   const Duration length = step.m_longRunning ? kLongRunningFailureTime
                                              : Duration(milliseconds(100 + m_random.Below(2500)));
+  attempt.m_startedAt = aNow;
   attempt.m_endsAt = aNow + (fails ? length / 3 : length);
+  attempt.m_stalls = m_random.Below(4) == 0;
   if (step.m_longRunning) {
     attempt.m_end = AttemptEnd::Failed;
   }
@@ -198,7 +226,8 @@
   aStatus.m_incarnation = m_report.m_incarnation;
   for (const std::pair<const std::string, std::pair<TaskRef, Attempt>>& attemptEntry : m_attempts) {
     const std::pair<TaskRef, Attempt>& attempt = attemptEntry.second;
-    aStatus.m_running.push_back({ attempt.first, attempt.second.m_attempt, "", 50, 0 });
+    aStatus.m_running.push_back(
+      { attempt.first, attempt.second.m_attempt, "", PercentOf(attempt.second, aNow), 0 });
   }
   aStatus.m_ended = m_ended;
   return WorkerCallResult::Accepted;
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -33,7 +33,8 @@
   void OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate);
   void OnEnded(const TaskRef& aTask, const WorkerName& aWorker, AttemptEnd aEnd);
   void OnAcknowledged(const TaskRef& aTask, AttemptNumber aAttempt, AttemptEnd aEnd);
-  bool IsDone(const TaskRef& aTask) const { return m_done.count(Key(aTask)) > 0; }
+  /// Returns whether the task has ended as done, or, in a gang, any task of its step.
+  bool IsDone(const TaskRef& aTask) const;
 
 private:
   static std::string Key(const TaskRef& aTask) { return FormatTaskRef(aTask); }
@@ -76,11 +77,14 @@
   struct Attempt
   {
     AttemptNumber m_attempt = 0;
+    Instant m_startedAt;
     Instant m_endsAt;
+    bool m_stalls = false; ///< It reports no progress.
     AttemptEnd m_end = AttemptEnd::Done;
     Demand m_demand;
   };
 
+  static int PercentOf(const Attempt& aAttempt, Instant aNow);
   int64_t ClockMs(Instant aNow) const;
   void End(const TaskRef& aTask, AttemptEnd aEnd);
   bool Fence(uint64_t aFence);
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -17,6 +17,8 @@
 static constexpr Duration kRestartDetectionTime = seconds(2);
 static constexpr Duration kRestartedJobTime = seconds(20);
 static constexpr int64_t kRestartClockMs = 3600000; // of a restarted worker
+static constexpr int64_t kMaxClockLagMs = 3000;
+static constexpr uint64_t kMaxDueDelayMs = 4000;
 
 SchedulerWorld::SchedulerWorld(uint64_t aSeed, size_t aWorkers)
   : m_random(aSeed)
@@ -57,6 +59,7 @@
   step.m_estimateMs = static_cast<int64_t>(200 + aRandom.Below(3000));
   step.m_longRunning = aLongRunning;
   step.m_bestEffort = !aLongRunning && aRandom.Below(2) == 0;
+  step.m_gang = !aLongRunning && aRandom.Below(6) == 0;
   step.m_checkpoints = aRandom.Below(2) == 0;
   step.m_maxPerWorker = aRandom.Below(4) == 0 ? 2 : 0;
   step.m_image = "image" + std::to_string(aRandom.Below(4));
@@ -77,6 +80,11 @@
   for (size_t i = 0; i < steps; ++i) {
     submission.m_graph.m_steps.push_back(RandomStep(m_random, i, longRunning));
   }
+  if (!longRunning && m_random.Below(4) == 0) {
+    submission.m_graph.m_occurrences = 1;
+    submission.m_graph.m_firstDueMs =
+      WallMs() + static_cast<int64_t>(m_random.Below(kMaxDueDelayMs));
+  }
   const GraphId id = submission.m_id;
   Submit(std::move(submission));
   return id;
@@ -92,7 +100,7 @@
   const std::shared_ptr<Leader> leader = m_leaders.back();
   const RequestToken token = ++m_request;
   leader->m_requests[token] = { aSubmission.m_id, false };
-  leader->m_scheduler->Submit(token, std::move(aSubmission), m_now, WallMs());
+  leader->m_scheduler->Submit(token, std::move(aSubmission), m_now, WallMs(*leader));
   RunScheduler(leader);
 }
 
@@ -105,7 +113,7 @@
   const std::shared_ptr<Leader> leader = m_leaders.back();
   const RequestToken token = ++m_request;
   leader->m_requests[token] = { aId, true };
-  leader->m_scheduler->Cancel(token, aId, m_now, WallMs());
+  leader->m_scheduler->Cancel(token, aId, m_now, WallMs(*leader));
   RunScheduler(leader);
 }
 
@@ -128,6 +136,8 @@
   }
   const std::shared_ptr<Leader> leader = std::make_shared<Leader>();
   leader->m_epoch = ++m_epoch;
+  leader->m_clockLagMs =
+    m_random.Below(2) == 0 ? 0 : static_cast<int64_t>(m_random.Below(kMaxClockLagMs));
   SchedulerLimits limits;
   limits.m_endedJobRetention = std::chrono::hours(1); // states are queried at the end
   leader->m_scheduler = std::make_unique<Scheduler>(limits, leader->m_epoch, m_now);
@@ -142,7 +152,7 @@
     StoredProgress one;
     WorkerReport report;
     if (kind == RecordKind::Job && UnpackCompact(value, job)) {
-      leader->m_scheduler->RestoreJob(std::move(job), m_now, WallMs());
+      leader->m_scheduler->RestoreJob(std::move(job), m_now, WallMs(*leader));
     } else if (kind == RecordKind::Progress && UnpackCompact(value, one)) {
       progress.emplace_back(id, std::move(one));
     } else if (kind == RecordKind::Worker && UnpackCompact(value, report)) {
@@ -189,12 +199,47 @@
   if (aLeader->m_stopped) {
     return;
   }
-  aLeader->m_scheduler->Tick(m_now, WallMs());
-  for (const Action& action : aLeader->m_scheduler->TakeActions()) {
+  aLeader->m_scheduler->Tick(m_now, WallMs(*aLeader));
+  const std::vector<Action> actions = aLeader->m_scheduler->TakeActions();
+  CheckGangs(actions);
+  for (const Action& action : actions) {
     Execute(aLeader, action);
   }
 }
 
+void
+SchedulerWorld::CheckGangs(const std::vector<Action>& aActions)
+{
+  std::map<std::string, std::pair<const StartTask*, uint32_t>> started; // by the first task's name
+  for (const Action& action : aActions) {
+    const StartTask* start = std::get_if<StartTask>(&action);
+    if (!start) {
+      continue;
+    }
+    const Submission& submission = m_oracle.m_jobs.at(start->m_task.m_job).m_submission;
+    if (!submission.m_graph.m_steps[start->m_task.m_step].m_gang) {
+      continue;
+    }
+    TaskRef first = start->m_task;
+    first.m_index = 0;
+    std::pair<const StartTask*, uint32_t>& gang = started[FormatTaskRef(first)];
+    gang.first = gang.first ? gang.first : start;
+    ++gang.second;
+    if (gang.first->m_attempt != start->m_attempt) {
+      m_oracle.ReportViolation("a gang starts with different attempt numbers: " +
+                               FormatTaskRef(start->m_task));
+    }
+  }
+  for (const std::pair<const std::string, std::pair<const StartTask*, uint32_t>>& gangEntry :
+       started) {
+    const TaskRef& task = gangEntry.second.first->m_task;
+    const Submission& submission = m_oracle.m_jobs.at(task.m_job).m_submission;
+    if (gangEntry.second.second != submission.m_graph.m_steps[task.m_step].m_count) {
+      m_oracle.ReportViolation("a gang starts in part: " + gangEntry.first);
+    }
+  }
+}
+
 void
 SchedulerWorld::CallWorker(const std::shared_ptr<Leader>& aLeader,
                            const WorkerName& aWorker,
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -63,6 +63,7 @@
     uint64_t m_epoch = 0;
     size_t m_end = 0;
     bool m_stopped = false;
+    int64_t m_clockLagMs = 0; ///< How far its wall clock is behind.
     std::map<RequestToken, std::pair<GraphId, bool>> m_requests; ///< The job; true to cancel it.
     std::map<WorkerName, bool> m_registered;
   };
@@ -81,6 +82,8 @@
   void After(Duration aDelay, std::function<void()> aCallback);
   Duration Delay() { return std::chrono::milliseconds(1 + m_random.Below(15)); }
   void RunScheduler(const std::shared_ptr<Leader>& aLeader);
+  /// Checks that gangs start whole, all tasks with the same attempt number.
+  void CheckGangs(const std::vector<Action>& aActions);
   void Execute(const std::shared_ptr<Leader>& aLeader, const Action& aAction);
   void Append(const std::shared_ptr<Leader>& aLeader, const AppendRecords& aAppend);
   void OnRequestCompleted(const std::shared_ptr<Leader>& aLeader,
@@ -95,6 +98,7 @@
                   const std::function<void(WorkerCallResult)>& aDone);
   FakeWorker& WorkerOf(const WorkerName& aName);
   int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+  int64_t WallMs(const Leader& aLeader) const { return WallMs() - aLeader.m_clockLagMs; }
 
   Instant m_now{ std::chrono::hours(1) };
   std::priority_queue<Event> m_events;
