Join the start of tasks beside unwanted attempts, and its random test

The random test joins both extensions: gangs, due times and leaders' clocks with leaders that are superseded unnoticed and workers that are gone. The simulated workers' progress had been written twice; the one with a quarter that stands still is kept.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -214,6 +214,10 @@
                         Worker& aWorker,
                         Instant aNow);
   void UpdateRunningAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow);
+  /// Returns the record of a task that a worker has reported, and opens its occurrence if an
+  /// earlier epoch may have started it; nullptr if \p aJob is nullptr, has ended, or has no such
+  /// task.
+  TaskRecord* FindReportedTask(Job* aJob, const TaskRef& aTask);
   void AdoptAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow);
   void RemoveLostAttempts(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
   void MarkAttemptLost(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
@@ -262,10 +266,11 @@
                           const PlacementRequest& aRequest,
                           Instant aNow);
   void ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
+  void ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
   void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
   /// If \p aThrottled is set, a best-effort attempt is throttled for its serving neighbors from the
-  /// start.
+  /// start. \pre No worker has an attempt of the task.
   void StartAttempt(const WaitingStep& aWaiting,
                     size_t aIndex,
                     Worker& aWorker,
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -203,7 +203,7 @@
     if (aReported.m_end == AttemptEnd::Done && it->second.m_hasValidDuration) {
       RecordDuration(aReported.m_task, aNow - it->second.m_startedAt);
     }
-    Fleet::RemoveAttempt(aWorker, aReported.m_task);
+    m_fleet.RemoveAttempt(aWorker, aReported.m_task);
     m_placementNeeded = true;
   }
   if (aReported.m_end == AttemptEnd::Done) {
@@ -216,10 +216,7 @@
     ++m_counters.m_endsOther;
   }
   Job* job = m_jobs.Find(aReported.m_task.m_job);
-  if (!job || IsEnded(job->m_state)) {
-    return;
-  }
-  TaskRecord* task = JobRegistry::FindTask(*job, aReported.m_task);
+  TaskRecord* task = FindReportedTask(job, aReported.m_task);
   if (!task) {
     return;
   }
@@ -249,15 +246,25 @@
   return percent >= kMinUnthrottledUsePercent ? 100 : percent;
 }
 
+TaskRecord*
+Scheduler::FindReportedTask(Job* aJob, const TaskRef& aTask)
+{
+  if (!aJob || IsEnded(aJob->m_state)) {
+    return nullptr;
+  }
+  // The clock of the leader that started the task may have been ahead of this one's.
+  if (aJob->m_recovered && m_jobs.OpenThrough(*aJob, aTask.m_occurrence)) {
+    m_waitingJobs.insert(aTask.m_job);
+    m_placementNeeded = true;
+  }
+  return JobRegistry::FindTask(*aJob, aTask);
+}
+
 void
 Scheduler::AdoptAttempt(Worker& aWorker, const RunningAttempt& aReported, Instant aNow)
 {
   Job* job = m_jobs.Find(aReported.m_task.m_job);
-  if (job && !IsEnded(job->m_state)) {
-    m_jobs.OpenDue(*job, m_wallMs);
-  }
-  TaskRecord* task =
-    job && !IsEnded(job->m_state) ? JobRegistry::FindTask(*job, aReported.m_task) : nullptr;
+  TaskRecord* task = FindReportedTask(job, aReported.m_task);
   AttemptState attempt;
   attempt.m_attempt = aReported.m_attempt;
   attempt.m_phase = AttemptPhase::Running;
@@ -275,7 +282,7 @@
   }
   attempt.m_throttlePercent =
     attempt.m_bestEffort ? EstimateThrottle(aReported.m_usage, attempt.m_demand.m_cpuMilli) : 100;
-  Fleet::AddAttempt(aWorker, aReported.m_task, attempt);
+  m_fleet.AddAttempt(aWorker, aReported.m_task, attempt);
   for (BestEffortGroup& group : aWorker.m_bestEffortGroups) {
     if (group.m_image == attempt.m_image && attempt.m_bestEffort) {
       group.m_throttlePercent = std::min(group.m_throttlePercent, attempt.m_throttlePercent);
@@ -339,7 +346,7 @@
 {
   const AttemptNumber attempt = aWorker.m_attempts.at(aTask).m_attempt;
   LogAttempt("run_lost", aWorker, aTask, attempt, aCause);
-  Fleet::RemoveAttempt(aWorker, aTask);
+  m_fleet.RemoveAttempt(aWorker, aTask);
   m_placementNeeded = true;
   Job* job = m_jobs.Find(aTask.m_job);
   if (!job || IsEnded(job->m_state)) {
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -33,7 +33,8 @@
   void OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate);
   void OnEnded(const TaskRef& aTask, const WorkerName& aWorker, AttemptEnd aEnd);
   void OnAcknowledged(const TaskRef& aTask, AttemptNumber aAttempt, AttemptEnd aEnd);
-  bool IsDone(const TaskRef& aTask) const { return m_done.count(Key(aTask)) > 0; }
+  /// Returns whether the task has ended as done, or, in a gang, any task of its step.
+  bool IsDone(const TaskRef& aTask) const;
 
 private:
   static std::string Key(const TaskRef& aTask) { return FormatTaskRef(aTask); }
@@ -78,7 +79,7 @@
     AttemptNumber m_attempt = 0;
     Instant m_startedAt;
     Instant m_endsAt;
-    bool m_showsNoProgress = false; ///< Its percentage never rises.
+    bool m_stalls = false; ///< It reports no progress.
     AttemptEnd m_end = AttemptEnd::Done;
     Demand m_demand;
   };
