Start one throttled task of an idle job while little is reserved

Cause: a job without attempts for 1.5 s was allowed beside serving tasks that it interferes with only while reservations and best-effort demand together were below 0.7 of all processors. Best-effort work reserves nothing, so other best-effort jobs kept it idle. Where it was allowed, it started a whole step at full speed beside tasks that it was known to interfere with.

The new line jobs_idle gives the idle jobs, and what is reserved: it ends as soon as that is below 0.55.

Now only the reserved share of the job's service counts, up to 0.55, and such a job starts one task, on the worker that bears it best, throttled to what the neighbors bear (25 percent at least: below, tasks with checkpoints are moved away again). Workers with a serving task near its target, or with the image throttled below 25 percent, stay excluded. A start no longer raises a group that was throttled further. The other tasks of the job follow the usual rules, since the job is no longer idle; for the same reason a step that failed after its first start does not rule out other idle jobs.

Tests: "an idle job starts beside work it interferes with, whatever best- effort work runs there", "... starts a single task where it interferes, and that throttled" and "... does not start beside what it interferes with while much is reserved" failed at the commit before; "idle jobs of one image start in the same pass" failed with the step's first request as the failed one. "... near its target" is a guard and passed before.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -154,8 +154,9 @@
   /// Removes the attempt of \p aTask from \p aWorker, if there is one.
   static void RemoveAttempt(Worker& aWorker, const TaskRef& aTask);
 
-  /// Returns the share of all processors that attempts reserve or request.
-  double ShareInUse() const;
+  /// Returns the share of the processors of \p aService that attempts reserve. Best-effort attempts
+  /// reserve none.
+  double ReservedShare(const std::string& aService) const;
 
   /// Returns the share of all processors that belongs to workers without serving tasks.
   double ShareWithoutServing() const;
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -31,6 +31,10 @@
 
 constexpr size_t kObstacles = static_cast<size_t>(Obstacle::Interference) + 1;
 
+/// No best-effort task is throttled to less than this when it starts: it would move away again, or
+/// not get ahead.
+constexpr int kMinStartPercent = 25;
+
 /// Number of workers by obstacle.
 using ObstacleCounts = std::array<uint32_t, kObstacles>;
 
@@ -48,6 +52,7 @@
   ImageId m_image = 0;
   double m_typicalCpu = 0; ///< Mean best-effort demand in thousandths of a core; 0 if unknown.
   bool m_fewEmptyWorkers = false; ///< Few workers without serving tasks are left.
+  bool m_mayInterfere = false;    ///< May start beside serving tasks that it interferes with.
 };
 
 /// Returns why \p aWorker accepts no new work at \p aNow, or Obstacle::None.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -262,13 +262,7 @@
   void ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
   void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
-  /// If \p aThrottled is set, a best-effort attempt is throttled for its serving neighbors from the
-  /// start.
-  void StartAttempt(const WaitingStep& aWaiting,
-                    size_t aIndex,
-                    Worker& aWorker,
-                    bool aThrottled,
-                    Instant aNow);
+  void StartAttempt(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
   void StopAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow);
   void StopAllAttempts(Job& aJob, Instant aNow);
   void DrainWorker(Worker& aWorker, Instant aNow);
--- a/include/egretturn/Scheduler/WaitingReport.h
+++ b/include/egretturn/Scheduler/WaitingReport.h
@@ -5,6 +5,7 @@
 #include "egretturn/Scheduler/Packing.h"
 
 #include <map>
+#include <set>
 
 namespace egretturn {
 
@@ -19,6 +20,14 @@
   ObstacleCounts m_obstacles{}; ///< Workers by what keeps the last tried step from them.
 };
 
+/// The jobs of one service that have had nothing running for a while, although tasks of them wait.
+struct IdleJobs
+{
+  std::set<GraphId> m_jobs;
+  Duration m_longestIdle{};
+  double m_reserved = 0; ///< Share of the service's processors.
+};
+
 /// Totals over the waiting tasks of all images.
 struct WaitingTotals
 {
@@ -44,16 +53,22 @@
   /// not been polled yet.
   void AddRecovering(ImageId aImage, uint32_t aTasks, Duration aAge);
 
+  /// Adds a job of \p aService that has had nothing running for \p aIdle although tasks of it wait,
+  /// while \p aReserved of the processors of the service are reserved.
+  void AddIdleJob(GraphId aJob, const std::string& aService, Duration aIdle, double aReserved);
+
   /// Returns the totals over all images.
   WaitingTotals Totals() const;
 
-  /// Logs a line for each image, with its name from \p aInterference.
+  /// Logs a line for each image, with its name from \p aInterference, and one for each service with
+  /// idle jobs.
   void LogLines(const ImageInterferenceModel& aInterference) const;
 
 private:
   WaitingImage& AddTasks(ImageId aImage, uint32_t aTasks, Duration aAge);
 
   std::map<ImageId, WaitingImage> m_images;
+  std::map<std::string, IdleJobs> m_idleJobs; ///< By service.
 };
 
 } // namespace egretturn
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -175,17 +175,17 @@
 }
 
 double
-Fleet::ShareInUse() const
+Fleet::ReservedShare(const std::string& aService) const
 {
   int64_t capacity = 1;
-  int64_t used = 0;
+  int64_t reserved = 0;
   for (const std::unique_ptr<Worker>& worker : m_workers) {
-    if (worker->m_registered) {
+    if (worker->m_registered && worker->m_report.m_service == aService) {
       capacity += worker->m_report.m_capacity.m_cpuMilli;
-      used += worker->m_used.m_cpuMilli + worker->m_bestEffortCpu;
+      reserved += worker->m_used.m_cpuMilli;
     }
   }
-  return static_cast<double>(used) / static_cast<double>(capacity);
+  return static_cast<double>(reserved) / static_cast<double>(capacity);
 }
 
 double
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -203,6 +203,19 @@
   return std::max(std::min(demand, aRequest.m_typicalCpu), kMinThrottleShare * demand);
 }
 
+/// Returns whether the tasks of \p aImage on \p aWorker are throttled so far that one more would
+/// not get ahead there.
+static bool
+IsBarelyRunning(const Worker& aWorker, ImageId aImage)
+{
+  return std::any_of(aWorker.m_bestEffortGroups.begin(),
+                     aWorker.m_bestEffortGroups.end(),
+                     [&](const BestEffortGroup& aGroup) {
+                       return aGroup.m_image == aImage &&
+                              aGroup.m_throttlePercent < kMinStartPercent;
+                     });
+}
+
 /// Returns why one more best-effort task of \p aRequest must not start beside the serving tasks of
 /// \p aWorker, or Obstacle::None.
 static Obstacle
@@ -214,6 +227,9 @@
   if (!aRequest.m_interference) {
     return Obstacle::None;
   }
+  if (aRequest.m_mayInterfere) {
+    return IsBarelyRunning(aWorker, aRequest.m_image) ? Obstacle::Interference : Obstacle::None;
+  }
   const ImageInterferenceModel& interference = *aRequest.m_interference;
   for (const ServingGroup& serving : aWorker.m_servingGroups) {
     const bool known = interference.IsKnown(serving.m_image, aRequest.m_image);
@@ -289,8 +305,9 @@
   if (failed.m_bestEffort != step.m_bestEffort || *aFailed.m_service != *aRequest.m_service) {
     return false;
   }
-  const bool sameInterference =
-    aFailed.m_image == aRequest.m_image && aFailed.m_interference == aRequest.m_interference;
+  const bool sameInterference = aFailed.m_image == aRequest.m_image &&
+                                aFailed.m_interference == aRequest.m_interference &&
+                                aFailed.m_mayInterfere == aRequest.m_mayInterfere;
   if (step.m_bestEffort && (!sameInterference || NeededCpu(aFailed) > NeededCpu(aRequest))) {
     return false;
   }
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -16,9 +16,12 @@
 // and the idle time of a job.
 static constexpr Duration kMaxPlacementPause = std::chrono::milliseconds(300);
 static constexpr AttemptNumber kAttemptsPerEpoch = 1 << 20; // starts of one task under one epoch
-// At low utilization, a job without attempts for this long runs even where it causes interference.
+// While little is reserved, one task of a job without attempts for this long starts even where it
+// causes interference, throttled to what its neighbors bear.
 static constexpr Duration kMaxJobIdleTime = std::chrono::milliseconds(1500);
-static constexpr double kLowUtilization = 0.7;
+// Share of the service's processors. What best-effort tasks demand does not count: they reserve
+// nothing, and what they take from other jobs does not justify that a job has nothing running.
+static constexpr double kLowReservation = 0.55;
 
 // An idle worker is polled this long after a start, or earlier, once it has responded to the start.
 static constexpr Duration kPollDelayAfterStart = std::chrono::milliseconds(1000);
@@ -96,16 +99,23 @@
   return waiting;
 }
 
+/// Returns whether \p aJob has had no attempts for a while.
+static bool
+IsIdle(const Job& aJob, Instant aNow)
+{
+  return aJob.m_liveAttempts == 0 && aNow - aJob.m_lastActiveAt >= kMaxJobIdleTime;
+}
+
 PlacementRequest
 Scheduler::MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow)
 {
   const Job& job = *aWaiting.m_job;
-  const bool idle = job.m_liveAttempts == 0 && aNow - job.m_lastActiveAt >= kMaxJobIdleTime;
   PlacementRequest request;
   request.m_step = &StepOf(aWaiting);
   request.m_service = &job.m_stored.m_terms.m_service;
-  request.m_interference =
-    idle && m_fleet.ShareInUse() < kLowUtilization ? nullptr : &m_interference;
+  request.m_interference = &m_interference;
+  request.m_mayInterfere = request.m_step->m_bestEffort && IsIdle(job, aNow) &&
+                           m_fleet.ReservedShare(*request.m_service) < kLowReservation;
   request.m_image = m_interference.Intern(request.m_step->m_image);
   request.m_typicalCpu = m_bestEffortDemandMeans.MeanOf(job.m_stored.m_terms.m_route, 0);
   request.m_fewEmptyWorkers =
@@ -131,6 +141,7 @@
   std::vector<PlacementRequest> failedRequests;
   for (const WaitingStep& waiting : steps) {
     const PlacementRequest request = MakePlacementRequest(waiting, aNow);
+    const bool idle = IsIdle(*waiting.m_job, aNow);
     const bool ruledOut =
       std::any_of(failedRequests.begin(),
                   failedRequests.end(),
@@ -138,7 +149,14 @@
     if (ruledOut) {
       ReportSkippedStep(waiting, aNow);
     } else if (!PlaceStep(waiting, request, aNow)) {
-      failedRequests.push_back(request);
+      // Made anew: a job that is no longer idle failed with a task that must not interfere.
+      failedRequests.push_back(MakePlacementRequest(waiting, aNow));
+    }
+    if (m_waitingReport && idle && waiting.m_job->m_liveAttempts == 0) {
+      m_waitingReport->AddIdleJob(waiting.m_job->m_stored.m_id,
+                                  *request.m_service,
+                                  aNow - waiting.m_job->m_lastActiveAt,
+                                  m_fleet.ReservedShare(*request.m_service));
     }
   }
   FinishWaitingReport(aNow);
@@ -244,8 +262,9 @@
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
-    StartAttempt(aWaiting, i, *worker, aRequest.m_interference != nullptr, aNow);
+    StartAttempt(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
+    aRequest.m_mayInterfere = false; // the job is no longer idle
   }
   return true;
 }
@@ -298,16 +317,12 @@
   for (size_t i = 0; i < chosen.size(); ++i) {
     record.m_tasks[i].m_starts = starts;
     record.m_tasks[i].m_checkpoint = checkpoint;
-    StartAttempt(aWaiting, i, *chosen[i], aRequest.m_interference != nullptr, aNow);
+    StartAttempt(aWaiting, i, *chosen[i], aNow);
   }
 }
 
 void
-Scheduler::StartAttempt(const WaitingStep& aWaiting,
-                        size_t aIndex,
-                        Worker& aWorker,
-                        bool aThrottled,
-                        Instant aNow)
+Scheduler::StartAttempt(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow)
 {
   Job& job = *aWaiting.m_job;
   const GraphStep& step = StepOf(aWaiting);
@@ -340,7 +355,7 @@
     aWorker.m_nextPollAt = aNow + kPollDelayAfterStart;
   }
   Fleet::AddAttempt(aWorker, ref, attempt);
-  if (attempt.m_bestEffort && aThrottled) {
+  if (attempt.m_bestEffort) {
     ThrottleForNewAttempt(aWorker, attempt.m_image, aNow);
   }
   StartTask start;
--- a/lib/Scheduler/Throttling.cpp
+++ b/lib/Scheduler/Throttling.cpp
@@ -35,7 +35,7 @@
 static constexpr int kThrottleTolerancePercent = 8; // smaller changes are not sent
 
 // A task that saves checkpoints moves to another worker when it is throttled below this.
-static constexpr int kMoveBelowPercent = 25;
+static constexpr int kMoveBelowPercent = kMinStartPercent;
 
 /// Returns the shares of the worker's processors that its best-effort images use.
 static std::vector<ImageLoad>
@@ -208,7 +208,8 @@
     if (group.m_image != aImage || allowed >= group.m_throttlePercent - kThrottleTolerancePercent) {
       continue;
     }
-    group.m_throttlePercent = std::max(allowed, kResumePercent);
+    group.m_throttlePercent =
+      std::min(group.m_throttlePercent, std::max(allowed, kMinStartPercent));
     group.m_throttledAt = aNow;
     Log(LogLine(LogLevel::Info, "worker_paced")
           .Add("worker", aWorker.m_report.m_id)
--- a/lib/Scheduler/WaitingReport.cpp
+++ b/lib/Scheduler/WaitingReport.cpp
@@ -37,6 +37,18 @@
   AddTasks(aImage, aTasks, aAge).m_recovering += aTasks;
 }
 
+void
+WaitingReport::AddIdleJob(GraphId aJob,
+                          const std::string& aService,
+                          Duration aIdle,
+                          double aReserved)
+{
+  IdleJobs& idle = m_idleJobs[aService];
+  idle.m_jobs.insert(aJob);
+  idle.m_longestIdle = std::max(idle.m_longestIdle, aIdle);
+  idle.m_reserved = aReserved;
+}
+
 WaitingTotals
 WaitingReport::Totals() const
 {
@@ -68,6 +80,13 @@
     }
     Log(std::move(line));
   }
+  for (const std::pair<const std::string, IdleJobs>& serviceEntry : m_idleJobs) {
+    Log(LogLine(LogLevel::Info, "jobs_idle")
+          .Add("service", serviceEntry.first)
+          .Add("jobs", serviceEntry.second.m_jobs.size())
+          .Add("longest_ms", ToMillis(serviceEntry.second.m_longestIdle))
+          .Add("reserved", serviceEntry.second.m_reserved));
+  }
 }
 
 } // namespace egretturn
--- a/unittests/Scheduler/WaitingTasksTest.cpp
+++ b/unittests/Scheduler/WaitingTasksTest.cpp
@@ -2,6 +2,7 @@
 #include "egretturn/Scheduler/Scheduler.h"
 #include "egretturn/Support/Random.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -12,13 +13,15 @@
 namespace {
 
 constexpr GraphId kServing = 1;
+constexpr GraphId kReserving = 100; ///< Serves as well.
 
 /// One worker with a serving task, beside which "heavy" work must not start, "light" work may, and
 /// "medium" work may as long as it uses little.
 struct SharedWorker
 {
-  SharedWorker()
-    : m_scheduler(SchedulerLimits(), 1, m_now)
+  explicit SharedWorker(int64_t aTailLatencyMs = 4)
+    : m_tailLatencyMs(aTailLatencyMs)
+    , m_scheduler(SchedulerLimits(), 1, m_now)
   {
     StoredModels learned;
     learned.m_interference.m_pairs.push_back({ "serving", "heavy", 8.0, 0.001 });
@@ -36,40 +39,69 @@
     Advance();
   }
 
-  void Submit(GraphId aId, const std::string& aImage, int64_t aCpuMilli)
+  void Submit(GraphId aId, const std::string& aImage, int64_t aCpuMilli, uint32_t aTasks = 1)
   {
     Submission submission;
     submission.m_id = aId;
-    submission.m_terms = { aId == kServing ? "services" : "batch", "desk", 0, 3, 2.0, 500 };
+    submission.m_terms = { aImage == "serving" ? "services" : "batch", "desk", 0, 3, 2.0, 500 };
     GraphStep step;
+    step.m_count = aTasks;
     step.m_demand = { aCpuMilli, 1000, 0 };
-    step.m_estimateMs = 1000;
+    step.m_estimateMs = 60000;
     step.m_image = aImage;
-    step.m_longRunning = aId == kServing;
+    step.m_longRunning = aImage == "serving";
     step.m_targetMs = step.m_longRunning ? 18 : 0;
     step.m_bestEffort = !step.m_longRunning;
     submission.m_graph.m_steps.push_back(step);
     m_scheduler.Submit(aId, submission, m_now, 0);
   }
 
+  void AdvanceOnce()
+  {
+    m_now += milliseconds(10);
+    for (RunningAttempt& reported : m_running) {
+      reported.m_percent = static_cast<int>((m_now - m_createdAt) / kPerPercent);
+    }
+    m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
+    for (const Action& action : m_scheduler.TakeActions()) {
+      Execute(action);
+    }
+  }
+
   void Advance()
   {
     for (int i = 0; i < 30; ++i) {
-      m_now += milliseconds(10);
-      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
+      AdvanceOnce();
     }
   }
 
+  /// Advances until a job that has not started counts as idle.
+  void AdvanceUntilIdle()
+  {
+    for (int i = 0; i < 10; ++i) {
+      Advance();
+    }
+  }
+
+  /// Returns the number of tasks of the job that have been started.
+  size_t CountRunning(GraphId aId) const
+  {
+    return static_cast<size_t>(
+      std::count_if(m_running.begin(), m_running.end(), [&](const RunningAttempt& aRunning) {
+        return aRunning.m_task.m_job == aId;
+      }));
+  }
+
   void Execute(const Action& aAction)
   {
     if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
       m_scheduler.OnAppended(append->m_batch, m_now);
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
       m_started.insert(start->m_task.m_job);
-      m_running.push_back({ start->m_task, start->m_attempt, "", 10, 4 });
+      const GraphId job = start->m_task.m_job;
+      const bool serving = job == kServing || job == kReserving;
+      m_running.push_back(
+        { start->m_task, start->m_attempt, "", 10, serving ? m_tailLatencyMs : 4 });
       m_scheduler.OnStartResult(
         "w", start->m_task, start->m_attempt, WorkerCallResult::Accepted, m_now);
     } else if (const ThrottleTask* throttle = std::get_if<ThrottleTask>(&aAction)) {
@@ -82,7 +114,11 @@
     }
   }
 
+  static constexpr Duration kPerPercent = milliseconds(200); // no attempt is a straggler
+
+  int64_t m_tailLatencyMs = 4; ///< Of the serving task; its target is 18 ms.
   Instant m_now{ std::chrono::hours(1) };
+  const Instant m_createdAt = m_now;
   Scheduler m_scheduler;
   std::vector<RunningAttempt> m_running;
   std::set<GraphId> m_started;
@@ -127,6 +163,66 @@
   CHECK(worker.m_started.count(3) == 0);
 }
 
+// Guards against jobs that have nothing running because other best-effort work is running.
+TEST_CASE("an idle job starts beside work it interferes with, whatever best-effort work runs there")
+{
+  SharedWorker worker;
+  worker.Submit(2, "light", 11000); // with the serving task, more than 0.7 of the worker
+  worker.Advance();
+  REQUIRE(worker.m_started.count(2) == 1);
+  worker.Submit(3, "heavy", 1000);
+  worker.Advance();
+  CHECK(worker.m_started.count(3) == 0);
+  worker.AdvanceUntilIdle();
+  CHECK(worker.m_started.count(3) == 1);
+}
+
+// Guards against serving tasks that an idle job presses over their targets with a whole step.
+TEST_CASE("an idle job starts a single task where it interferes, and that throttled")
+{
+  SharedWorker worker;
+  worker.Submit(2, "heavy", 2000, 4);
+  worker.AdvanceUntilIdle();
+  CHECK(worker.CountRunning(2) == 1);
+  REQUIRE(worker.m_throttles.count(2) == 1);
+  CHECK(worker.m_throttles[2] <= 50);
+  CHECK(worker.m_throttles[2] >= kMinStartPercent);
+}
+
+// Guards against idle jobs that are passed over for the other tasks of an idle job that started.
+TEST_CASE("idle jobs of one image start in the same pass")
+{
+  SharedWorker worker;
+  worker.Submit(2, "heavy", 1000, 2);
+  worker.Submit(3, "heavy", 1000, 2);
+  for (int i = 0; i < 300 && worker.m_started.size() == 1; ++i) {
+    worker.AdvanceOnce();
+  }
+  CHECK(worker.CountRunning(2) == 1);
+  CHECK(worker.CountRunning(3) == 1);
+}
+
+// Guards against serving tasks near their targets that an idle job presses over them.
+TEST_CASE("an idle job does not start beside a serving task that is near its target")
+{
+  SharedWorker worker(16);
+  worker.Submit(2, "heavy", 1000);
+  worker.AdvanceUntilIdle();
+  CHECK(worker.m_started.count(2) == 0);
+}
+
+// Guards against idle jobs that press serving tasks while reserved work leaves little capacity.
+TEST_CASE("an idle job does not start beside what it interferes with while much is reserved")
+{
+  SharedWorker worker;
+  worker.Submit(kReserving, "serving", 8000);
+  worker.Advance();
+  REQUIRE(worker.m_started.count(kReserving) == 1);
+  worker.Submit(2, "heavy", 1000);
+  worker.AdvanceUntilIdle();
+  CHECK(worker.m_started.count(2) == 0);
+}
+
 namespace {
 
 /// A random fleet and random steps, with few distinct values so that requests are often similar.
@@ -192,6 +288,7 @@
     request.m_step = &aStep;
     request.m_service = &Pick(m_services);
     request.m_interference = m_random.Below(4) == 0 ? nullptr : &m_model;
+    request.m_mayInterfere = m_random.Below(4) == 0;
     request.m_image = Pick(m_images);
     request.m_typicalCpu = static_cast<double>(m_random.Below(4)) * 750;
     return request;
