--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -161,8 +161,9 @@
   /// Returns whether any worker has an attempt of \p aTask, also one that is being stopped.
   bool HasAttempt(const TaskRef& aTask) const { return m_attemptsByTask.count(aTask) > 0; }
 
-  /// Returns the share of all processors that attempts reserve or request.
-  double ShareInUse() const;
+  /// Returns the share of the processors of \p aService that attempts reserve. Best-effort attempts
+  /// reserve none.
+  double ReservedShare(const std::string& aService) const;
 
   /// Returns the share of all processors that belongs to workers without serving tasks.
   double ShareWithoutServing() const;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -269,13 +269,8 @@
   void ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
   void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
-  /// If \p aThrottled is set, a best-effort attempt is throttled for its serving neighbors from the
-  /// start. \pre No worker has an attempt of the task.
-  void StartAttempt(const WaitingStep& aWaiting,
-                    size_t aIndex,
-                    Worker& aWorker,
-                    bool aThrottled,
-                    Instant aNow);
+  /// \pre No worker has an attempt of the task.
+  void StartAttempt(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
   void StopAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow);
   void StopAllAttempts(Job& aJob, Instant aNow);
   void DrainWorker(Worker& aWorker, Instant aNow);
