Log failed and slow reads of the followed topics

The log could not tell why: failed reads were written at debug level only, slow ones not at all, and all kinds of a missing response read "no response".

A follower now writes topic_read_failed (warning) and topic_read_slow (info), at most five of a topic in 10 s, with the topic, the error, the time from sending to the result, the lateness of the sending and the age of the view. The store's errors tell apart "not connected", "the connection broke" and "no response in time". egretturn_directory_age_ms of the leader is the age of its view of the workers.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -59,6 +59,9 @@
   /// Whether the store has recently responded to appends.
   bool IsStoreAvailable() const { return m_storeAvailable; }
 
+  /// Returns the time since which changes of the directory may be unknown. \pre Start() was called.
+  Duration DirectoryAge(Instant aNow) const { return m_directory->Age(aNow); }
+
   /// Writes the claim again, which advances ConfirmedAt() if no other instance has claimed.
   void RenewClaim();
 
--- a/include/egretturn/Node/TopicFollower.h
+++ b/include/egretturn/Node/TopicFollower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "egretturn/Node/Ports.h"
+#include "egretturn/Support/LogRateLimiter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,7 +46,14 @@
   /// Whether the last read succeeded.
   bool IsHealthy() const { return m_healthy; }
 
+  /// Returns the time since the last read that reached the end of the topic was sent, or since
+  /// Start() if none has. Older changes have all been delivered. \pre Start() was called.
+  Duration Age(Instant aNow) const { return aNow - m_currentAt; }
+
 private:
+  static constexpr uint64_t kMaxReadLogLines = 5; ///< For failed or slow reads, per period.
+  static constexpr Duration kReadLogPeriod = std::chrono::seconds(10);
+
   void ReadAllKeys();
   void OnAllKeys(Expected<TopicPage> aPage);
   void ReadNextRecords();
@@ -53,6 +61,7 @@
   void OnTailError(const Error& aError);
   void ScheduleRead(Duration aDelay, void (TopicFollower::*aRead)());
   void Deliver(const KeyedRecord& aRecord);
+  void LogRead(const Expected<TopicPage>& aPage, Duration aMaxWait);
 
   boost::asio::steady_timer m_timer;
   StorePort& m_store;
@@ -65,6 +74,10 @@
   bool m_tailDeleted = false;   ///< The last tail read asked for deleted records.
   bool m_stopped = false;
   bool m_healthy = true;
+  Instant m_readDueAt;  ///< When the read in flight was to be sent.
+  Instant m_readSentAt; ///< When it was sent; later than due if the event loop was busy.
+  Instant m_currentAt;  ///< When the last read that reached the end was sent.
+  LogRateLimiter m_readLogLimiter{ kMaxReadLogLines, kReadLogPeriod };
 };
 
 } // namespace egretturn
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -440,6 +440,8 @@
     { "egretturn_tasks_recovering", counters.m_tasksRecovering },
     { "egretturn_workers_listed", counters.m_workersRegistered },
     { "egretturn_workers_out_of_contact", counters.m_workersUnreachable },
+    { "egretturn_directory_age_ms",
+      static_cast<uint64_t>(ToMillis(m_session->DirectoryAge(BootClockNow()))) },
   };
   for (const MetricRow& row : rows) {
     text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
--- a/lib/Node/TopicFollower.cpp
+++ b/lib/Node/TopicFollower.cpp
@@ -1,5 +1,6 @@
 #include "egretturn/Node/TopicFollower.h"
 
+#include "egretturn/Support/EnumTable.h"
 #include "egretturn/Support/Log.h"
 
 #include <ctime>
@@ -10,6 +11,16 @@
 // After so many consecutive corrupt tails, the latest record of each key is read instead.
 static constexpr uint32_t kMaxCorruptTails = 3;
 
+// A read that is sent or answered later than this is logged.
+static constexpr Duration kSlowRead = std::chrono::milliseconds(500);
+
+static constexpr EnumTable<Topic, 4> kTopicNames{ {
+  { Topic::Jobs, "jobs" },
+  { Topic::Leader, "leader" },
+  { Topic::Operator, "operator" },
+  { Topic::Directory, "directory" },
+} };
+
 Instant
 BootClockNow()
 {
@@ -43,6 +54,8 @@
 void
 TopicFollower::Start()
 {
+  m_readDueAt = BootClockNow();
+  m_currentAt = m_readDueAt;
   ReadAllKeys();
 }
 
@@ -56,6 +69,7 @@
 void
 TopicFollower::ScheduleRead(Duration aDelay, void (TopicFollower::*aRead)())
 {
+  m_readDueAt = BootClockNow() + aDelay;
   m_timer.expires_after(aDelay);
   m_timer.async_wait([self = shared_from_this(), aRead](boost::system::error_code aError) {
     if (!aError && !self->m_stopped) {
@@ -75,9 +89,36 @@
   m_callbacks.m_onRecord(aRecord);
 }
 
+void
+TopicFollower::LogRead(const Expected<TopicPage>& aPage, Duration aMaxWait)
+{
+  const Instant now = BootClockNow();
+  const Duration took = now - m_readSentAt;
+  const Duration late = m_readSentAt - m_readDueAt;
+  const bool slow = took > aMaxWait + kSlowRead || late > kSlowRead;
+  if (aPage && !slow) {
+    return;
+  }
+  const std::optional<uint64_t> suppressed = m_readLogLimiter.TryAcquire(now);
+  if (!suppressed) {
+    return;
+  }
+  LogLine line(aPage ? LogLevel::Info : LogLevel::Warning,
+               aPage ? "topic_read_slow" : "topic_read_failed");
+  line.Add("topic", NameIn(kTopicNames, m_topic));
+  if (!aPage) {
+    line.Add("error", aPage.error().Text());
+  }
+  Log(line.Add("took_ms", ToMillis(took))
+        .Add("sent_late_ms", ToMillis(late))
+        .Add("age_ms", ToMillis(Age(now)))
+        .Add("lines_held_back", *suppressed));
+}
+
 void
 TopicFollower::ReadAllKeys()
 {
+  m_readSentAt = BootClockNow();
   m_store.ReadNewest(m_topic, [self = shared_from_this()](Expected<TopicPage> aPage) {
     if (!self->m_stopped) {
       self->OnAllKeys(std::move(aPage));
@@ -89,8 +130,8 @@
 TopicFollower::OnAllKeys(Expected<TopicPage> aPage)
 {
   m_healthy = aPage.has_value();
+  LogRead(aPage, Duration::zero());
   if (!aPage) {
-    Log(LogLine(LogLevel::Debug, "topic_unread").Add("error", aPage.error().Text()));
     ScheduleRead(m_timing.m_retryDelay, &TopicFollower::ReadAllKeys);
     return;
   }
@@ -104,6 +145,8 @@
     Deliver({ key, "" }); // removed by a record that was not read
   }
   m_next = aPage->m_end;
+  m_currentAt = m_readSentAt;
+  m_readDueAt = BootClockNow();
   m_callbacks.m_onCaughtUp();
   ReadNextRecords();
 }
@@ -111,6 +154,7 @@
 void
 TopicFollower::ReadNextRecords()
 {
+  m_readSentAt = BootClockNow();
   m_store.ReadTail(
     m_topic, m_next, m_timing.m_wait, [self = shared_from_this()](Expected<TopicPage> aPage) {
       if (!self->m_stopped) {
@@ -123,6 +167,7 @@
 TopicFollower::OnTail(Expected<TopicPage> aPage)
 {
   m_healthy = aPage.has_value();
+  LogRead(aPage, m_timing.m_wait);
   if (!aPage) {
     OnTailError(aPage.error());
     return;
@@ -134,6 +179,7 @@
   }
   m_next += aPage->m_records.size();
   if (m_next < aPage->m_end && !aPage->m_records.empty()) {
+    m_readDueAt = BootClockNow();
     ReadNextRecords();
     return;
   }
@@ -142,6 +188,7 @@
     ScheduleRead(m_timing.m_retryDelay, &TopicFollower::ReadNextRecords);
     return;
   }
+  m_currentAt = m_readSentAt;
   m_callbacks.m_onCaughtUp();
   ScheduleRead(m_timing.m_interval, &TopicFollower::ReadNextRecords);
 }
--- a/unittests/Node/TopicFollowerTest.cpp
+++ b/unittests/Node/TopicFollowerTest.cpp
@@ -118,3 +118,28 @@
   CHECK(fixture.m_store.m_newestReads > 2);
   CHECK(fixture.m_store.m_newestReads <= 22);
 }
+
+// Guards against a view that no read has confirmed but that counts as fresh.
+TEST_CASE("the age of a follower's view is counted from the last read that reached the end")
+{
+  bool answers = true;
+  FollowerFixture fixture([&](LogOffset) -> Expected<TopicPage> {
+    if (!answers) {
+      return Fail(ErrorKind::Unavailable, "the store returned status 503", "none");
+    }
+    return TopicPage{ {}, kEnd };
+  });
+  fixture.m_store.m_newest.m_end = kEnd;
+  fixture.m_io.run_for(kRetryDelay * 40);
+  answers = false;
+  const Instant stopped = BootClockNow();
+  fixture.m_io.run_for(kRetryDelay * 10);
+  CHECK_FALSE(fixture.m_follower->IsHealthy());
+  const Instant failing = BootClockNow();
+  CHECK(fixture.m_follower->Age(failing) >= failing - stopped);
+  answers = true;
+  fixture.m_io.run_for(kRetryDelay * 40);
+  CHECK(fixture.m_follower->IsHealthy());
+  const Instant answered = BootClockNow();
+  CHECK(fixture.m_follower->Age(answered) < answered - failing);
+}
