Give a rival's claim the whole timeout instead of taking it for a delay

Callers saw: a leader that froze was succeeded twice within a second.

Cause: six instances claim at 22.02 s. Those that read the topic before the winner's claim was in it get a conflict at their first append, and LeadershipClaimer took any such conflict for an append of the old leader ("deferred"). Node then called OnLeaderWriting(), which counts the time without a ping from half a timeout before now, but for the new leader, whose claim it had recorded just before. So 0.65 s and the claim delay later it claimed, the second time without deferring.

Change: a claimer that has found a newer claim reports this claim and no deferral. A conflict with the known leader's own append defers as before.

--- a/include/egretturn/Node/LeadershipClaimer.h
+++ b/include/egretturn/Node/LeadershipClaimer.h
@@ -14,7 +14,7 @@
   {
     std::optional<StoredClaim> m_own;   ///< Set if this instance is now the leader.
     std::optional<StoredClaim> m_other; ///< A claim newer than the one to succeed, if any.
-    bool m_deferredToLeader = false;    ///< The current leader is still writing.
+    bool m_deferredToLeader = false;    ///< The known leader is still writing. Not with m_other.
     RecoveredState m_state;
   };
   using Callback = std::function<void(Outcome)>;
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -132,9 +132,10 @@
 LeadershipClaimer::Fail()
 {
   Outcome outcome;
-  outcome.m_deferredToLeader = m_deferred;
   if (m_newest.m_epoch > m_knownEpoch) {
-    outcome.m_other = m_newest;
+    outcome.m_other = m_newest; // the conflict was this claim, not an append of the known leader
+  } else {
+    outcome.m_deferredToLeader = m_deferred;
   }
   m_done(std::move(outcome));
 }
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -47,6 +47,10 @@
                 const std::vector<KeyedRecord>& aRecords,
                 std::function<void(AppendResult)> aDone) override
   {
+    ++m_claimTries;
+    if (const std::function<void()> rival = std::exchange(m_beforeAppend, nullptr)) {
+      rival();
+    }
     if (aAt != m_topics[aTopic].size()) {
       aDone({ AppendResult::Kind::Conflict, m_topics[aTopic].size() });
     } else {
@@ -66,11 +70,16 @@
     }
   }
 
-  void Announce(const StoredClaim& aClaim)
+  void Announce(const StoredClaim& aClaim) { AppendClaim(Topic::Leader, aClaim); }
+
+  void AppendClaim(Topic aTopic, const StoredClaim& aClaim)
   {
-    Append(Topic::Leader, { { std::string(kClaimKey), PackCompact(aClaim) } }, [](AppendResult) {});
+    Append(aTopic, { { std::string(kClaimKey), PackCompact(aClaim) } }, [](AppendResult) {});
   }
 
+  std::function<void()> m_beforeAppend; ///< Runs once, before the next append with a condition.
+  int m_claimTries = 0;                 ///< Appends with a condition.
+
 private:
   std::map<Topic, std::vector<KeyedRecord>> m_topics;
   std::map<Topic, std::function<void()>> m_waiting;
@@ -85,6 +94,7 @@
     settings.m_id = "instance";
     settings.m_peerAddress = kNodeAddress;
     settings.m_weight = 0.1;
+    settings.m_incarnation = 1; // other than that of ClaimOf()
     m_node = std::make_shared<Node>(m_io, settings, m_store, m_workers, RejectEntry);
     REQUIRE(m_node->Start());
   }
@@ -158,3 +168,27 @@
   CHECK(fixture.HeldRequests(PeerOperation::Claim).size() == 1);
   CHECK(fixture.m_node->IsReady());
 }
+
+// Guards against superseding a sound leader that is 0.8 s old: an instance whose claim lost to
+// another claimant took that claim for a sign that the old leader still writes, and counted the
+// time without a ping from a moment before the new leader's claim.
+TEST_CASE("an instance whose claim lost to another one waits for the new leader's whole timeout")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(1, kOldLeader));
+  fixture.m_store.Announce(ClaimOf(1, kOldLeader));
+  fixture.m_store.m_beforeAppend = [&] {
+    fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  };
+  const std::unique_ptr<HttpServer> old = fixture.MakePeer(kOldLeader);
+  const std::unique_ptr<HttpServer> successor = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  for (int i = 0; i < 300 && fixture.m_store.m_claimTries == 0; ++i) {
+    fixture.m_io.run_for(milliseconds(10));
+  }
+  REQUIRE(fixture.m_store.m_claimTries == 1);
+  fixture.m_io.run_for(milliseconds(1200));
+  CHECK(fixture.m_store.m_claimTries == 1);
+  fixture.m_io.run_for(milliseconds(1000)); // the new leader has responded to nothing
+  CHECK(fixture.m_store.m_claimTries > 1);
+}
