Hear a new leader that awaits its claim, and ping it at once

A claim can be read from the store before its claimant knows the result, for long if the store loses the response. A peer that reads it pings the claimant, which answered NotLeader; the peer took that for "leads no more" and claimed after its claim delay. PeerResponse now has an appended field with the epoch that the sender is claiming. If that is the epoch that was pinged, the leader neither counts as lost nor as heard, so that the usual timeout limits the wait. A process that was restarted at the leader's address claims another epoch or none, and is detected at once as before. Only one ping was under way at a time, also if it was for the leader before. A leader that was not pinged yet is now pinged at the next tick.

Tests: the first and the second fail without the change, as does the one that a claimant says what it claims; the one on the limit of the wait guards the change itself.

--- a/include/egretturn/Node/LeadershipClaimer.h
+++ b/include/egretturn/Node/LeadershipClaimer.h
@@ -32,6 +32,10 @@
   /// Starts reading the topic of jobs; \c aDone follows later.
   void Start();
 
+  /// The epoch that the last append of a claim was for, or 0 before the first one. Other instances
+  /// may read that claim from the store before its result is known here.
+  uint64_t ClaimedEpoch() const { return m_identity.m_epoch; }
+
 private:
   void ReadNextRecords();
   void Apply(const TopicPage& aPage);
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -120,7 +120,8 @@
   LeaderElection m_election;
   std::shared_ptr<TopicFollower> m_announcements;
   std::shared_ptr<LeaderSession> m_session;
-  PlacedTasksResponse m_lastPlaced; ///< For the last epoch that this instance led.
+  std::weak_ptr<LeadershipClaimer> m_claimer; ///< The claim in progress, if any.
+  PlacedTasksResponse m_lastPlaced;           ///< For the last epoch that this instance led.
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< Peers that have pinged this leader, by id.
   std::string m_handoverPeer;              ///< Peer that was asked to take the leadership, if any.
@@ -130,8 +131,8 @@
   Instant m_startedAt;
   Instant m_leadingSince;
   Instant m_nextPingAt;
-  bool m_pinging = false;
-  bool m_claiming = false;
+  uint64_t m_pingedEpoch = 0; ///< Epoch of the leader that was pinged last.
+  bool m_pinging = false;     ///< The last ping has no result yet.
   bool m_shuttingDown = false;
   bool m_retriesStopped = false; ///< Set by CompletePendingCalls().
 };
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -115,6 +115,7 @@
   bool m_storeAvailable = true;
   StoredClaim m_leader;
   double m_maxWeight = 0; ///< Highest weight among the leader and the peers that ping it, in cores.
+  uint64_t m_claimedEpoch = 0; ///< Epoch that the sender is claiming, or 0. It may have succeeded.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -125,6 +126,7 @@
     aVisit("store_available", aSelf.m_storeAvailable);
     aVisit("leader", aSelf.m_leader);
     aVisit("strongest", aSelf.m_maxWeight);
+    aVisit("claimed_epoch", aSelf.m_claimedEpoch);
   }
 };
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -116,8 +116,12 @@
     }
   }
   HandOverToStrongerPeer();
-  if (!m_session && m_election.Leader() && !m_pinging && now >= m_nextPingAt) {
-    PingLeader();
+  if (!m_session && m_election.Leader()) {
+    // A leader that has not been pinged yet does not wait for a ping that its predecessor holds.
+    const uint64_t leader = m_election.Leader()->m_epoch;
+    if (leader != m_pingedEpoch || (!m_pinging && now >= m_nextPingAt)) {
+      PingLeader();
+    }
   }
   m_timer.expires_after(kTickInterval);
   m_timer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
@@ -131,6 +135,7 @@
 Node::PingLeader()
 {
   m_pinging = true;
+  m_pingedEpoch = m_election.Leader()->m_epoch;
   m_nextPingAt = BootClockNow() + kPingInterval;
   const PingMessage ping{ m_settings.m_id, m_settings.m_peerAddress, m_settings.m_weight };
   HttpRequest request =
@@ -140,7 +145,7 @@
                 kPingTimeout,
                 [self = shared_from_this(),
                  epoch = m_election.Leader()->m_epoch](const ClientResponse& aResponse) {
-                  self->m_pinging = false;
+                  self->m_pinging = self->m_pinging && epoch != self->m_pingedEpoch;
                   self->OnPingResponse(epoch, aResponse);
                 });
 }
@@ -158,18 +163,23 @@
   const uint64_t leader = m_election.Leader()->m_epoch;
   if (response.m_outcome == PeerOutcome::Ok && response.m_leader.m_epoch == leader) {
     m_election.OnPing(response.m_storeAvailable, response.m_maxWeight, now);
-  } else if (response.m_outcome != PeerOutcome::Ok && aEpoch == leader) {
-    m_election.OnLeaderLost(now); // a previous leader can't know the state of the new one
+    return;
+  }
+  // Other instances can read a claim before its claimant knows that it succeeded. The claimant gets
+  // the usual time to respond as the leader.
+  const bool confirming = response.m_claimedEpoch == aEpoch;
+  // A previous leader can't know the state of the new one.
+  if (response.m_outcome != PeerOutcome::Ok && aEpoch == leader && !confirming) {
+    m_election.OnLeaderLost(now);
   }
 }
 
 void
 Node::Claim()
 {
-  if (m_claiming) {
+  if (!m_claimer.expired()) {
     return;
   }
-  m_claiming = true;
   StoredClaim identity;
   identity.m_instance = m_settings.m_id;
   identity.m_address = m_settings.m_peerAddress;
@@ -177,17 +187,18 @@
   identity.m_weight = m_settings.m_weight;
   const uint64_t known = m_election.Leader() ? m_election.Leader()->m_epoch : 0;
   Log(LogLine(LogLevel::Info, "claiming").Add("succeeds_epoch", known));
-  std::make_shared<LeadershipClaimer>(
+  const std::shared_ptr<LeadershipClaimer> claimer = std::make_shared<LeadershipClaimer>(
     m_io,
     m_store,
     identity,
     known,
     m_election.DefersToWritingLeader(),
     [self = shared_from_this()](LeadershipClaimer::Outcome aOutcome) {
-      self->m_claiming = false;
+      self->m_claimer.reset();
       self->OnClaimResult(std::move(aOutcome));
-    })
-    ->Start();
+    });
+  m_claimer = claimer;
+  claimer->Start();
 }
 
 void
@@ -306,6 +317,9 @@
   if (m_election.Leader()) {
     response.m_leader = *m_election.Leader();
   }
+  if (const std::shared_ptr<LeadershipClaimer> claimer = m_claimer.lock()) {
+    response.m_claimedEpoch = claimer->ClaimedEpoch();
+  }
   return response;
 }
 
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -51,6 +51,11 @@
     if (const std::function<void()> rival = std::exchange(m_beforeAppend, nullptr)) {
       rival();
     }
+    if (m_holdAppends) {
+      aDone = [this, aDone](AppendResult aResult) {
+        m_heldAppend = [aDone, aResult] { aDone(aResult); };
+      };
+    }
     if (aAt != m_topics[aTopic].size()) {
       aDone({ AppendResult::Kind::Conflict, m_topics[aTopic].size() });
     } else {
@@ -78,7 +83,9 @@
   }
 
   std::function<void()> m_beforeAppend; ///< Runs once, before the next append with a condition.
-  int m_claimTries = 0;                 ///< Appends with a condition.
+  bool m_holdAppends = false;           ///< Appends take effect; m_heldAppend sends the response.
+  std::function<void()> m_heldAppend;
+  int m_claimTries = 0; ///< Appends with a condition.
 
 private:
   std::map<Topic, std::vector<KeyedRecord>> m_topics;
@@ -118,6 +125,34 @@
     return m_held[std::string(PathOf(aOperation))];
   }
 
+  /// Responds to the oldest ping that was not responded to.
+  void RespondToPing(const PeerResponse& aResponse)
+  {
+    std::vector<std::shared_ptr<HttpReply>>& pings = HeldRequests(PeerOperation::Ping);
+    REQUIRE(!pings.empty());
+    pings.front()->Send(MakeResponse(200, "application/msgpack", PackCompact(aResponse)));
+    pings.erase(pings.begin());
+    m_io.run_for(milliseconds(50));
+  }
+
+  /// Sends a request to the instance and returns its response.
+  PeerResponse Ask(PeerOperation aOperation, const std::string& aBody)
+  {
+    HttpClient client(m_io, 4096);
+    PeerResponse response;
+    bool completed = false;
+    client.Send(kNodeAddress,
+                MakeRequest(boost::beast::http::verb::post, std::string(PathOf(aOperation)), aBody),
+                seconds(1),
+                [&](const ClientResponse& aResponse) {
+                  completed = aResponse.m_result == ClientResult::Completed &&
+                              UnpackCompact(aResponse.m_response.body(), response);
+                });
+    m_io.run_for(milliseconds(100));
+    REQUIRE(completed);
+    return response;
+  }
+
   boost::asio::io_context m_io;
   MemoryStore m_store;
   SilentWorkers m_workers;
@@ -192,3 +227,85 @@
   fixture.m_io.run_for(milliseconds(1000)); // the new leader has responded to nothing
   CHECK(fixture.m_store.m_claimTries > 1);
 }
+
+// Guards against superseding a sound leader that was never pinged, because a ping to its frozen
+// predecessor was still waiting for the response.
+TEST_CASE("a ping that the previous leader does not respond to does not delay pings to the new one")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(1, kOldLeader));
+  fixture.m_store.Announce(ClaimOf(1, kOldLeader));
+  const std::unique_ptr<HttpServer> old = fixture.MakePeer(kOldLeader);
+  const std::unique_ptr<HttpServer> successor = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  REQUIRE(fixture.HeldRequests(PeerOperation::Ping).size() == 1);
+
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  fixture.m_io.run_for(milliseconds(300));
+  CHECK(fixture.HeldRequests(PeerOperation::Ping).size() == 2);
+}
+
+// Guards against superseding a sound leader whose claim can be read from the store before the
+// leader itself knows that it succeeded.
+TEST_CASE("a leader that waits for the result of its claim does not count as lost")
+{
+  NodeFixture fixture;
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  response.m_claimedEpoch = 2;
+  fixture.RespondToPing(response);
+  CHECK(fixture.m_node->IsReady());
+
+  // A process that was restarted at the leader's address claims the next epoch.
+  fixture.m_io.run_for(milliseconds(600));
+  response.m_claimedEpoch = 3;
+  fixture.RespondToPing(response);
+  CHECK_FALSE(fixture.m_node->IsReady());
+}
+
+// Guards against waiting forever for a claimant that never learns the result of its claim.
+TEST_CASE("a leader that does not learn the result of its claim is replaced after the timeout")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  response.m_claimedEpoch = 2;
+  for (int i = 0; i < 40; ++i) {
+    fixture.m_io.run_for(milliseconds(50));
+    if (!fixture.HeldRequests(PeerOperation::Ping).empty()) {
+      fixture.RespondToPing(response);
+    }
+  }
+  CHECK(fixture.m_store.m_claimTries > 0);
+}
+
+// Guards against a claimant that its peers take for a process that leads no more.
+TEST_CASE("an instance says which epoch it is claiming until it knows the result")
+{
+  NodeFixture fixture;
+  fixture.m_store.m_holdAppends = true;
+  fixture.Start();
+  for (int i = 0; i < 100 && !fixture.m_store.m_heldAppend; ++i) {
+    fixture.m_io.run_for(milliseconds(10));
+  }
+  REQUIRE(fixture.m_store.m_heldAppend);
+  const std::string ping = PackCompact(PingMessage{ "peer", kNewLeader, 0.1 });
+  const PeerResponse claiming = fixture.Ask(PeerOperation::Ping, ping);
+  CHECK(claiming.m_outcome == PeerOutcome::NotLeader);
+  CHECK(claiming.m_claimedEpoch == 1);
+
+  fixture.m_store.m_heldAppend();
+  const PeerResponse leading = fixture.Ask(PeerOperation::Ping, ping);
+  CHECK(leading.m_outcome == PeerOutcome::Ok);
+  CHECK(leading.m_leader.m_epoch == 1);
+}
