Do not hand the leadership over to a peer that is stopping

Callers saw: in a rolling restart a leader that stops hands over to an instance that has been stopping itself for seconds and never claims. The others claim after their delays, and the wait for a leader is longer.

Cause: nothing in a ping says that its sender is stopping, although it pings on during its grace, and StrongestPeer() takes any peer that was heard in the last 2 s. The peer asked could not refuse either.

A peer asked to claim that is stopping says so in an appended field of the response; the leader then asks the next one, as it does if the peer can't be connected to, until another instance has claimed. Older peers ignore the fields; their messages without them mean "not stopping" and "not declined" (tested).

--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -92,6 +92,11 @@
   /// Returns the eligible peer with the highest weight, or nullptr.
   const Peer* StrongestPeer() const;
   void HandOverTo(const Peer* aTo);
+  /// Asks \p aPeer to succeed this instance's epoch \p aEpoch, and the next one if it declines.
+  void AskToClaim(const Peer& aPeer, uint64_t aEpoch);
+  void OnAskedToClaim(const std::string& aInstance,
+                      uint64_t aEpoch,
+                      const ClientResponse& aResponse);
   void HandOverToStrongerPeer();
   /// Records a failed handover if the leadership came back from the peer that was asked to take it.
   void RecordFailedHandover(const std::optional<StoredClaim>& aPrevious, Instant aNow);
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -57,7 +57,8 @@
 {
   std::string m_instance;
   std::string m_address;
-  double m_weight = 0; ///< Processor share, in cores.
+  double m_weight = 0;     ///< Processor share, in cores.
+  bool m_stopping = false; ///< The sender is shutting down and never claims again.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -65,6 +66,7 @@
     aVisit("instance", aSelf.m_instance);
     aVisit("address", aSelf.m_address);
     aVisit("weight", aSelf.m_weight);
+    aVisit("stopping", aSelf.m_stopping);
   }
 };
 
@@ -116,6 +118,7 @@
   StoredClaim m_leader;
   double m_maxWeight = 0; ///< Highest weight among the leader and the peers that ping it, in cores.
   uint64_t m_claimedEpoch = 0; ///< Epoch that the sender is claiming, or 0. It may have succeeded.
+  bool m_declined = false;     ///< The sender was asked to claim the leadership and does not.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -127,6 +130,7 @@
     aVisit("leader", aSelf.m_leader);
     aVisit("strongest", aSelf.m_maxWeight);
     aVisit("claimed_epoch", aSelf.m_claimedEpoch);
+    aVisit("declined", aSelf.m_declined);
   }
 };
 
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -82,6 +82,7 @@
 {
   m_shuttingDown = true;
   if (!m_session) {
+    m_nextPingAt = BootClockNow(); // the leader should know at once
     return;
   }
   HandOverTo(StrongestPeer());
@@ -97,7 +98,8 @@
     const bool recent = now - peer.m_lastHeardAt < kPeerTimeout;
     const bool failed =
       peerEntry.first == m_failedHandover.m_instance && now < m_failedHandover.m_retryAt;
-    if (recent && !failed && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
+    const bool eligible = recent && !failed && !peer.m_ping.m_stopping;
+    if (eligible && (!best || peer.m_ping.m_weight > best->m_ping.m_weight)) {
       best = &peer;
     }
   }
@@ -107,20 +109,50 @@
 void
 Node::HandOverTo(const Peer* aTo)
 {
-  const std::string address = aTo ? aTo->m_ping.m_address : std::string();
-  m_handoverPeer = aTo ? aTo->m_ping.m_instance : std::string();
+  const uint64_t epoch = m_session->Claim().m_epoch;
   Log(LogLine(LogLevel::Info, "hand_over")
-        .Add("epoch", m_session->Claim().m_epoch)
+        .Add("epoch", epoch)
         .Add("to", aTo ? aTo->m_ping.m_instance : "nobody"));
   EndSession();
   const Instant now = BootClockNow();
   m_election.OnLeaderLost(now);
   m_election.OnClaimFailed(now); // lets the new leader claim first
-  if (!address.empty()) {
-    m_client.Send(address,
-                  MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Claim), ""),
-                  kClaimTimeout,
-                  [](const ClientResponse&) {});
+  m_handoverPeer.clear();
+  if (aTo) {
+    AskToClaim(*aTo, epoch);
+  }
+}
+
+void
+Node::AskToClaim(const Peer& aPeer, uint64_t aEpoch)
+{
+  m_handoverPeer = aPeer.m_ping.m_instance;
+  m_client.Send(
+    aPeer.m_ping.m_address,
+    MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Claim), ""),
+    kClaimTimeout,
+    [self = shared_from_this(), instance = aPeer.m_ping.m_instance, aEpoch](
+      const ClientResponse& aResponse) { self->OnAskedToClaim(instance, aEpoch, aResponse); });
+}
+
+void
+Node::OnAskedToClaim(const std::string& aInstance, uint64_t aEpoch, const ClientResponse& aResponse)
+{
+  PeerResponse response;
+  const bool declined = aResponse.m_result == ClientResult::Completed &&
+                        UnpackCompact(aResponse.m_response.body(), response) && response.m_declined;
+  const bool succeeded = m_session || m_election.Leader()->m_epoch > aEpoch;
+  if (succeeded || !(declined || aResponse.m_result == ClientResult::NotSent)) {
+    return;
+  }
+  m_peers.erase(aInstance);
+  const Peer* next = StrongestPeer();
+  Log(LogLine(LogLevel::Warning, "hand_over_declined")
+        .Add("epoch", aEpoch)
+        .Add("by", aInstance)
+        .Add("next", next ? next->m_ping.m_instance : "nobody"));
+  if (next) {
+    AskToClaim(*next, aEpoch);
   }
 }
 
@@ -159,7 +191,9 @@
   if (!m_session && !m_shuttingDown) {
     Claim();
   }
-  aDone(MakeNotLeaderResponse());
+  PeerResponse response = MakeNotLeaderResponse();
+  response.m_declined = m_shuttingDown;
+  aDone(response);
 }
 
 } // namespace egretturn
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -137,7 +137,9 @@
   m_pinging = true;
   m_pingedEpoch = m_election.Leader()->m_epoch;
   m_nextPingAt = BootClockNow() + kPingInterval;
-  const PingMessage ping{ m_settings.m_id, m_settings.m_peerAddress, m_settings.m_weight };
+  const PingMessage ping{
+    m_settings.m_id, m_settings.m_peerAddress, m_settings.m_weight, m_shuttingDown
+  };
   HttpRequest request =
     MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Ping), PackCompact(ping));
   m_client.Send(m_election.Leader()->m_address,
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -92,6 +92,20 @@
   std::map<Topic, std::function<void()>> m_waiting;
 };
 
+/// Encodes \p aMessage as a version without the fields after the first \p aFields does.
+template<HasFields T>
+std::string
+PackShortened(const T& aMessage, size_t aFields)
+{
+  Json json = Encode(aMessage, FieldStyle::Compact);
+  while (json.size() > aFields) {
+    json.erase(json.size() - 1);
+  }
+  std::string bytes;
+  Json::to_msgpack(json, bytes);
+  return bytes;
+}
+
 /// One instance with a store, and peers whose responses the test sends.
 struct NodeFixture
 {
@@ -106,15 +120,28 @@
     REQUIRE(m_node->Start());
   }
 
+  /// Starts the instance and waits until it leads.
+  void StartAsLeader()
+  {
+    Start();
+    for (int i = 0; i < 100 && !m_node->IsReady(); ++i) {
+      m_io.run_for(milliseconds(10));
+    }
+    REQUIRE(m_node->IsReady());
+  }
+
   /// Starts a peer that collects its requests by path.
   std::unique_ptr<HttpServer> MakePeer(const char* aAddress)
   {
     std::unique_ptr<HttpServer> server = std::make_unique<HttpServer>(
       m_io,
       HttpLimits(),
-      [this](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+      [this, aAddress](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
         const boost::beast::string_view target = aRequest.target();
-        m_held[std::string(target.data(), target.size())].push_back(aReply);
+        const std::string path(target.data(), target.size());
+        m_held[path].push_back(aReply);
+        m_bodies[path].push_back(aRequest.body());
+        m_receivers[path].emplace_back(aAddress);
       });
     REQUIRE(server->Listen(aAddress));
     return server;
@@ -125,13 +152,22 @@
     return m_held[std::string(PathOf(aOperation))];
   }
 
-  /// Responds to the oldest ping that was not responded to.
-  void RespondToPing(const PeerResponse& aResponse)
+  /// Returns the addresses of the peers that were asked to claim, in this order.
+  std::vector<std::string> AskedToClaim()
+  {
+    return m_receivers[std::string(PathOf(PeerOperation::Claim))];
+  }
+
+  /// Responds to the oldest ping, or request to claim, that was not responded to.
+  void RespondToPing(const PeerResponse& aResponse) { Respond(PeerOperation::Ping, aResponse); }
+  void RespondToClaim(const PeerResponse& aResponse) { Respond(PeerOperation::Claim, aResponse); }
+
+  void Respond(PeerOperation aOperation, const PeerResponse& aResponse)
   {
-    std::vector<std::shared_ptr<HttpReply>>& pings = HeldRequests(PeerOperation::Ping);
-    REQUIRE(!pings.empty());
-    pings.front()->Send(MakeResponse(200, "application/msgpack", PackCompact(aResponse)));
-    pings.erase(pings.begin());
+    std::vector<std::shared_ptr<HttpReply>>& held = HeldRequests(aOperation);
+    REQUIRE(!held.empty());
+    held.front()->Send(MakeResponse(200, "application/msgpack", PackCompact(aResponse)));
+    held.erase(held.begin());
     m_io.run_for(milliseconds(50));
   }
 
@@ -158,6 +194,8 @@
   SilentWorkers m_workers;
   std::shared_ptr<Node> m_node;
   std::map<std::string, std::vector<std::shared_ptr<HttpReply>>> m_held;
+  std::map<std::string, std::vector<std::string>> m_bodies;    ///< Of all requests, by path.
+  std::map<std::string, std::vector<std::string>> m_receivers; ///< Of all requests, by path.
 };
 
 } // namespace
@@ -309,3 +347,96 @@
   CHECK(leading.m_outcome == PeerOutcome::Ok);
   CHECK(leading.m_leader.m_epoch == 1);
 }
+
+// Guards against handing the leadership to a peer that is stopping, which loses the placed tasks.
+TEST_CASE("a leader that stops does not hand over to a peer that is stopping")
+{
+  NodeFixture fixture;
+  const std::unique_ptr<HttpServer> strong = fixture.MakePeer(kNewLeader);
+  const std::unique_ptr<HttpServer> weak = fixture.MakePeer(kOldLeader);
+  fixture.StartAsLeader();
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "strong", kNewLeader, 0.15, true }));
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "weak", kOldLeader, 0.1, false }));
+  fixture.m_node->HandOver();
+  fixture.m_io.run_for(milliseconds(100));
+  CHECK(fixture.AskedToClaim() == std::vector<std::string>{ kOldLeader });
+}
+
+// Guards against a handover that ends at a peer that began to stop after its last ping.
+TEST_CASE("a leader that stops asks the next peer if the first one declines")
+{
+  NodeFixture fixture;
+  const std::unique_ptr<HttpServer> strong = fixture.MakePeer(kNewLeader);
+  const std::unique_ptr<HttpServer> weak = fixture.MakePeer(kOldLeader);
+  fixture.StartAsLeader();
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "strong", kNewLeader, 0.15 }));
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "weak", kOldLeader, 0.1 }));
+  fixture.m_node->HandOver();
+  fixture.m_io.run_for(milliseconds(100));
+  REQUIRE(fixture.AskedToClaim() == std::vector<std::string>{ kNewLeader });
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  SECTION("it declines")
+  {
+    response.m_declined = true;
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim() == std::vector<std::string>{ kNewLeader, kOldLeader });
+    fixture.RespondToClaim(response); // there is nobody left to ask
+    CHECK(fixture.AskedToClaim().size() == 2);
+  }
+  SECTION("it accepts")
+  {
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim().size() == 1);
+  }
+  SECTION("it declines after another instance has claimed")
+  {
+    fixture.m_store.Announce(ClaimOf(2, kOldLeader));
+    response.m_declined = true;
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim().size() == 1);
+  }
+}
+
+// Guards against a leader that can't tell which of its peers are stopping.
+TEST_CASE("an instance that is stopping says so in its pings and declines to claim")
+{
+  {
+    NodeFixture sound;
+    sound.Start();
+    CHECK_FALSE(sound.Ask(PeerOperation::Claim, "").m_declined);
+  }
+  NodeFixture fixture;
+  fixture.m_store.Announce(ClaimOf(1, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::Ok;
+  response.m_leader = ClaimOf(1, kNewLeader);
+  fixture.RespondToPing(response);
+  const std::vector<std::string>& pings =
+    fixture.m_bodies[std::string(PathOf(PeerOperation::Ping))];
+  PingMessage ping;
+  REQUIRE(UnpackCompact(pings.back(), ping));
+  CHECK_FALSE(ping.m_stopping);
+
+  fixture.m_node->HandOver();
+  CHECK(fixture.Ask(PeerOperation::Claim, "").m_declined);
+  fixture.m_io.run_for(milliseconds(200)); // less than the interval between pings
+  REQUIRE(UnpackCompact(pings.back(), ping));
+  CHECK(ping.m_stopping);
+}
+
+// Guards against a peer of an earlier version that counts as stopping or as declining.
+TEST_CASE("messages of earlier versions, without the last fields, keep their meaning")
+{
+  PingMessage ping;
+  REQUIRE(UnpackCompact(PackShortened(PingMessage{ "peer", kNewLeader, 0.5 }, 3), ping));
+  CHECK(ping.m_weight == 0.5);
+  CHECK_FALSE(ping.m_stopping);
+  PeerResponse response;
+  REQUIRE(UnpackCompact(PackShortened(PeerResponse(), 6), response));
+  CHECK(response.m_claimedEpoch == 0);
+  CHECK_FALSE(response.m_declined);
+}
