--- a/include/egretturn/Node/LeadershipClaimer.h
+++ b/include/egretturn/Node/LeadershipClaimer.h
@@ -14,7 +14,7 @@
   {
     std::optional<StoredClaim> m_own;   ///< Set if this instance is now the leader.
     std::optional<StoredClaim> m_other; ///< A claim newer than the one to succeed, if any.
-    bool m_deferredToLeader = false;    ///< The current leader is still writing.
+    bool m_deferredToLeader = false;    ///< The known leader is still writing. Not with m_other.
     RecoveredState m_state;
   };
   using Callback = std::function<void(Outcome)>;
@@ -32,6 +32,10 @@
   /// Starts reading the topic of jobs; \c aDone follows later.
   void Start();
 
+  /// The epoch that the last append of a claim was for, or 0 before the first one. Other instances
+  /// may read that claim from the store before its result is known here.
+  uint64_t ClaimedEpoch() const { return m_identity.m_epoch; }
+
 private:
   void ReadNextRecords();
   void Apply(const TopicPage& aPage);
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -47,6 +47,15 @@
                 const std::vector<KeyedRecord>& aRecords,
                 std::function<void(AppendResult)> aDone) override
   {
+    ++m_claimTries;
+    if (const std::function<void()> rival = std::exchange(m_beforeAppend, nullptr)) {
+      rival();
+    }
+    if (m_holdAppends) {
+      aDone = [this, aDone](AppendResult aResult) {
+        m_heldAppend = [aDone, aResult] { aDone(aResult); };
+      };
+    }
     if (aAt != m_topics[aTopic].size()) {
       aDone({ AppendResult::Kind::Conflict, m_topics[aTopic].size() });
     } else {
@@ -66,16 +75,37 @@
     }
   }
 
-  void Announce(const StoredClaim& aClaim)
+  void Announce(const StoredClaim& aClaim) { AppendClaim(Topic::Leader, aClaim); }
+
+  void AppendClaim(Topic aTopic, const StoredClaim& aClaim)
   {
-    Append(Topic::Leader, { { std::string(kClaimKey), PackCompact(aClaim) } }, [](AppendResult) {});
+    Append(aTopic, { { std::string(kClaimKey), PackCompact(aClaim) } }, [](AppendResult) {});
   }
 
+  std::function<void()> m_beforeAppend; ///< Runs once, before the next append with a condition.
+  bool m_holdAppends = false;           ///< Appends take effect; m_heldAppend sends the response.
+  std::function<void()> m_heldAppend;
+  int m_claimTries = 0; ///< Appends with a condition.
+
 private:
   std::map<Topic, std::vector<KeyedRecord>> m_topics;
   std::map<Topic, std::function<void()>> m_waiting;
 };
 
+/// Encodes \p aMessage as a version without the fields after the first \p aFields does.
+template<HasFields T>
+std::string
+PackShortened(const T& aMessage, size_t aFields)
+{
+  Json json = Encode(aMessage, FieldStyle::Compact);
+  while (json.size() > aFields) {
+    json.erase(json.size() - 1);
+  }
+  std::string bytes;
+  Json::to_msgpack(json, bytes);
+  return bytes;
+}
+
 /// One instance with a store, and peers whose responses the test sends.
 struct NodeFixture
 {
@@ -85,19 +115,33 @@
     settings.m_id = "instance";
     settings.m_peerAddress = kNodeAddress;
     settings.m_weight = 0.1;
+    settings.m_incarnation = 1; // other than that of ClaimOf()
     m_node = std::make_shared<Node>(m_io, settings, m_store, m_workers, RejectEntry);
     REQUIRE(m_node->Start());
   }
 
+  /// Starts the instance and waits until it leads.
+  void StartAsLeader()
+  {
+    Start();
+    for (int i = 0; i < 100 && !m_node->IsReady(); ++i) {
+      m_io.run_for(milliseconds(10));
+    }
+    REQUIRE(m_node->IsReady());
+  }
+
   /// Starts a peer that collects its requests by path.
   std::unique_ptr<HttpServer> MakePeer(const char* aAddress)
   {
     std::unique_ptr<HttpServer> server = std::make_unique<HttpServer>(
       m_io,
       HttpLimits(),
-      [this](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+      [this, aAddress](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
         const boost::beast::string_view target = aRequest.target();
-        m_held[std::string(target.data(), target.size())].push_back(aReply);
+        const std::string path(target.data(), target.size());
+        m_held[path].push_back(aReply);
+        m_bodies[path].push_back(aRequest.body());
+        m_receivers[path].emplace_back(aAddress);
       });
     REQUIRE(server->Listen(aAddress));
     return server;
@@ -108,11 +152,50 @@
     return m_held[std::string(PathOf(aOperation))];
   }
 
+  /// Returns the addresses of the peers that were asked to claim, in this order.
+  std::vector<std::string> AskedToClaim()
+  {
+    return m_receivers[std::string(PathOf(PeerOperation::Claim))];
+  }
+
+  /// Responds to the oldest ping, or request to claim, that was not responded to.
+  void RespondToPing(const PeerResponse& aResponse) { Respond(PeerOperation::Ping, aResponse); }
+  void RespondToClaim(const PeerResponse& aResponse) { Respond(PeerOperation::Claim, aResponse); }
+
+  void Respond(PeerOperation aOperation, const PeerResponse& aResponse)
+  {
+    std::vector<std::shared_ptr<HttpReply>>& held = HeldRequests(aOperation);
+    REQUIRE(!held.empty());
+    held.front()->Send(MakeResponse(200, "application/msgpack", PackCompact(aResponse)));
+    held.erase(held.begin());
+    m_io.run_for(milliseconds(50));
+  }
+
+  /// Sends a request to the instance and returns its response.
+  PeerResponse Ask(PeerOperation aOperation, const std::string& aBody)
+  {
+    HttpClient client(m_io, 4096);
+    PeerResponse response;
+    bool completed = false;
+    client.Send(kNodeAddress,
+                MakeRequest(boost::beast::http::verb::post, std::string(PathOf(aOperation)), aBody),
+                seconds(1),
+                [&](const ClientResponse& aResponse) {
+                  completed = aResponse.m_result == ClientResult::Completed &&
+                              UnpackCompact(aResponse.m_response.body(), response);
+                });
+    m_io.run_for(milliseconds(100));
+    REQUIRE(completed);
+    return response;
+  }
+
   boost::asio::io_context m_io;
   MemoryStore m_store;
   SilentWorkers m_workers;
   std::shared_ptr<Node> m_node;
   std::map<std::string, std::vector<std::shared_ptr<HttpReply>>> m_held;
+  std::map<std::string, std::vector<std::string>> m_bodies;    ///< Of all requests, by path.
+  std::map<std::string, std::vector<std::string>> m_receivers; ///< Of all requests, by path.
 };
 
 } // namespace
@@ -158,3 +241,202 @@
   CHECK(fixture.HeldRequests(PeerOperation::Claim).size() == 1);
   CHECK(fixture.m_node->IsReady());
 }
+
+// Guards against superseding a sound leader that is 0.8 s old: an instance whose claim lost to
+// another claimant took that claim for a sign that the old leader still writes, and counted the
+// time without a ping from a moment before the new leader's claim.
+TEST_CASE("an instance whose claim lost to another one waits for the new leader's whole timeout")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(1, kOldLeader));
+  fixture.m_store.Announce(ClaimOf(1, kOldLeader));
+  fixture.m_store.m_beforeAppend = [&] {
+    fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  };
+  const std::unique_ptr<HttpServer> old = fixture.MakePeer(kOldLeader);
+  const std::unique_ptr<HttpServer> successor = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  for (int i = 0; i < 300 && fixture.m_store.m_claimTries == 0; ++i) {
+    fixture.m_io.run_for(milliseconds(10));
+  }
+  REQUIRE(fixture.m_store.m_claimTries == 1);
+  fixture.m_io.run_for(milliseconds(1200));
+  CHECK(fixture.m_store.m_claimTries == 1);
+  fixture.m_io.run_for(milliseconds(1000)); // the new leader has responded to nothing
+  CHECK(fixture.m_store.m_claimTries > 1);
+}
+
+// Guards against superseding a sound leader that was never pinged, because a ping to its frozen
+// predecessor was still waiting for the response.
+TEST_CASE("a ping that the previous leader does not respond to does not delay pings to the new one")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(1, kOldLeader));
+  fixture.m_store.Announce(ClaimOf(1, kOldLeader));
+  const std::unique_ptr<HttpServer> old = fixture.MakePeer(kOldLeader);
+  const std::unique_ptr<HttpServer> successor = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  REQUIRE(fixture.HeldRequests(PeerOperation::Ping).size() == 1);
+
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  fixture.m_io.run_for(milliseconds(300));
+  CHECK(fixture.HeldRequests(PeerOperation::Ping).size() == 2);
+}
+
+// Guards against superseding a sound leader whose claim can be read from the store before the
+// leader itself knows that it succeeded.
+TEST_CASE("a leader that waits for the result of its claim does not count as lost")
+{
+  NodeFixture fixture;
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  response.m_claimedEpoch = 2;
+  fixture.RespondToPing(response);
+  CHECK(fixture.m_node->IsReady());
+
+  // A process that was restarted at the leader's address claims the next epoch.
+  fixture.m_io.run_for(milliseconds(600));
+  response.m_claimedEpoch = 3;
+  fixture.RespondToPing(response);
+  CHECK_FALSE(fixture.m_node->IsReady());
+}
+
+// Guards against waiting forever for a claimant that never learns the result of its claim.
+TEST_CASE("a leader that does not learn the result of its claim is replaced after the timeout")
+{
+  NodeFixture fixture;
+  fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+  fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  response.m_claimedEpoch = 2;
+  for (int i = 0; i < 40; ++i) {
+    fixture.m_io.run_for(milliseconds(50));
+    if (!fixture.HeldRequests(PeerOperation::Ping).empty()) {
+      fixture.RespondToPing(response);
+    }
+  }
+  CHECK(fixture.m_store.m_claimTries > 0);
+}
+
+// Guards against a claimant that its peers take for a process that leads no more.
+TEST_CASE("an instance says which epoch it is claiming until it knows the result")
+{
+  NodeFixture fixture;
+  fixture.m_store.m_holdAppends = true;
+  fixture.Start();
+  for (int i = 0; i < 100 && !fixture.m_store.m_heldAppend; ++i) {
+    fixture.m_io.run_for(milliseconds(10));
+  }
+  REQUIRE(fixture.m_store.m_heldAppend);
+  const std::string ping = PackCompact(PingMessage{ "peer", kNewLeader, 0.1 });
+  const PeerResponse claiming = fixture.Ask(PeerOperation::Ping, ping);
+  CHECK(claiming.m_outcome == PeerOutcome::NotLeader);
+  CHECK(claiming.m_claimedEpoch == 1);
+
+  fixture.m_store.m_heldAppend();
+  const PeerResponse leading = fixture.Ask(PeerOperation::Ping, ping);
+  CHECK(leading.m_outcome == PeerOutcome::Ok);
+  CHECK(leading.m_leader.m_epoch == 1);
+}
+
+// Guards against handing the leadership to a peer that is stopping, which loses the placed tasks.
+TEST_CASE("a leader that stops does not hand over to a peer that is stopping")
+{
+  NodeFixture fixture;
+  const std::unique_ptr<HttpServer> strong = fixture.MakePeer(kNewLeader);
+  const std::unique_ptr<HttpServer> weak = fixture.MakePeer(kOldLeader);
+  fixture.StartAsLeader();
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "strong", kNewLeader, 0.15, true }));
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "weak", kOldLeader, 0.1, false }));
+  fixture.m_node->HandOver();
+  fixture.m_io.run_for(milliseconds(100));
+  CHECK(fixture.AskedToClaim() == std::vector<std::string>{ kOldLeader });
+}
+
+// Guards against a handover that ends at a peer that began to stop after its last ping.
+TEST_CASE("a leader that stops asks the next peer if the first one declines")
+{
+  NodeFixture fixture;
+  const std::unique_ptr<HttpServer> strong = fixture.MakePeer(kNewLeader);
+  const std::unique_ptr<HttpServer> weak = fixture.MakePeer(kOldLeader);
+  fixture.StartAsLeader();
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "strong", kNewLeader, 0.15 }));
+  fixture.Ask(PeerOperation::Ping, PackCompact(PingMessage{ "weak", kOldLeader, 0.1 }));
+  fixture.m_node->HandOver();
+  fixture.m_io.run_for(milliseconds(100));
+  REQUIRE(fixture.AskedToClaim() == std::vector<std::string>{ kNewLeader });
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::NotLeader;
+  SECTION("it declines")
+  {
+    response.m_declined = true;
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim() == std::vector<std::string>{ kNewLeader, kOldLeader });
+    fixture.RespondToClaim(response); // there is nobody left to ask
+    CHECK(fixture.AskedToClaim().size() == 2);
+  }
+  SECTION("it accepts")
+  {
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim().size() == 1);
+  }
+  SECTION("it declines after another instance has claimed")
+  {
+    fixture.m_store.Announce(ClaimOf(2, kOldLeader));
+    response.m_declined = true;
+    fixture.RespondToClaim(response);
+    CHECK(fixture.AskedToClaim().size() == 1);
+  }
+}
+
+// Guards against a leader that can't tell which of its peers are stopping.
+TEST_CASE("an instance that is stopping says so in its pings and declines to claim")
+{
+  {
+    NodeFixture sound;
+    sound.Start();
+    CHECK_FALSE(sound.Ask(PeerOperation::Claim, "").m_declined);
+  }
+  NodeFixture fixture;
+  fixture.m_store.Announce(ClaimOf(1, kNewLeader));
+  const std::unique_ptr<HttpServer> leader = fixture.MakePeer(kNewLeader);
+  fixture.Start();
+  fixture.m_io.run_for(milliseconds(100));
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::Ok;
+  response.m_leader = ClaimOf(1, kNewLeader);
+  fixture.RespondToPing(response);
+  const std::vector<std::string>& pings =
+    fixture.m_bodies[std::string(PathOf(PeerOperation::Ping))];
+  PingMessage ping;
+  REQUIRE(UnpackCompact(pings.back(), ping));
+  CHECK_FALSE(ping.m_stopping);
+
+  fixture.m_node->HandOver();
+  CHECK(fixture.Ask(PeerOperation::Claim, "").m_declined);
+  fixture.m_io.run_for(milliseconds(200)); // less than the interval between pings
+  REQUIRE(UnpackCompact(pings.back(), ping));
+  CHECK(ping.m_stopping);
+}
+
+// Guards against a peer of an earlier version that counts as stopping or as declining.
+TEST_CASE("messages of earlier versions, without the last fields, keep their meaning")
+{
+  PingMessage ping;
+  REQUIRE(UnpackCompact(PackShortened(PingMessage{ "peer", kNewLeader, 0.5 }, 3), ping));
+  CHECK(ping.m_weight == 0.5);
+  CHECK_FALSE(ping.m_stopping);
+  PeerResponse response;
+  REQUIRE(UnpackCompact(PackShortened(PeerResponse(), 6), response));
+  CHECK(response.m_claimedEpoch == 0);
+  CHECK_FALSE(response.m_declined);
+}
