Show by tests that fail what a review of the recovery found

The random test lets a short epoch follow an unnoticed one, and a successor reaches no more workers than its predecessor; the oracle names the workers of concurrent attempts.

--- a/unittests/Node/CallAuthorityTest.cpp
+++ b/unittests/Node/CallAuthorityTest.cpp
@@ -95,3 +95,23 @@
   leader.m_authority.OnConfirmed(sentAt);
   CHECK_FALSE(leader.MayCall());
 }
+
+// Node::Tick() runs each 150 ms and pings at the first tick after 500 ms, so a peer's pings arrive
+// a little more than 600 ms apart, which is the time that a ping counts.
+TEST_CASE("a leader that a single peer pings may call workers while the store is down")
+{
+  Instant now{ std::chrono::hours(1) };
+  CallAuthority authority;
+  const Instant start = now;
+  Instant nextPingAt = now + seconds(1);
+  int suspended = 0;
+  for (; now < start + seconds(30); now += milliseconds(10)) {
+    authority.OnRun(now);
+    if (now >= nextPingAt) {
+      authority.OnPing(now);
+      nextPingAt += milliseconds(4 * 152); // four ticks, each a little late
+    }
+    suspended += now >= start + seconds(2) && !authority.MayCall(now) ? 1 : 0;
+  }
+  CHECK(suspended == 0);
+}
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -93,6 +93,20 @@
   int m_polls = 0;
 };
 
+/// Workers whose first poll is answered by the test. Counts the stops.
+class HoldingWorkers : public SilentWorkers
+{
+public:
+  void Poll(const PollWorker&, uint64_t, PollCallback aDone) override
+  {
+    m_held = m_held ? m_held : std::move(aDone);
+  }
+  void Stop(const StopTask&, uint64_t, WorkerCallCallback) override { ++m_stops; }
+
+  PollCallback m_held;
+  int m_stops = 0;
+};
+
 } // namespace
 
 /// Decodes every entry of the directory as the worker "w".
@@ -140,6 +154,38 @@
   session->Stop();
 }
 
+// Guards against calls that a superseded leader sends after the time to notice: a long poll that
+// returns, or a caller's cancel, emits stops and throttles, which are sent without a tick.
+TEST_CASE("a leader that was suspended stops no task before the store has confirmed its claim")
+{
+  boost::asio::io_context io;
+  OneWorkerStore store;
+  HoldingWorkers workers;
+  RecoveredState state;
+  state.m_confirmedAt = BootClockNow();
+  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    io,
+    store,
+    workers,
+    DecodeAsWorker,
+    SchedulerLimits(),
+    StoredClaim(),
+    LeaderSession::Callbacks{ [](RequestToken, SubmitResult) {}, [](const std::string&) {} });
+  session->Start(std::move(state));
+  io.run_for(milliseconds(500));
+  REQUIRE(workers.m_held);
+
+  store.m_available = false;
+  std::this_thread::sleep_for(milliseconds(1200));
+  WorkerStatus status;
+  status.m_clockMs = 1000;
+  status.m_running.push_back({ { 7, 0, 0, 0 }, 1, "", 40, 0 });
+  workers.m_held(WorkerCallResult::Accepted, status);
+  io.run_for(milliseconds(300));
+  CHECK(workers.m_stops == 0);
+  session->Stop();
+}
+
 // Guards against an instance that stays leader forever without ever writing again.
 TEST_CASE("a leader steps down if its append was deleted before it could be read back")
 {
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -30,7 +30,8 @@
   }
   const JobHistory& job = m_jobs.at(aTask.m_job);
   if (!m_running[key].empty() && !step->m_speculative) {
-    ReportViolation("two concurrent attempts: " + key);
+    ReportViolation("two concurrent attempts: " + key + " on " + aWorker + " beside " +
+                    *m_running[key].begin());
   }
   if (m_acknowledgedDone.count(key) > 0 && !step->m_speculative) {
     ReportViolation("started after an acknowledged end: " + key);
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -221,6 +221,107 @@
   CHECK(waited <= kMaxRecoveryTime);
 }
 
+// Guards against a task that runs twice: the leader before the predecessor may call a worker that
+// only it can reach for the time to notice after the predecessor's claim, which a predecessor of a
+// short epoch does not outlast. RestorePlacements() counts the leases from the list's arrival.
+TEST_CASE("a successor waits for the leases of the leader before a predecessor of a short epoch")
+{
+  Recovery first;
+  first.m_scheduler.RestoreWorker(MakeReport("unreachable"), first.m_now);
+  first.ReadDirectory();
+  first.Advance(milliseconds(200));
+  const Placements placements = first.m_scheduler.ListPlacements(first.m_now);
+  REQUIRE_FALSE(first.m_startedAt);
+  REQUIRE(placements.m_unpolled.size() == 1);
+  CHECK(milliseconds(placements.m_unpolled[0].m_leaseMs) >=
+        LeaseLimits().m_noticeTime + kLongestLease - milliseconds(200));
+
+  Recovery second;
+  second.m_now = first.m_now;
+  second.m_scheduler.RestoreWorker(MakeReport("unreachable"), second.m_now);
+  second.ReadDirectory();
+  second.m_scheduler.RestorePlacements(placements, second.m_now);
+  second.Advance(kMaxRecoveryTime);
+  REQUIRE(second.m_startedAt);
+  CHECK(*second.m_startedAt - first.m_epochStart >= LeaseLimits().m_noticeTime + kLongestLease);
+}
+
+namespace {
+
+/// The leader of epoch 1 with one task, which runs on "w" until "w" is out of reach.
+struct LeaderOfLostWorker
+{
+  void Advance(Duration aTime, bool aReachable)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Execute(action, aReachable);
+      }
+    }
+  }
+
+  void Execute(const Action& aAction, bool aReachable)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      m_status.m_running.push_back({ start->m_task, start->m_attempt, "", 40, 0 });
+      m_lastGrantAt = m_now;
+      m_scheduler.OnStartResult(
+        "w", start->m_task, start->m_attempt, WorkerCallResult::Accepted, m_now);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      m_lastGrantAt = poll->m_leaseEndMs > 0 ? m_now : m_lastGrantAt;
+      if (aReachable) {
+        m_scheduler.OnPollResponse("w", poll->m_number, m_status, m_now);
+      } else {
+        m_scheduler.OnPollFailed("w", poll->m_number, WorkerCallResult::NoResponse, m_now);
+      }
+    }
+  }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Instant m_lastGrantAt = m_now; ///< When the last call with a lease was sent.
+  Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
+  WorkerStatus m_status;
+};
+
+} // namespace
+
+// Guards against long-running tasks that wait anew in the next epoch: the predecessor has polled
+// the worker, lost it, and knows when its lease is over, but lists only unpolled workers with it.
+TEST_CASE("a successor waits for a worker that its predecessor has lost only until its lease ends")
+{
+  LeaderOfLostWorker first;
+  Submission submission;
+  submission.m_id = 7;
+  submission.m_terms = MakeLongRunningJob(7).m_terms;
+  submission.m_graph = MakeLongRunningJob(7).m_graph;
+  first.m_scheduler.UpdateWorker(MakeReport("w"), first.m_now);
+  first.m_scheduler.OnDirectoryRead();
+  first.m_scheduler.Submit(1, submission, first.m_now, ToMillis(first.m_now.time_since_epoch()));
+  first.Advance(milliseconds(1000), true);
+  REQUIRE(first.m_status.m_running.size() == 1);
+  first.Advance(milliseconds(5000), false);
+  const Placements placements = first.m_scheduler.ListPlacements(first.m_now);
+  REQUIRE(placements.m_tasks.size() == 1);
+
+  Recovery second; // here "w" responds, and is another worker
+  second.m_now = first.m_now;
+  second.m_scheduler.RestoreWorker(MakeReport("lost"), second.m_now);
+  second.ReadDirectory();
+  Placements renamed = placements;
+  renamed.m_tasks[0].m_worker = "lost";
+  for (UnpolledWorker& unpolled : renamed.m_unpolled) {
+    unpolled.m_worker = "lost";
+  }
+  second.m_scheduler.RestorePlacements(renamed, second.m_now);
+  second.Advance(kMaxRecoveryTime);
+  REQUIRE(second.m_startedAt);
+  CHECK(*second.m_startedAt - first.m_lastGrantAt >= kLongestLease);
+  CHECK(*second.m_startedAt - first.m_lastGrantAt <= kLongestLease + milliseconds(1000));
+}
+
 TEST_CASE("a successor does not wait for a worker that its predecessor has polled")
 {
   Recovery first;
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -56,6 +56,10 @@
       break;
     case 3:
       aWorld.SupersedeUnnoticed(milliseconds(aWorld.m_random.Below(kMaxNoticeMs)));
+      if (aWorld.m_random.Below(2) == 0) { // the successor's epoch is short
+        aWorld.Advance(milliseconds(aWorld.m_random.Below(kMaxNoticeMs)));
+        aWorld.ElectLeader(true);
+      }
       break;
     case 4:
       aWorld.m_faults.m_storeDown = !aWorld.m_faults.m_storeDown;
@@ -106,6 +110,30 @@
   CHECK(world.m_oracle.m_violations.empty());
 }
 
+// Guards against a task that runs twice: a superseded leader goes on calling workers that only it
+// can reach while two epochs begin one after the other.
+TEST_CASE("no task runs twice when a short epoch follows an unnoticed one")
+{
+  for (uint64_t seed = 1; seed <= 400; ++seed) {
+    SchedulerWorld world(seed, 8);
+    world.ElectLeader(false);
+    for (int i = 0; i < 40; ++i) {
+      world.SubmitRandom();
+      world.Advance(milliseconds(100));
+    }
+    world.Advance(seconds(2));
+    world.SupersedeUnnoticed(milliseconds(kMaxNoticeMs));
+    world.Advance(milliseconds(50 + world.m_random.Below(200)));
+    world.ElectLeader(true);
+    world.Advance(seconds(12));
+    INFO("seed " << seed);
+    for (const std::string& violation : world.m_oracle.m_violations) {
+      UNSCOPED_INFO(violation);
+    }
+    CHECK(world.m_oracle.m_violations.empty());
+  }
+}
+
 TEST_CASE("the scheduler keeps its guarantees under random faults")
 {
   // EGRETTURN_FUZZ_SEED=N sets the first seed.
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -155,6 +155,9 @@
 SchedulerWorld::ElectLeader(bool aKeepPrevious)
 {
   std::optional<Placements> placed;
+  // What the previous leader can't reach, its successor can't reach either.
+  const std::map<WorkerName, Instant> unreachableUntil =
+    m_leaders.empty() ? std::map<WorkerName, Instant>() : m_leaders.back()->m_unreachableUntil;
   if (!m_leaders.empty() && m_random.Unit() < 0.5) {
     m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
     placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
@@ -163,6 +166,7 @@
     m_leaders.clear();
   }
   const std::shared_ptr<Leader> leader = MakeLeader();
+  leader->m_unreachableUntil = unreachableUntil;
   if (placed) {
     leader->m_scheduler->RestorePlacements(*placed, m_now);
   }
