Hand each lease on with the time that is left of it

What callers could see: a task that runs twice after two changes of leader in a row, or one that waits a whole lease more in each epoch.

Cause, found by a review: a successor cut the wait for each worker to a lease counted from the list's arrival, since the previous leader has stopped. But the leader before that one may not have noticed yet, which the previous leader's epoch was too short to outlast. And for a worker that the previous leader had polled and then lost, a whole lease was counted anew, though that leader knew when it ends. Now the list has the rest of the lease of each worker that may run listed or unknown tasks, and it is used as it is. Workers with ends that are not durable are left out: they are waited for until polled.

--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -88,7 +88,7 @@
   uint64_t m_epoch = 0; ///< 0 if workers may run tasks that \c m_tasks does not name.
   std::vector<PlacedTask> m_tasks;
   uint64_t m_recoveringEpoch = 0; ///< The epoch if \c m_epoch is 0 for that reason; otherwise 0.
-  std::vector<UnpolledWorker> m_unpolled;
+  std::vector<WorkerLease> m_leases;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -96,7 +96,7 @@
     aVisit("epoch", aSelf.m_epoch);
     aVisit("tasks", aSelf.m_tasks);
     aVisit("recovering_epoch", aSelf.m_recoveringEpoch);
-    aVisit("unpolled", aSelf.m_unpolled);
+    aVisit("leases", aSelf.m_leases);
   }
 };
 
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -195,18 +195,18 @@
   }
 };
 
-/// A worker on which an epoch may have started tasks that its successors have not seen yet.
-struct UnpolledWorker
+/// How long the leases on a worker last that a stopped leader, or one before it, may have granted.
+struct WorkerLease
 {
   WorkerName m_worker;
-  int64_t m_leaseMs = 0;         ///< All leases of earlier epochs have expired after this time.
+  int64_t m_remainingMs = 0;
   bool m_hasUnknownTasks = true; ///< It may run tasks that the list of placed tasks does not name.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
   {
     aVisit("worker", aSelf.m_worker);
-    aVisit("lease_ms", aSelf.m_leaseMs);
+    aVisit("remaining_ms", aSelf.m_remainingMs);
     aVisit("unknown_tasks", aSelf.m_hasUnknownTasks);
   }
 };
@@ -215,7 +215,7 @@
 struct Placements
 {
   std::vector<PlacedTask> m_tasks;
-  std::vector<UnpolledWorker> m_unpolled;
+  std::vector<WorkerLease> m_leases; ///< Of workers that may run listed or unknown tasks.
 };
 
 using Action = std::
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -28,13 +28,13 @@
 Node::MakePlacedTasksResponse(uint64_t aEpoch, Placements aPlacements)
 {
   const bool unknownTasks =
-    std::any_of(aPlacements.m_unpolled.begin(),
-                aPlacements.m_unpolled.end(),
-                [](const UnpolledWorker& aWorker) { return aWorker.m_hasUnknownTasks; });
+    std::any_of(aPlacements.m_leases.begin(),
+                aPlacements.m_leases.end(),
+                [](const WorkerLease& aWorker) { return aWorker.m_hasUnknownTasks; });
   PlacedTasksResponse response;
   (unknownTasks ? response.m_recoveringEpoch : response.m_epoch) = aEpoch;
   response.m_tasks = std::move(aPlacements.m_tasks);
-  response.m_unpolled = std::move(aPlacements.m_unpolled);
+  response.m_leases = std::move(aPlacements.m_leases);
   return response;
 }
 
@@ -57,7 +57,7 @@
               .Add("effect", "earlier jobs wait until every worker has been polled"));
         return;
       }
-      session->RestorePlacements({ placed.m_tasks, placed.m_unpolled });
+      session->RestorePlacements({ placed.m_tasks, placed.m_leases });
     });
 }
 
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -101,7 +101,7 @@
   Log(LogLine(LogLevel::Info, "placed_known")
         .Add("epoch", m_claim.m_epoch)
         .Add("tasks", uint64_t{ aPlacements.m_tasks.size() })
-        .Add("unpolled_workers", uint64_t{ aPlacements.m_unpolled.size() }));
+        .Add("leases", uint64_t{ aPlacements.m_leases.size() }));
   m_scheduler.RestorePlacements(aPlacements, BootClockNow());
   Wake();
 }
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -61,6 +61,14 @@
   return !aWorker.m_polled && aNow < aWorker.m_leaseExpiresAt;
 }
 
+bool
+Scheduler::MayRunUnknownTasks(const WorkerName& aUnpolled) const
+{
+  return !m_previouslyPlaced ||
+         std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), aUnpolled) >
+           0;
+}
+
 Placements
 Scheduler::ListPlacements(Instant aNow) const
 {
@@ -73,13 +81,14 @@
     for (const EndedAttempt& reported : worker->m_nonDurableEnds) {
       placements.m_tasks.push_back({ name, reported.m_task });
     }
-    if (m_recovered || !MayRunEarlierTasks(*worker, aNow)) {
-      continue;
+    const bool unpolled = !m_recovered && MayRunEarlierTasks(*worker, aNow);
+    // A successor has to learn of ends that are not durable, however long ago the lease expired.
+    const bool runsKnownTasks = !worker->m_attempts.empty() && worker->m_nonDurableEnds.empty();
+    if (unpolled || runsKnownTasks) {
+      const Duration remaining = std::max(worker->m_leaseExpiresAt - aNow, Duration::zero());
+      placements.m_leases.push_back(
+        { name, ToMillis(remaining) + 1, unpolled && MayRunUnknownTasks(name) });
     }
-    const bool listed =
-      m_previouslyPlaced &&
-      std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), name) == 0;
-    placements.m_unpolled.push_back({ name, ToMillis(worker->m_leaseExpiresAt - aNow), !listed });
   }
   if (m_recovered || !m_previouslyPlaced) {
     return placements;
@@ -103,23 +112,24 @@
   }
   m_placementNeeded = true;
   m_previouslyPlaced.emplace();
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    // The previous leader has stopped, so it grants no more leases.
-    worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, m_fleet.LatestLeaseExpiry(aNow));
-  }
   for (const PlacedTask& placed : aPlacements.m_tasks) {
     (*m_previouslyPlaced)[placed.m_task].push_back(placed.m_worker);
   }
-  for (const UnpolledWorker& unpolled : aPlacements.m_unpolled) {
-    Worker* worker = m_fleet.Find(unpolled.m_worker);
-    if (!worker || worker->m_polled) {
-      continue;
+  std::unordered_map<WorkerName, Instant> expiries;
+  for (const WorkerLease& lease : aPlacements.m_leases) {
+    // Of the leader before the previous one as well, which may not have noticed yet.
+    expiries[lease.m_worker] = aNow + std::chrono::milliseconds(lease.m_remainingMs);
+    const Worker* worker = m_fleet.Find(lease.m_worker);
+    if (worker && !worker->m_polled && lease.m_hasUnknownTasks) {
+      m_workersWithUnknownTasks.push_back(lease.m_worker);
     }
-    // The previous leader has granted no lease there, so those of the leaders before it count.
-    const Instant expiresAt = aNow + std::chrono::milliseconds(unpolled.m_leaseMs);
-    worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, expiresAt);
-    if (unpolled.m_hasUnknownTasks) {
-      m_workersWithUnknownTasks.push_back(unpolled.m_worker);
+  }
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    const auto it = expiries.find(worker->m_report.m_id);
+    // The previous leader has stopped, so it grants no more leases.
+    const Instant expiry = it == expiries.end() ? m_fleet.LatestLeaseExpiry(aNow) : it->second;
+    if (!worker->m_polled) {
+      worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, expiry);
     }
   }
 }
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -257,8 +257,8 @@
   first.Advance(milliseconds(200));
   const Placements placements = first.m_scheduler.ListPlacements(first.m_now);
   REQUIRE_FALSE(first.m_startedAt);
-  REQUIRE(placements.m_unpolled.size() == 1);
-  CHECK(milliseconds(placements.m_unpolled[0].m_leaseMs) >=
+  REQUIRE(placements.m_leases.size() == 1);
+  CHECK(milliseconds(placements.m_leases[0].m_remainingMs) >=
         LeaseLimits().m_noticeTime + kLongestLease - milliseconds(200));
 
   Recovery second;
@@ -337,7 +337,7 @@
   second.ReadDirectory();
   Placements renamed = placements;
   renamed.m_tasks[0].m_worker = "lost";
-  for (UnpolledWorker& unpolled : renamed.m_unpolled) {
+  for (WorkerLease& unpolled : renamed.m_leases) {
     unpolled.m_worker = "lost";
   }
   second.m_scheduler.RestorePlacements(renamed, second.m_now);
