--- a/include/egretturn/Node/CallAuthority.h
+++ b/include/egretturn/Node/CallAuthority.h
@@ -21,8 +21,9 @@
   /// Detects that the process was suspended since the last call. Call at least every 100 ms.
   void OnRun(Instant aNow);
 
-  /// Whether the leader may call workers now. After the claim of a successor that its peers know
-  /// of, this is false within LeaseLimits::m_noticeTime.
+  /// Whether the leader may call workers now. After the claim of a successor that all of its peers
+  /// have learned of, this is false within LeaseLimits::m_noticeTime. Not bounded are peers that
+  /// can reach neither the store nor the successor and go on pinging this leader.
   bool MayCall(Instant aNow) const;
 
 private:
--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -112,6 +112,7 @@
   LogOffset m_end = 0;
   Instant m_confirmedAt;
   Instant m_appendStartedAt;
+  Instant m_requestSentAt; ///< The last try of the append, or the read that settles it.
   CallAuthority m_authority;
   bool m_mayCall = true; ///< As of the last check.
   bool m_storeAvailable = true;
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -83,6 +83,8 @@
   /// Handles the response to a ping that was sent to the leader of \p aEpoch.
   void OnPingResponse(uint64_t aEpoch, const ClientResponse& aResponse);
   void Claim();
+  /// Announces the claim to the other instances; the next tick tries again if that fails.
+  void Announce();
   void OnClaimResult(LeadershipClaimer::Outcome aOutcome);
   void OnRequestComplete(RequestToken aRequest, SubmitResult aResult);
   void OnStepDown(const std::string& aReason);
@@ -136,8 +138,9 @@
   Instant m_startedAt;
   Instant m_leadingSince;
   Instant m_nextPingAt;
-  uint64_t m_pingedEpoch = 0; ///< Epoch of the leader that was pinged last.
-  bool m_pinging = false;     ///< The last ping has no result yet.
+  uint64_t m_pingedEpoch = 0;     ///< Epoch of the leader that was pinged last.
+  bool m_pinging = false;         ///< The last ping has no result yet.
+  bool m_announcementDue = false; ///< The last announcement of this epoch has failed.
   bool m_shuttingDown = false;
   bool m_retriesStopped = false; ///< Set by CompletePendingCalls().
 };
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -126,7 +126,7 @@
   double m_maxClockSlowness = 0.02; ///< How much slower a worker's clock may run, as a share.
   /// A superseded leader sends its last call to a worker no later than this after the claim of its
   /// successor.
-  Duration m_noticeTime = std::chrono::milliseconds(1100);
+  Duration m_noticeTime = std::chrono::milliseconds(1200);
 };
 
 /// Holds all workers by id, with the capacity that their attempts use. Not thread-safe.
--- a/lib/Node/CallAuthority.cpp
+++ b/lib/Node/CallAuthority.cpp
@@ -7,7 +7,7 @@
 // The sums of these times, up to the last call that a superseded leader sends, stay below
 // LeaseLimits::m_noticeTime.
 static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
-static constexpr Duration kMaxPingAge = std::chrono::milliseconds(600);
+static constexpr Duration kMaxPingAge = std::chrono::milliseconds(700);
 static constexpr Duration kMaxRunInterval = std::chrono::milliseconds(400);
 
 // By then the pings that arrived during a suspension have been read.
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -226,6 +226,9 @@
           });
       },
       [&](const StopTask& aStop) {
+        if (!m_mayCall) {
+          return; // a successor may rely on the task; the scheduler retries unconfirmed stops
+        }
         m_workers.Stop(
           aStop,
           fence,
@@ -284,6 +287,7 @@
 void
 LeaderSession::SendAppend()
 {
+  m_requestSentAt = BootClockNow();
   m_store.AppendAt(
     Topic::Jobs, m_end, m_appending, [self = shared_from_this()](AppendResult aResult) {
       if (!self->m_stopped) {
@@ -333,6 +337,7 @@
 void
 LeaderSession::ResolveConflict()
 {
+  m_requestSentAt = BootClockNow();
   m_store.ReadTail(Topic::Jobs,
                    m_end,
                    Duration::zero(),
@@ -373,7 +378,7 @@
 {
   m_end = aEnd;
   m_appending.clear();
-  m_confirmedAt = m_appendStartedAt;
+  m_confirmedAt = m_requestSentAt;
   m_authority.OnConfirmed(m_confirmedAt);
   SetStoreAvailable(true);
   if (m_appendingBatch > 0) {
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -116,6 +116,9 @@
     }
   }
   HandOverToStrongerPeer();
+  if (m_session && m_announcementDue) {
+    Announce();
+  }
   if (!m_session && m_election.Leader()) {
     // A leader that has not been pinged yet does not wait for a ping that its predecessor holds.
     const uint64_t leader = m_election.Leader()->m_epoch;
@@ -245,8 +248,23 @@
   if (previous && previous->m_epoch + 1 == claim.m_epoch) {
     RequestPlacedTasks(*previous);
   }
-  m_store.Append(
-    Topic::Leader, { { std::string(kClaimKey), PackCompact(claim) } }, [](AppendResult) {});
+  Announce();
+}
+
+void
+Node::Announce()
+{
+  m_announcementDue = false;
+  const StoredClaim& claim = m_session->Claim();
+  m_store.Append(Topic::Leader,
+                 { { std::string(kClaimKey), PackCompact(claim) } },
+                 [self = shared_from_this(), epoch = claim.m_epoch](const AppendResult& aResult) {
+                   const bool leads = self->m_session && self->m_session->Claim().m_epoch == epoch;
+                   if (leads && aResult.m_kind != AppendResult::Kind::Appended) {
+                     Log(LogLine(LogLevel::Warning, "announcement_failed").Add("epoch", epoch));
+                     self->m_announcementDue = true;
+                   }
+                 });
 }
 
 void
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -67,6 +67,11 @@
               const std::vector<KeyedRecord>& aRecords,
               std::function<void(AppendResult)> aDone) override
   {
+    if (aTopic == Topic::Leader && m_failedAnnouncements > 0) {
+      --m_failedAnnouncements;
+      aDone({ AppendResult::Kind::NotAppended, 0 });
+      return;
+    }
     std::vector<KeyedRecord>& records = m_topics[aTopic];
     records.insert(records.end(), aRecords.begin(), aRecords.end());
     aDone({ AppendResult::Kind::Appended, records.size() });
@@ -87,6 +92,10 @@
   std::function<void()> m_heldAppend;
   int m_claimTries = 0; ///< Appends with a condition.
 
+  size_t Size(Topic aTopic) { return m_topics[aTopic].size(); }
+
+  int m_failedAnnouncements = 0; ///< So many appends to the leader's topic are refused.
+
 private:
   std::map<Topic, std::vector<KeyedRecord>> m_topics;
   std::map<Topic, std::function<void()>> m_waiting;
@@ -440,3 +449,14 @@
   CHECK(response.m_claimedEpoch == 0);
   CHECK_FALSE(response.m_declined);
 }
+
+// Guards against peers that keep following a superseded leader, because the store refused the only
+// announcement of its successor.
+TEST_CASE("a leader announces its claim again if the store refuses the announcement")
+{
+  NodeFixture fixture;
+  fixture.m_store.m_failedAnnouncements = 2;
+  fixture.Start();
+  fixture.m_io.run_for(seconds(2));
+  CHECK(fixture.m_store.Size(Topic::Leader) == 1);
+}
