--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -120,24 +120,32 @@
   return report;
 }
 
-// Guards against tasks that run twice, because a leader that was suspended extends leases before it
-// learns that another instance has claimed meanwhile.
-TEST_CASE("a leader that was suspended calls no worker until the store has confirmed its claim")
+/// Starts a session whose claim has just been confirmed.
+static std::shared_ptr<LeaderSession>
+StartSession(boost::asio::io_context& aIo, StorePort& aStore, WorkerPort& aWorkers)
 {
-  boost::asio::io_context io;
-  OneWorkerStore store;
-  CountingWorkers workers;
   RecoveredState state;
   state.m_confirmedAt = BootClockNow();
-  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
-    io,
-    store,
-    workers,
+  std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    aIo,
+    aStore,
+    aWorkers,
     DecodeAsWorker,
     SchedulerLimits(),
     StoredClaim(),
     LeaderSession::Callbacks{ [](RequestToken, SubmitResult) {}, [](const std::string&) {} });
   session->Start(std::move(state));
+  return session;
+}
+
+// Guards against tasks that run twice, because a leader that was suspended extends leases before it
+// learns that another instance has claimed meanwhile.
+TEST_CASE("a leader that was suspended calls no worker until the store has confirmed its claim")
+{
+  boost::asio::io_context io;
+  OneWorkerStore store;
+  CountingWorkers workers;
+  const std::shared_ptr<LeaderSession> session = StartSession(io, store, workers);
   io.run_for(milliseconds(700));
   CHECK(workers.m_polls > 0);
 
@@ -161,17 +169,7 @@
   boost::asio::io_context io;
   OneWorkerStore store;
   HoldingWorkers workers;
-  RecoveredState state;
-  state.m_confirmedAt = BootClockNow();
-  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
-    io,
-    store,
-    workers,
-    DecodeAsWorker,
-    SchedulerLimits(),
-    StoredClaim(),
-    LeaderSession::Callbacks{ [](RequestToken, SubmitResult) {}, [](const std::string&) {} });
-  session->Start(std::move(state));
+  const std::shared_ptr<LeaderSession> session = StartSession(io, store, workers);
   io.run_for(milliseconds(500));
   REQUIRE(workers.m_held);
 
