--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -256,6 +256,9 @@
   JobRank RankOccurrence(const Job& aJob, const OccurrenceRecord& aOccurrence, Instant aNow) const;
   static TaskRef MakeTaskRef(const WaitingStep& aWaiting, size_t aIndex);
   static const GraphStep& StepOf(const WaitingStep& aWaiting);
+  /// Returns the share of the processors of \p aService that was reserved when the current pass
+  /// first asked for it. A pass asks for each idle job, and the share is a sum over all workers.
+  double ReservedShareOf(const std::string& aService);
   /// Returns the request for the tasks of the step, without their siblings.
   PlacementRequest MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow);
   /// Starts the tasks of the step that fit. Returns false if a task does not fit on any worker.
@@ -358,6 +361,7 @@
   Instant m_nextRecoveryReportAt;
   int64_t m_wallMs = 0;
   bool m_placementNeeded = false;
+  std::unordered_map<std::string, double> m_reservedShares; ///< By service, for one pass.
   Instant m_nextPlacementAt;
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
   std::optional<WaitingReport> m_waitingReport; ///< Set while a report is collected.
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -106,6 +106,16 @@
   return aJob.m_liveAttempts == 0 && aNow - aJob.m_lastActiveAt >= kMaxJobIdleTime;
 }
 
+double
+Scheduler::ReservedShareOf(const std::string& aService)
+{
+  const auto it = m_reservedShares.find(aService);
+  if (it != m_reservedShares.end()) {
+    return it->second;
+  }
+  return m_reservedShares.emplace(aService, m_fleet.ReservedShare(aService)).first->second;
+}
+
 PlacementRequest
 Scheduler::MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow)
 {
@@ -115,7 +125,7 @@
   request.m_service = &job.m_stored.m_terms.m_service;
   request.m_interference = &m_interference;
   request.m_mayInterfere = request.m_step->m_bestEffort && IsIdle(job, aNow) &&
-                           m_fleet.ReservedShare(*request.m_service) < kLowReservation;
+                           ReservedShareOf(*request.m_service) < kLowReservation;
   request.m_image = m_interference.Intern(request.m_step->m_image);
   request.m_typicalCpu = m_bestEffortDemandMeans.MeanOf(job.m_stored.m_terms.m_route, 0);
   request.m_fewEmptyWorkers =
@@ -131,6 +141,7 @@
     return;
   }
   m_placementNeeded = false;
+  m_reservedShares.clear();
   if (aNow >= m_nextWaitingReportAt) {
     m_waitingReport.emplace();
   }
@@ -156,7 +167,7 @@
       m_waitingReport->AddIdleJob(waiting.m_job->m_stored.m_id,
                                   *request.m_service,
                                   aNow - waiting.m_job->m_lastActiveAt,
-                                  m_fleet.ReservedShare(*request.m_service));
+                                  ReservedShareOf(*request.m_service));
     }
   }
   FinishWaitingReport(aNow);
