Rank the workers once for a step instead of once for each task

Cause: with 1,100 workers each start judged all of them again, and each pair of images was looked up in a hash table.

--- a/include/egretturn/Scheduler/ImageInterference.h
+++ b/include/egretturn/Scheduler/ImageInterference.h
@@ -147,20 +147,22 @@
     double m_variance = 0;
     double m_loggedWeight = 0;
     bool m_loggedKnown = false;
+    bool m_sampled = false; ///< Otherwise the other members are those of an unknown pair.
   };
 
+  static const Estimate kUnknownPair;
+
   static bool IsReliable(const Estimate& aEstimate);
-  Estimate EstimateOf(ImageId aServingImage, ImageId aBestEffortImage) const;
+  const Estimate& EstimateOf(ImageId aServingImage, ImageId aBestEffortImage) const;
 
-  static uint32_t Pair(ImageId aServingImage, ImageId aBestEffortImage)
-  {
-    return (uint32_t{ aServingImage } << 16) | aBestEffortImage;
-  }
+  /// Returns the estimate of the pair, to be changed.
+  Estimate& Sampled(ImageId aServingImage, ImageId aBestEffortImage);
 
   std::unordered_map<std::string, ImageId> m_images;
-  std::vector<const std::string*> m_names;         ///< The keys of m_images, by number.
-  std::unordered_map<ImageId, double> m_idleRatio; ///< Lowest ratio of tail latency to target.
-  std::unordered_map<uint32_t, Estimate> m_weights;
+  std::vector<const std::string*> m_names; ///< The keys of m_images, by number.
+  std::vector<double> m_idleRatio;         ///< Lowest ratio of tail latency to target, by image.
+  /// By serving image, then by best-effort image. Placement reads them for each worker.
+  std::vector<std::vector<Estimate>> m_weights;
 };
 
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -46,7 +46,6 @@
 {
   const GraphStep* m_step = nullptr;
   const std::string* m_service = nullptr;
-  const Worker* m_avoidedWorker = nullptr;                ///< Chosen only if no other worker fits.
   const std::vector<const Worker*>* m_siblings = nullptr; ///< Workers of the step's live attempts.
   const ImageInterferenceModel* m_interference = nullptr;
   ImageId m_image = 0;
@@ -61,6 +60,9 @@
 /// Returns whether \p aWorker accepts new work at \p aNow.
 bool AcceptsWork(const Worker& aWorker, Instant aNow);
 
+/// Returns the workers that accept new work at \p aNow.
+std::vector<Worker*> ListAvailableWorkers(Fleet& aFleet, Instant aNow);
+
 /// Returns the share of full speed, from 0 to 1, to which all tasks of \p aImage on \p aWorker must
 /// be throttled so that the serving tasks there stay below their targets, once tasks that demand
 /// \p aAdded thousandths of a core are added.
@@ -81,7 +83,8 @@
 /// Counts the workers by what keeps one more task of \p aRequest from them.
 ObstacleCounts CountObstacles(const Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow);
 
-/// Returns the best worker for \p aRequest, or nullptr if none fits.
-Worker* ChooseWorker(Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow);
+/// Returns how well a task of \p aRequest is placed on \p aWorker; the highest score is best.
+/// \pre The task fits there.
+double ScoreOf(const Worker& aWorker, const PlacementRequest& aRequest);
 
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -362,6 +362,7 @@
   int64_t m_wallMs = 0;
   bool m_placementNeeded = false;
   std::unordered_map<std::string, double> m_reservedShares; ///< By service, for one pass.
+  std::vector<Worker*> m_availableWorkers;                  ///< For one pass.
   Instant m_nextPlacementAt;
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
   std::optional<WaitingReport> m_waitingReport; ///< Set while a report is collected.
--- a/lib/Scheduler/ImageInterference.cpp
+++ b/lib/Scheduler/ImageInterference.cpp
@@ -112,7 +112,10 @@
 double
 ImageInterferenceModel::UtilizationOf(ImageId aServingImage, double aRatio)
 {
-  double& idle = m_idleRatio.emplace(aServingImage, kIdleRatio).first->second;
+  if (aServingImage >= m_idleRatio.size()) {
+    m_idleRatio.resize(size_t{ aServingImage } + 1, kIdleRatio);
+  }
+  double& idle = m_idleRatio[aServingImage];
   if (aRatio > 0) {
     idle = std::min(idle, aRatio);
   }
@@ -122,16 +125,37 @@
 double
 ImageInterferenceModel::TargetUtilization(ImageId aServingImage) const
 {
-  const auto it = m_idleRatio.find(aServingImage);
-  return 1.0 - (it == m_idleRatio.end() ? kIdleRatio : it->second);
+  return 1.0 - (aServingImage < m_idleRatio.size() ? m_idleRatio[aServingImage] : kIdleRatio);
 }
 
-ImageInterferenceModel::Estimate
+const ImageInterferenceModel::Estimate ImageInterferenceModel::kUnknownPair{ kInitialWeight,
+                                                                             kInitialVariance,
+                                                                             kInitialWeight,
+                                                                             false,
+                                                                             false };
+
+const ImageInterferenceModel::Estimate&
 ImageInterferenceModel::EstimateOf(ImageId aServingImage, ImageId aBestEffortImage) const
 {
-  const auto it = m_weights.find(Pair(aServingImage, aBestEffortImage));
-  return it == m_weights.end() ? Estimate{ kInitialWeight, kInitialVariance, kInitialWeight, false }
-                               : it->second;
+  if (aServingImage >= m_weights.size()) {
+    return kUnknownPair;
+  }
+  const std::vector<Estimate>& row = m_weights[aServingImage];
+  return aBestEffortImage < row.size() ? row[aBestEffortImage] : kUnknownPair;
+}
+
+ImageInterferenceModel::Estimate&
+ImageInterferenceModel::Sampled(ImageId aServingImage, ImageId aBestEffortImage)
+{
+  if (aServingImage >= m_weights.size()) {
+    m_weights.resize(size_t{ aServingImage } + 1);
+  }
+  std::vector<Estimate>& row = m_weights[aServingImage];
+  if (aBestEffortImage >= row.size()) {
+    row.resize(size_t{ aBestEffortImage } + 1, kUnknownPair);
+  }
+  row[aBestEffortImage].m_sampled = true;
+  return row[aBestEffortImage];
 }
 
 double
@@ -161,15 +185,13 @@
   // Unknown pairs are represented by one dissimilar and one similar pair.
   double dissimilar = 1;
   double compared = 2;
-  for (const std::pair<const uint32_t, Estimate>& estimateEntry : m_weights) {
-    const uint32_t pair = estimateEntry.first;
-    const Estimate& estimate = estimateEntry.second;
-    const ImageId bestEffort = static_cast<ImageId>(pair & 0xffff);
-    const bool ofOne = static_cast<ImageId>(pair >> 16) == aOne;
-    if (!ofOne || !IsKnown(aOne, bestEffort) || !IsKnown(aOther, bestEffort)) {
+  const size_t known = aOne < m_weights.size() ? m_weights[aOne].size() : 0;
+  for (size_t i = 0; i < known; ++i) {
+    const ImageId bestEffort = static_cast<ImageId>(i);
+    if (!IsKnown(aOne, bestEffort) || !IsKnown(aOther, bestEffort)) {
       continue;
     }
-    const double difference = std::abs(std::min(estimate.m_weight, kMaxComparedWeight) -
+    const double difference = std::abs(std::min(Weight(aOne, bestEffort), kMaxComparedWeight) -
                                        std::min(Weight(aOther, bestEffort), kMaxComparedWeight));
     dissimilar += difference / kMaxComparedWeight;
     ++compared;
@@ -202,12 +224,11 @@
     return;
   }
   for (const ImageLoad& load : aNeighborLoads) {
-    Estimate estimate = EstimateOf(aServingImage, load.m_image);
+    Estimate& estimate = Sampled(aServingImage, load.m_image);
     const double gain = estimate.m_variance * load.m_share / variance;
     estimate.m_weight = std::clamp(estimate.m_weight + gain * error, 0.0, kMaxWeight);
     estimate.m_variance *= 1.0 - gain * load.m_share;
     estimate.m_variance = std::min(estimate.m_variance + kDriftVariance, kInitialVariance);
-    m_weights[Pair(aServingImage, load.m_image)] = estimate;
   }
 }
 
@@ -215,11 +236,14 @@
 ImageInterferenceModel::Describe() const
 {
   StoredInterference stored;
-  for (const std::pair<const uint32_t, Estimate>& estimateEntry : m_weights) {
-    const uint32_t pair = estimateEntry.first;
-    const Estimate& estimate = estimateEntry.second;
-    stored.m_pairs.push_back(
-      { *m_names[pair >> 16], *m_names[pair & 0xffff], estimate.m_weight, estimate.m_variance });
+  for (size_t serving = 0; serving < m_weights.size(); ++serving) {
+    for (size_t bestEffort = 0; bestEffort < m_weights[serving].size(); ++bestEffort) {
+      const Estimate& estimate = m_weights[serving][bestEffort];
+      if (estimate.m_sampled) {
+        stored.m_pairs.push_back(
+          { *m_names[serving], *m_names[bestEffort], estimate.m_weight, estimate.m_variance });
+      }
+    }
   }
   return stored;
 }
@@ -227,21 +251,23 @@
 void
 ImageInterferenceModel::LogChanges()
 {
-  for (std::pair<const uint32_t, Estimate>& estimateEntry : m_weights) {
-    Estimate& estimate = estimateEntry.second;
-    const bool known = IsReliable(estimate);
-    if (known == estimate.m_loggedKnown &&
-        std::abs(estimate.m_weight - estimate.m_loggedWeight) < kMinLoggedChange) {
-      continue;
+  for (size_t serving = 0; serving < m_weights.size(); ++serving) {
+    for (size_t bestEffort = 0; bestEffort < m_weights[serving].size(); ++bestEffort) {
+      Estimate& estimate = m_weights[serving][bestEffort];
+      const bool known = IsReliable(estimate);
+      if (known == estimate.m_loggedKnown &&
+          std::abs(estimate.m_weight - estimate.m_loggedWeight) < kMinLoggedChange) {
+        continue;
+      }
+      estimate.m_loggedWeight = estimate.m_weight;
+      estimate.m_loggedKnown = known;
+      Log(LogLine(LogLevel::Info, "pressure_learned")
+            .Add("serving", *m_names[serving])
+            .Add("filling", *m_names[bestEffort])
+            .Add("weight", estimate.m_weight)
+            .Add("deviation", std::sqrt(estimate.m_variance))
+            .Add("known", known ? 1 : 0));
     }
-    estimate.m_loggedWeight = estimate.m_weight;
-    estimate.m_loggedKnown = known;
-    Log(LogLine(LogLevel::Info, "pressure_learned")
-          .Add("serving", *m_names[estimateEntry.first >> 16])
-          .Add("filling", *m_names[estimateEntry.first & 0xffff])
-          .Add("weight", estimate.m_weight)
-          .Add("deviation", std::sqrt(estimate.m_variance))
-          .Add("known", known ? 1 : 0));
   }
 }
 
@@ -250,10 +276,9 @@
 {
   for (const StoredImagePair& pair : aStored.m_pairs) {
     const ImageId servingImage = Intern(pair.m_servingImage);
-    const double variance = pair.m_variance > 0 ? pair.m_variance : kInitialVariance;
-    m_weights[Pair(servingImage, Intern(pair.m_bestEffortImage))] = {
-      pair.m_weight, variance, kInitialWeight, false
-    };
+    Estimate& estimate = Sampled(servingImage, Intern(pair.m_bestEffortImage));
+    estimate.m_weight = pair.m_weight;
+    estimate.m_variance = pair.m_variance > 0 ? pair.m_variance : kInitialVariance;
   }
 }
 
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -57,8 +57,7 @@
 static constexpr double kThrottlePenalty = 40000.0; // for a task that would be throttled to a halt
 static constexpr double kDissimilarityPenalty = 200000.0; // for each fully dissimilar serving image
 static constexpr double kEmptyWorkerPenalty = 400000.0;   // while few empty workers are left
-static constexpr double kAvoidPenalty = 1000000.0;
-static constexpr double kBestEffortWeight = 0.5; // a best-effort neighbor counts half
+static constexpr double kBestEffortWeight = 0.5;          // a best-effort neighbor counts half
 
 Obstacle
 FindUnavailability(const Worker& aWorker, Instant aNow)
@@ -345,8 +344,8 @@
   return sum;
 }
 
-static double
-Score(const Worker& aWorker, const PlacementRequest& aRequest)
+double
+ScoreOf(const Worker& aWorker, const PlacementRequest& aRequest)
 {
   const GraphStep& step = *aRequest.m_step;
   double score =
@@ -383,25 +382,19 @@
       aRequest.m_siblings->front()->m_report.m_rack == rack) {
     score += kLocalityBonus;
   }
-  return &aWorker == aRequest.m_avoidedWorker ? score - kAvoidPenalty : score;
+  return score;
 }
 
-Worker*
-ChooseWorker(Fleet& aFleet, const PlacementRequest& aRequest, Instant aNow)
+std::vector<Worker*>
+ListAvailableWorkers(Fleet& aFleet, Instant aNow)
 {
-  Worker* best = nullptr;
-  double bestScore = 0;
+  std::vector<Worker*> available;
   for (const std::unique_ptr<Worker>& worker : aFleet.All()) {
-    if (!AcceptsWork(*worker, aNow) || FindObstacle(*worker, aRequest) != Obstacle::None) {
-      continue;
-    }
-    const double score = Score(*worker, aRequest);
-    if (!best || score > bestScore) {
-      best = worker.get();
-      bestScore = score;
+    if (AcceptsWork(*worker, aNow)) {
+      available.push_back(worker.get());
     }
   }
-  return best;
+  return available;
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -1,4 +1,5 @@
 // Decides which waiting task starts on which worker; stops attempts and drains workers.
+#include "egretturn/Scheduler/CandidateRanking.h"
 #include "egretturn/Scheduler/Scheduler.h"
 
 #include "egretturn/Support/Log.h"
@@ -142,6 +143,7 @@
   }
   m_placementNeeded = false;
   m_reservedShares.clear();
+  m_availableWorkers = ListAvailableWorkers(m_fleet, aNow);
   if (aNow >= m_nextWaitingReportAt) {
     m_waitingReport.emplace();
   }
@@ -267,6 +269,7 @@
     PlaceGang(aWaiting, aRequest, aNow);
     return true;
   }
+  std::optional<CandidateRanking> ranking;
   for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
     const TaskRecord& task = record.m_tasks[i];
     const TaskRef ref = MakeTaskRef(aWaiting, i);
@@ -281,15 +284,24 @@
       ReportStoppingTasks(aWaiting, 1, aNow);
       continue;
     }
-    aRequest.m_avoidedWorker = task.m_avoidedWorker;
-    Worker* worker = ChooseWorker(m_fleet, aRequest, aNow);
+    if (!ranking) {
+      ranking.emplace(m_availableWorkers, aRequest);
+    }
+    Worker* worker = ranking->TakeBest(task.m_avoidedWorker);
     if (!worker) {
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
     StartAttempt(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
-    aRequest.m_mayInterfere = false; // the job is no longer idle
+    // A first sibling sets the preferred rack, and the job is no longer idle.
+    const bool changesAll = aRequest.m_mayInterfere || siblings.size() == 1;
+    aRequest.m_mayInterfere = false;
+    if (changesAll) {
+      ranking.reset();
+    } else {
+      ranking->Return(*worker);
+    }
   }
   return true;
 }
@@ -316,8 +328,12 @@
   std::vector<Worker*> chosen;
   std::vector<const Worker*> siblings;
   aRequest.m_siblings = &siblings;
+  std::optional<CandidateRanking> ranking;
   while (chosen.size() < record.m_tasks.size()) {
-    Worker* worker = ChooseWorker(m_fleet, aRequest, aNow);
+    if (!ranking) {
+      ranking.emplace(m_availableWorkers, aRequest);
+    }
+    Worker* worker = ranking->TakeBest(nullptr);
     if (!worker) {
       break;
     }
@@ -327,6 +343,11 @@
     worker->m_used.m_accelerators += demand.m_accelerators;
     chosen.push_back(worker);
     siblings.push_back(worker);
+    if (siblings.size() == 1) {
+      ranking.reset(); // the first member sets the preferred rack
+    } else {
+      ranking->Return(*worker);
+    }
   }
   for (Worker* worker : chosen) {
     const Demand& demand = aRequest.m_step->m_demand;
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -1,9 +1,10 @@
 // Tests the choice of a worker under the loads that it is designed for.
-#include "egretturn/Scheduler/Packing.h"
+#include "RandomRequests.h"
 
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 
 static const Instant kNow{ std::chrono::hours(1) };
 static const std::string kService = "desk";
