Let link shards call the workers of sites that are too large for their leader

Cause: one instance held the connections to all workers and made every call itself; on 1,100 workers it needed 7,551 descriptors (an instance has 4,100 to 8,192) and about half of its processor time for calls, polls and their JSON. Change: the leader decides alone, and passes calls on to link shards: peers that hold the connections to a share of the workers, preferably of their own availability zone (LinkPlan: weighted rendezvous hashing). Messages are batched, one in flight a link and direction. A shard executes orders only within 0.7 s of a heartbeat that the leader has confirmed; a link that is silent for 1 s fails, its calls end as link_lost, which is not held against the worker, and other shards take over. A worker that a shard can't reach is polled through a second one, then by the leader. Leaders of small sites call their workers themselves. Weighed: cells with a leader each (a lasting task has to start wherever there is room in the whole service); cheaper calls alone (one start is one call of the workers' protocol). Tests: LinkPlanTest, LinkShardTest, WorkerLinksTest, and the random test of the scheduler with shards that are suspended, cut, restarted or lose messages (LinkFuzzTest); the simulated world calls workers through the same port for it.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -61,6 +61,9 @@
   /// Records that a peer has pinged this leader.
   void OnPing();
 
+  /// Whether there is evidence that this instance still leads, so that workers may be called.
+  bool MayCall();
+
   /// Whether the store has recently responded to appends.
   bool IsStoreAvailable() const { return m_storeAvailable; }
 
@@ -79,6 +82,7 @@
 
   /// Runs the scheduler after a short delay, so that events close together share one run.
   void Wake();
+  Duration BatchingDelay();
   void WakeAt(Instant aAt);
   void RunScheduler();
   /// Returns whether workers may be called, and logs when that changes.
--- /dev/null
+++ b/include/egretturn/Node/LinkShard.h
@@ -0,0 +1,84 @@
+// The side of a link that calls workers: executes a leader's orders and reports the results.
+#pragma once
+
+#include "egretturn/Node/LinkPort.h"
+#include "egretturn/Node/Ports.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace egretturn {
+
+/// Counters for metrics.
+struct LinkShardCounters
+{
+  uint64_t m_calls = 0;        ///< Calls to workers.
+  uint64_t m_refusedCalls = 0; ///< Calls of messages that were not executed.
+  uint64_t m_results = 0;      ///< Messages with results.
+};
+
+/// Holds connections to workers for the current leader. Orders are executed only while the leader
+/// has recently confirmed that it leads, so that a shard which was suspended does not act on old
+/// ones. Pending callbacks keep it alive. Not thread-safe.
+class LinkShard : public std::enable_shared_from_this<LinkShard>
+{
+public:
+  /// \p aInstance is the id of this instance.
+  LinkShard(LinkPort& aPort, WorkerPort& aWorkers, std::string aInstance);
+
+  /// Executes the calls of \p aOrders, or refuses all of them.
+  LinkOrdersReply OnOrders(const LinkOrders& aOrders);
+
+  /// Ends the session of an earlier epoch, since the leader of \p aEpoch is known.
+  void OnEpoch(uint64_t aEpoch);
+
+  /// Returns the number of calls that workers have not responded to yet.
+  size_t CallsInFlight() const;
+
+  const LinkShardCounters& Counters() const { return m_counters; }
+
+private:
+  /// One leader's session. Results of an earlier session are dropped.
+  struct Session
+  {
+    uint64_t m_epoch = 0;
+    uint64_t m_number = 0;
+    std::string m_leader;
+    Duration m_flushInterval{};
+    Instant m_confirmedAt; ///< When the heartbeat was sent that the leader has last confirmed.
+    bool m_confirmed = false;
+    Instant m_answeredAt;         ///< When the leader last replied.
+    LinkResults m_draft;          ///< Results that were not sent yet.
+    LinkResults m_unacknowledged; ///< The message in flight.
+    bool m_sending = false;
+    bool m_flushScheduled = false;
+    Instant m_flushAt;     ///< When the scheduled flush is due.
+    Instant m_nextFlushAt; ///< No message is sent before.
+    size_t m_callsInFlight = 0;
+    std::unordered_map<WorkerName, Instant> m_respondedAt; ///< Last response of each worker.
+  };
+
+  void Open(const LinkOrders& aOrders);
+  static bool IsValid(const LinkOrders& aOrders);
+  void Execute(const LinkOrders& aOrders);
+  void ExecutePoll(const LinkPoll& aPoll);
+  /// Returns whether \p aSession is the current one.
+  bool IsCurrent(const std::shared_ptr<Session>& aSession) const { return aSession == m_session; }
+  WorkerCallCallback ReportCall(LinkCallId aCall);
+  void ScheduleFlush(const std::shared_ptr<Session>& aSession, Duration aDelay);
+  void Flush(const std::shared_ptr<Session>& aSession);
+  void SendUnacknowledged(const std::shared_ptr<Session>& aSession);
+  void OnResultsReply(const std::shared_ptr<Session>& aSession,
+                      Instant aSentAt,
+                      const std::optional<LinkResultsReply>& aReply);
+  void EndSession(std::string_view aReason);
+
+  LinkPort& m_port;
+  WorkerPort& m_workers;
+  std::string m_instance;
+  uint64_t m_newestEpoch = 0;
+  std::shared_ptr<Session> m_session;
+  LinkShardCounters m_counters;
+};
+
+} // namespace egretturn
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -5,7 +5,10 @@
 #include "egretturn/Http/Http.h"
 #include "egretturn/Node/LeaderElection.h"
 #include "egretturn/Node/LeadershipClaimer.h"
+#include "egretturn/Node/LinkShard.h"
+#include "egretturn/Node/PeerLinkPort.h"
 #include "egretturn/Node/PeerProtocol.h"
+#include "egretturn/Node/WorkerLinks.h"
 
 #include <set>
 
@@ -17,6 +20,8 @@
   std::string m_peerAddress; ///< Address on which it listens for other instances.
   double m_weight = 0.1;     ///< Processor share, in cores.
   uint64_t m_incarnation = 0;
+  std::string m_zone;                            ///< Its availability zone.
+  std::map<std::string, std::string> m_regionOf; ///< By availability zone.
   SchedulerLimits m_limits;
 };
 
@@ -63,6 +68,8 @@
   void ServePing(const std::string& aBody, const PeerCallback& aDone);
   void ServeClaim(const PeerCallback& aDone);
   PlacedTasksResponse ServePlaced(const std::string& aBody);
+  LinkOrdersReply ServeLinkOrders(const std::string& aBody);
+  LinkResultsReply ServeLinkResults(const std::string& aBody);
   /// Describes what the leader of \p aEpoch has placed. Instances without the later fields of the
   /// response take a list with unknown tasks as none.
   static PlacedTasksResponse MakePlacedTasksResponse(uint64_t aEpoch, Placements aPlacements);
@@ -90,6 +97,12 @@
   void OnStepDown(const std::string& aReason);
   void EndSession();
   PeerResponse MakeNotLeaderResponse() const;
+  void BeginLinks(const StoredClaim& aClaim);
+  LinkInstance DescribeSelf() const;
+  /// Returns the peers that can call workers for this leader.
+  std::vector<LinkInstance> ListLinkInstances() const;
+  std::string LinkMetrics() const;
+  std::string ShardMetrics() const;
   struct Peer;
   /// Returns the eligible peer with the highest weight, or nullptr.
   const Peer* StrongestPeer() const;
@@ -122,6 +135,9 @@
   WorkerPort& m_workers;
   ReportDecoder m_decoder;
   HttpClient m_client;
+  PeerLinkPort m_linkPort;
+  std::shared_ptr<LinkShard> m_shard;
+  std::shared_ptr<WorkerLinks> m_links; ///< While this instance leads.
   std::unique_ptr<HttpServer> m_server;
   boost::asio::steady_timer m_timer;
   LeaderElection m_election;
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -14,8 +14,10 @@
   State,
   Pending,
   Ping,
-  Claim,  ///< The leader has stopped leading and asks the receiver to claim the leadership.
-  Placed, ///< A new leader asks the previous one which tasks may be running on which workers.
+  Claim,       ///< The leader has stopped leading and asks the receiver to claim the leadership.
+  Placed,      ///< A new leader asks the previous one which tasks may be running on which workers.
+  LinkOrders,  ///< The leader asks the receiver to call workers. See LinkProtocol.h.
+  LinkResults, ///< The results of such calls.
 };
 
 /// Returns the HTTP path of \p aOperation on the peer address.
@@ -59,6 +61,9 @@
   std::string m_address;
   double m_weight = 0;     ///< Processor share, in cores.
   bool m_stopping = false; ///< The sender is shutting down and never claims again.
+  std::string m_zone{};
+  std::string m_region{};
+  bool m_takesLinkOrders = false; ///< The sender can call workers for the leader.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -67,6 +72,9 @@
     aVisit("address", aSelf.m_address);
     aVisit("weight", aSelf.m_weight);
     aVisit("stopping", aSelf.m_stopping);
+    aVisit("zone", aSelf.m_zone);
+    aVisit("region", aSelf.m_region);
+    aVisit("takes_link_orders", aSelf.m_takesLinkOrders);
   }
 };
 
--- a/include/egretturn/Node/Ports.h
+++ b/include/egretturn/Node/Ports.h
@@ -87,6 +87,12 @@
   virtual void Throttle(const ThrottleTask& aThrottle,
                         uint64_t aFence,
                         WorkerCallCallback aDone) = 0;
+
+  /// Notes the availability zone of a worker, by which the path of later calls is chosen.
+  virtual void SetWorkerZone(const WorkerName&, const std::string& /*aZone*/) {}
+
+  /// Notes that the worker is gone.
+  virtual void RemoveWorker(const WorkerName&) {}
 };
 
 /// Decodes an entry of the directory. Errors: corrupt if the entry does not describe a usable
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -55,6 +55,16 @@
   std::string m_checkpoint;
   int m_percent = 0;
   int64_t m_usage = 0; ///< Tail latency in ms for a serving task, else used thousandths of a core.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("task", aSelf.m_task);
+    aVisit("attempt", aSelf.m_attempt);
+    aVisit("checkpoint", aSelf.m_checkpoint);
+    aVisit("percent", aSelf.m_percent);
+    aVisit("usage", aSelf.m_usage);
+  }
 };
 
 /// How an attempt ended.
@@ -79,6 +89,16 @@
   AttemptNumber m_attempt = 0;
   AttemptEnd m_end = AttemptEnd::Done;
   std::string m_checkpoint;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("number", aSelf.m_number);
+    aVisit("task", aSelf.m_task);
+    aVisit("attempt", aSelf.m_attempt);
+    aVisit("end", aSelf.m_end);
+    aVisit("checkpoint", aSelf.m_checkpoint);
+  }
 };
 
 /// A worker's response to a poll.
@@ -88,6 +108,15 @@
   int64_t m_incarnation = 0; ///< 0 if the worker reports none.
   std::vector<RunningAttempt> m_running;
   std::vector<EndedAttempt> m_ended;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("clock_ms", aSelf.m_clockMs);
+    aVisit("incarnation", aSelf.m_incarnation);
+    aVisit("running", aSelf.m_running);
+    aVisit("ended", aSelf.m_ended);
+  }
 };
 
 /// The result of a call to a worker.
@@ -104,6 +133,7 @@
   IncarnationMismatch, ///< Another incarnation responded.
   NotSent,             ///< No connection: the call was not executed.
   NoResponse,          ///< The call may have been executed, or may still be.
+  LinkLost, ///< As NoResponse, but the instance that made the call failed, not the worker.
 };
 
 /// Returns the stable lower-case name of \p aResult.
@@ -181,6 +211,12 @@
   std::string m_reason;
 };
 
+/// The worker is gone, and nothing is left to be asked of it.
+struct ForgetWorker
+{
+  WorkerName m_worker;
+};
+
 /// A task that may be running on a worker, or that may have ended there without a durable record.
 struct PlacedTask
 {
@@ -218,7 +254,13 @@
   std::vector<WorkerLease> m_leases; ///< Of workers that may run listed or unknown tasks.
 };
 
-using Action = std::
-  variant<StartTask, StopTask, ThrottleTask, PollWorker, AppendRecords, CompleteRequest, StepDown>;
+using Action = std::variant<StartTask,
+                            StopTask,
+                            ThrottleTask,
+                            PollWorker,
+                            AppendRecords,
+                            CompleteRequest,
+                            StepDown,
+                            ForgetWorker>;
 
 } // namespace egretturn
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -9,7 +9,9 @@
 static constexpr Duration kDirectoryPollInterval = std::chrono::milliseconds(400);
 static constexpr Duration kAppendRetryDelay = std::chrono::milliseconds(100);
 static constexpr Duration kStoreUnavailableAfter = std::chrono::milliseconds(800);
+// Events within this time share one run of the scheduler, which looks at each worker.
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
+static constexpr Duration kBatchingDelayPerWorker = std::chrono::microseconds(3);
 static constexpr Duration kConfirmInterval = std::chrono::milliseconds(400);
 static constexpr Duration kSuspendedInterval =
   std::chrono::milliseconds(50); // between checks whether workers may be called again
@@ -51,6 +53,7 @@
     m_scheduler.RestoreProgress(id, progress);
   }
   for (const WorkerReport& report : aState.m_workers) {
+    m_workers.SetWorkerZone(report.m_id, report.m_zone);
     m_scheduler.RestoreWorker(report, now);
   }
   TopicFollower::Callbacks callbacks;
@@ -66,6 +69,7 @@
     }
     const Expected<WorkerReport> report = self->m_decoder(aRecord);
     if (report) {
+      self->m_workers.SetWorkerZone(report->m_id, report->m_zone);
       self->m_scheduler.UpdateWorker(*report, BootClockNow());
       return;
     }
@@ -142,7 +146,13 @@
 void
 LeaderSession::Wake()
 {
-  WakeAt(BootClockNow() + kBatchingDelay);
+  WakeAt(BootClockNow() + BatchingDelay());
+}
+
+Duration
+LeaderSession::BatchingDelay()
+{
+  return kBatchingDelay + kBatchingDelayPerWorker * m_scheduler.Workers().All().size();
 }
 
 void
@@ -182,7 +192,7 @@
       return;
     }
   }
-  WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + kBatchingDelay)
+  WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + BatchingDelay())
                  : now + kSuspendedInterval);
 }
 
@@ -203,7 +213,17 @@
 void
 LeaderSession::OnPing()
 {
-  m_authority.OnPing(BootClockNow());
+  const Instant now = BootClockNow();
+  m_authority.OnRun(now);
+  m_authority.OnPing(now);
+}
+
+bool
+LeaderSession::MayCall()
+{
+  const Instant now = BootClockNow();
+  m_authority.OnRun(now);
+  return !m_stopped && m_authority.MayCall(now);
 }
 
 void
@@ -265,6 +285,7 @@
         m_callbacks.m_onRequestComplete(aRequest.m_request, aRequest.m_result);
       },
       [&](const StepDown& aStepDown) { StepDownNow(aStepDown.m_reason); },
+      [&](const ForgetWorker& aForget) { m_workers.RemoveWorker(aForget.m_worker); },
     },
     aAction);
 }
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -16,7 +16,7 @@
 static constexpr size_t kMaxPeerBodyBytes =
   1024 * 1024; // request or response; lists of placed tasks are long
 
-static constexpr EnumTable<PeerOperation, 7> kPaths{ {
+static constexpr EnumTable<PeerOperation, 9> kPaths{ {
   { PeerOperation::Submit, "/v1/peer/submit" },
   { PeerOperation::Cancel, "/v1/peer/cancel" },
   { PeerOperation::State, "/v1/peer/state" },
@@ -24,6 +24,8 @@
   { PeerOperation::Ping, "/v1/peer/ping" },
   { PeerOperation::Claim, "/v1/peer/claim" },
   { PeerOperation::Placed, "/v1/peer/placed" },
+  { PeerOperation::LinkOrders, "/v1/peer/link/orders" },
+  { PeerOperation::LinkResults, "/v1/peer/link/results" },
 } };
 
 std::string_view
@@ -49,6 +51,8 @@
   , m_workers(aWorkers)
   , m_decoder(std::move(aDecoder))
   , m_client(aIo, kMaxPeerBodyBytes)
+  , m_linkPort(aIo, m_client)
+  , m_shard(std::make_shared<LinkShard>(m_linkPort, aWorkers, m_settings.m_id))
   , m_timer(aIo)
   , m_election({ m_settings.m_id, m_settings.m_weight }, BootClockNow())
   , m_startedAt(BootClockNow())
@@ -70,9 +74,19 @@
         aReply->Send(MakeResponse(404, "text/plain", "unknown operation between instances"));
         return;
       }
+      const auto reply = [&](const auto& aMessage) {
+        aReply->Send(MakeResponse(200, "application/msgpack", PackCompact(aMessage)));
+      };
       if (*operation == PeerOperation::Placed) {
-        const PlacedTasksResponse placed = ServePlaced(aRequest.body());
-        aReply->Send(MakeResponse(200, "application/msgpack", PackCompact(placed)));
+        reply(ServePlaced(aRequest.body()));
+        return;
+      }
+      if (*operation == PeerOperation::LinkOrders) {
+        reply(ServeLinkOrders(aRequest.body()));
+        return;
+      }
+      if (*operation == PeerOperation::LinkResults) {
+        reply(ServeLinkResults(aRequest.body()));
         return;
       }
       Serve(*operation, aRequest.body(), [aReply](const PeerResponse& aResponse) {
@@ -88,6 +102,7 @@
     StoredClaim claim;
     if (aRecord.m_key == kClaimKey && UnpackCompact(aRecord.m_value, claim)) {
       m_election.OnClaim(claim, BootClockNow());
+      m_shard->OnEpoch(claim.m_epoch);
       if (m_session && claim.m_epoch > m_session->Claim().m_epoch) {
         OnStepDown("a newer claim was announced");
       }
@@ -116,6 +131,9 @@
     }
   }
   HandOverToStrongerPeer();
+  if (m_links) {
+    m_links->SetInstances(ListLinkInstances());
+  }
   if (m_session && m_announcementDue) {
     Announce();
   }
@@ -140,9 +158,9 @@
   m_pinging = true;
   m_pingedEpoch = m_election.Leader()->m_epoch;
   m_nextPingAt = BootClockNow() + kPingInterval;
-  const PingMessage ping{
-    m_settings.m_id, m_settings.m_peerAddress, m_settings.m_weight, m_shuttingDown
-  };
+  const LinkInstance self = DescribeSelf();
+  const PingMessage ping{ self.m_id,   self.m_address, self.m_weight, m_shuttingDown,
+                          self.m_zone, self.m_region,  true };
   HttpRequest request =
     MakeRequest(boost::beast::http::verb::post, PathOf(PeerOperation::Ping), PackCompact(ping));
   m_client.Send(m_election.Leader()->m_address,
@@ -242,8 +260,9 @@
       self->OnStepDown(aReason);
     }
   };
+  BeginLinks(claim);
   m_session = std::make_shared<LeaderSession>(
-    m_io, m_store, m_workers, m_decoder, m_settings.m_limits, claim, std::move(callbacks));
+    m_io, m_store, *m_links, m_decoder, m_settings.m_limits, claim, std::move(callbacks));
   m_session->Start(std::move(aOutcome.m_state));
   if (previous && previous->m_epoch + 1 == claim.m_epoch) {
     RequestPlacedTasks(*previous);
@@ -298,6 +317,8 @@
 Node::EndSession()
 {
   m_session->Stop();
+  m_links->End();
+  m_links.reset();
   m_lastPlaced = MakePlacedTasksResponse(m_session->Claim().m_epoch,
                                          m_session->GetScheduler().ListPlacements(BootClockNow()));
   m_session.reset();
@@ -325,6 +346,7 @@
     }
   });
   m_session->Stop();
+  m_links->End();
   m_election.OnLeaderLost(now);
   m_election.OnClaimFailed(now);
 }
@@ -454,6 +476,7 @@
 Node::Metrics()
 {
   std::string text = "egretturn_deciding " + std::to_string(m_session ? 1 : 0) + "\n";
+  text += ShardMetrics();
   if (!m_session) {
     return text;
   }
@@ -481,7 +504,7 @@
   for (const MetricRow& row : rows) {
     text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
   }
-  return text;
+  return text + LinkMetrics();
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -529,6 +529,11 @@
     return;
   }
   worker->m_pollInFlight = false;
+  if (aResult == WorkerCallResult::LinkLost) {
+    worker->m_nextPollAt =
+      aNow + kPollDelay; // the worker may be in order: another instance asks it
+    return;
+  }
   if (aResult == WorkerCallResult::IncarnationMismatch &&
       worker->m_pollAddress == worker->m_recordedAddress) {
     OnWorkerGone(*worker, aNow);
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -19,7 +19,7 @@
   { AttemptEnd::GangIncomplete, "alone" },
 } };
 
-static constexpr EnumTable<WorkerCallResult, 11> kResultNames{ {
+static constexpr EnumTable<WorkerCallResult, 12> kResultNames{ {
   { WorkerCallResult::Accepted, "accepted" },
   { WorkerCallResult::Fenced, "fenced" },
   { WorkerCallResult::Superseded, "superseded" },
@@ -31,6 +31,7 @@
   { WorkerCallResult::IncarnationMismatch, "other_instance" },
   { WorkerCallResult::NotSent, "not_sent" },
   { WorkerCallResult::NoResponse, "unanswered" },
+  { WorkerCallResult::LinkLost, "link_lost" },
 } };
 
 std::string_view
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -265,6 +265,7 @@
   for (const WorkerName& id : removable) {
     m_keysToDelete.push_back(WorkerKey(id));
     m_fleet.Erase(id);
+    Emit(ForgetWorker{ id });
   }
 }
 
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -9,8 +9,9 @@
 
 namespace egretturn {
 
-// A pass over many steps takes longer, so the next pass is delayed further.
+// A pass over many steps or workers takes longer, so the next pass is delayed further.
 static constexpr Duration kMinPlacementInterval = std::chrono::milliseconds(5);
+static constexpr Duration kPlacementIntervalPerWorker = std::chrono::microseconds(10);
 static constexpr Duration kPlacementIntervalPerStep = std::chrono::microseconds(150);
 static constexpr Duration kMaxExtraPlacementInterval = std::chrono::milliseconds(45);
 // A pass runs at least this often, because some obstacles pass with time alone: avoidance, slowness
@@ -149,7 +150,7 @@
   }
   const std::vector<WaitingStep> steps = CollectReadySteps(aNow);
   m_nextPlacementAt =
-    aNow + kMinPlacementInterval +
+    aNow + kMinPlacementInterval + kPlacementIntervalPerWorker * m_fleet.All().size() +
     std::min<Duration>(kPlacementIntervalPerStep * steps.size(), kMaxExtraPlacementInterval);
   std::vector<PlacementRequest> failedRequests;
   for (const WaitingStep& waiting : steps) {
@@ -294,8 +295,9 @@
     }
     StartAttempt(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
-    // A first sibling sets the preferred rack, and the job is no longer idle.
-    const bool changesAll = aRequest.m_mayInterfere || siblings.size() == 1;
+    // The job is no longer idle, and a first sibling sets the preferred rack.
+    const bool changesAll =
+      aRequest.m_mayInterfere || (aRequest.m_step->m_sameRack && siblings.size() == 1);
     aRequest.m_mayInterfere = false;
     if (changesAll) {
       ranking.reset();
@@ -343,7 +345,7 @@
     worker->m_used.m_accelerators += demand.m_accelerators;
     chosen.push_back(worker);
     siblings.push_back(worker);
-    if (siblings.size() == 1) {
+    if (aRequest.m_step->m_sameRack && siblings.size() == 1) {
       ranking.reset(); // the first member sets the preferred rack
     } else {
       ranking->Return(*worker);
--- a/lib/Scheduler/WorkerCalls.cpp
+++ b/lib/Scheduler/WorkerCalls.cpp
@@ -57,10 +57,12 @@
   }
   LogAttempt("start_failed", *worker, aTask, aAttempt, NameOf(aResult));
   worker->m_nextPollAt = std::min(worker->m_nextPollAt, aNow);
-  if (aResult == WorkerCallResult::NoResponse) {
+  if (aResult == WorkerCallResult::NoResponse || aResult == WorkerCallResult::LinkLost) {
     attempt->m_phase = AttemptPhase::Unconfirmed;
     attempt->m_phaseSince = aNow;
-    RecordFailure(*worker, aNow, aNow);
+    if (aResult == WorkerCallResult::NoResponse) {
+      RecordFailure(*worker, aNow, aNow);
+    }
     return;
   }
   worker->m_statusStale = true; // its clock or its attempts may differ from what is known
--- /dev/null
+++ b/unittests/Scheduler/RandomFaults.h
@@ -0,0 +1,22 @@
+// The random sequences of jobs and faults that the random tests play, and their final checks.
+#pragma once
+
+#include "SchedulerWorld.h"
+
+#include <functional>
+
+namespace egretturn::schedtest {
+
+constexpr uint64_t kMaxNoticeMs = 1000; ///< Until a superseded leader calls no workers.
+
+/// Plays random jobs and faults in \p aWorld, lets everything heal and finish, and checks the
+/// result. \p aExtraFault is called about once in 20 steps; \p aHeal before the end.
+void PlayRandomSteps(SchedulerWorld& aWorld,
+                     const std::function<void()>& aExtraFault = {},
+                     const std::function<void()>& aHeal = {});
+
+/// Returns the seeds to play: as many as \p aCount from 1 on, or as EGRETTURN_FUZZ_SEED and
+/// EGRETTURN_FUZZ_COUNT say. Starts the log if EGRETTURN_FUZZ_LOG is set.
+std::vector<uint64_t> ListSeeds(uint64_t aCount);
+
+} // namespace egretturn::schedtest
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -23,6 +23,7 @@
     report.m_id = "w" + std::to_string(i);
     report.m_service = "desk";
     report.m_address = "10.0.0." + std::to_string(i + 1) + ":80";
+    report.m_zone = "z" + std::to_string(i % 2);
     report.m_rack = "r" + std::to_string(i / 4);
     report.m_labels = { i % 2 ? "b" : "a", report.m_rack };
     report.m_capacity = { 8000, 16000, 0 };
@@ -129,6 +130,7 @@
   SchedulerLimits limits;
   limits.m_endedJobRetention = std::chrono::hours(1); // states are queried at the end
   leader->m_scheduler = std::make_unique<Scheduler>(limits, leader->m_epoch, m_now);
+  leader->m_workerPort = MakeWorkerPort(leader);
   leader->m_end = ++m_storeEnd; // the claim
   std::vector<std::pair<GraphId, StoredProgress>> progress;
   for (const std::pair<const std::string, std::string>& valueEntry : m_store) {
@@ -144,6 +146,7 @@
     } else if (kind == RecordKind::Progress && UnpackCompact(value, one)) {
       progress.emplace_back(id, std::move(one));
     } else if (kind == RecordKind::Worker && UnpackCompact(value, report)) {
+      leader->m_workerPort->SetWorkerZone(report.m_id, report.m_zone);
       leader->m_scheduler->RestoreWorker(report, m_now);
     }
   }
@@ -161,7 +164,8 @@
   std::optional<Placements> placed;
   // What the previous leader can't reach, its successor can't reach either.
   const std::map<WorkerName, Instant> unreachableUntil =
-    m_leaders.empty() ? std::map<WorkerName, Instant>() : m_leaders.back()->m_unreachableUntil;
+    m_leaders.empty() ? std::map<WorkerName, Instant>()
+                      : m_leaders.back()->m_caller->m_unreachableUntil;
   if (!m_leaders.empty() && m_random.Unit() < 0.5) {
     m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
     placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
@@ -170,7 +174,7 @@
     m_leaders.clear();
   }
   const std::shared_ptr<Leader> leader = MakeLeader();
-  leader->m_unreachableUntil = unreachableUntil;
+  leader->m_caller->m_unreachableUntil = unreachableUntil;
   if (placed) {
     leader->m_scheduler->RestorePlacements(*placed, m_now);
   }
@@ -190,7 +194,7 @@
   const std::shared_ptr<Leader> leader = MakeLeader();
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
     if (m_random.Below(2) == 0) {
-      leader->m_unreachableUntil[worker->Report().m_id] =
+      leader->m_caller->m_unreachableUntil[worker->Report().m_id] =
         m_now + milliseconds(m_random.Below(12000));
     }
   }
@@ -216,7 +220,7 @@
     const WorkerName& id = worker->Report().m_id;
     const bool registered = worker->m_deregisteredUntil <= m_now;
     if (registered) {
-      aLeader->m_scheduler->UpdateWorker(worker->Report(), m_now);
+      UpdateWorker(aLeader, worker->Report());
     } else if (aLeader->m_registered[id]) {
       aLeader->m_scheduler->DeregisterWorker(id, m_now);
     }
@@ -228,7 +232,7 @@
     WorkerReport report = WorkerOf(id).Report();
     report.m_id = id;
     if (registered) {
-      aLeader->m_scheduler->UpdateWorker(report, m_now);
+      UpdateWorker(aLeader, report);
     } else if (aLeader->m_registered[id]) {
       aLeader->m_scheduler->DeregisterWorker(id, m_now);
     }
@@ -254,20 +258,20 @@
 }
 
 void
-SchedulerWorld::CallWorker(const std::shared_ptr<Leader>& aLeader,
+SchedulerWorld::UpdateWorker(const std::shared_ptr<Leader>& aLeader, const WorkerReport& aReport)
+{
+  aLeader->m_workerPort->SetWorkerZone(aReport.m_id, aReport.m_zone);
+  aLeader->m_scheduler->UpdateWorker(aReport, m_now);
+}
+
+void
+SchedulerWorld::CallWorker(const std::shared_ptr<Caller>& aCaller,
                            const WorkerName& aWorker,
                            const std::function<WorkerCallResult(FakeWorker&, bool)>& aCall,
-                           const std::function<void(WorkerCallResult)>& aDone)
+                           const WorkerCallCallback& aDone)
 {
-  const std::function<void(WorkerCallResult)> done =
-    [this, aLeader, aDone](WorkerCallResult aResult) {
-      if (!aLeader->m_stopped) {
-        aDone(aResult);
-        RunScheduler(aLeader);
-      }
-    };
   if (m_random.Unit() < m_faults.m_lateCallProbability) {
-    After(kResponseTimeout, [done] { done(WorkerCallResult::NoResponse); });
+    After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NoResponse); });
     After(milliseconds(2000 + m_random.Below(10000)),
           [this, aWorker, aCall, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
             FakeWorker& worker = WorkerOf(aWorker);
@@ -279,75 +283,139 @@
   }
   After(
     Delay(),
-    [this, aLeader, aWorker, aCall, done, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
+    [this, aCaller, aWorker, aCall, aDone, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
       FakeWorker& worker = WorkerOf(aWorker);
-      if (worker.m_unreachableUntil > m_now || aLeader->m_unreachableUntil[aWorker] > m_now) {
-        After(kResponseTimeout, [done] { done(WorkerCallResult::NotSent); });
+      if (worker.m_unreachableUntil > m_now || aCaller->m_unreachableUntil[aWorker] > m_now) {
+        After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NotSent); });
         return;
       }
       const bool intended =
         worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation;
       const WorkerCallResult result =
         intended ? aCall(worker, false) : WorkerCallResult::IncarnationMismatch;
-      After(Delay(), [done, result] { done(result); });
+      After(Delay(), [aDone, result] { aDone(result); });
     });
 }
 
+/// Calls the simulated workers for one instance.
+class SchedulerWorld::DirectPort : public WorkerPort
+{
+public:
+  DirectPort(SchedulerWorld& aWorld, std::shared_ptr<Caller> aCaller)
+    : m_world(aWorld)
+    , m_caller(std::move(aCaller))
+  {
+  }
+
+  void Start(const StartTask& aStart, uint64_t aFence, WorkerCallCallback aDone) override
+  {
+    m_world.CallWorker(
+      m_caller,
+      aStart.m_worker,
+      [world = &m_world, aStart, aFence](FakeWorker& aWorker, bool aLate) {
+        return aWorker.Start(aStart, aFence, world->m_now, aLate);
+      },
+      aDone);
+  }
+
+  void Stop(const StopTask& aStop, uint64_t aFence, WorkerCallCallback aDone) override
+  {
+    m_world.CallWorker(
+      m_caller,
+      aStop.m_worker,
+      [world = &m_world, aStop, aFence](FakeWorker& aWorker, bool) {
+        return aWorker.Stop(aStop, aFence, world->m_now);
+      },
+      aDone);
+  }
+
+  void Poll(const PollWorker& aPoll, uint64_t aFence, PollCallback aDone) override
+  {
+    const std::shared_ptr<WorkerStatus> status = std::make_shared<WorkerStatus>();
+    m_world.CallWorker(
+      m_caller,
+      aPoll.m_worker,
+      [world = &m_world, aPoll, aFence, status](FakeWorker& aWorker, bool aLate) {
+        WorkerStatus response;
+        const WorkerCallResult result = aWorker.Poll(aPoll, aFence, world->m_now, response);
+        if (!aLate) {
+          *status = response;
+        }
+        return result;
+      },
+      [aDone, status](WorkerCallResult aResult) { aDone(aResult, *status); });
+  }
+
+  void Throttle(const ThrottleTask&, uint64_t, WorkerCallCallback) override {}
+
+private:
+  SchedulerWorld& m_world;
+  std::shared_ptr<Caller> m_caller;
+};
+
+std::shared_ptr<WorkerPort>
+SchedulerWorld::MakeDirectPort(const std::shared_ptr<Caller>& aCaller)
+{
+  return std::make_shared<DirectPort>(*this, aCaller);
+}
+
+std::shared_ptr<WorkerPort>
+SchedulerWorld::MakeWorkerPort(const std::shared_ptr<Leader>& aLeader)
+{
+  return MakeDirectPort(aLeader->m_caller);
+}
+
+void
+SchedulerWorld::Notify(const std::shared_ptr<Leader>& aLeader,
+                       const std::function<void(Scheduler&)>& aEvent)
+{
+  if (!aLeader->m_stopped) {
+    aEvent(*aLeader->m_scheduler);
+    RunScheduler(aLeader);
+  }
+}
+
 void
 SchedulerWorld::Execute(const std::shared_ptr<Leader>& aLeader, const Action& aAction)
 {
-  Scheduler* scheduler = aLeader->m_scheduler.get();
+  WorkerPort& workers = *aLeader->m_workerPort;
   const uint64_t fence = aLeader->m_epoch;
   std::visit(
     Overloaded{
       [&](const StartTask& aStart) {
-        CallWorker(
-          aLeader,
-          aStart.m_worker,
-          [this, aStart, fence](FakeWorker& aWorker, bool aLate) {
-            return aWorker.Start(aStart, fence, m_now, aLate);
-          },
-          [this, scheduler, aStart](WorkerCallResult aResult) {
-            scheduler->OnStartResult(
+        workers.Start(aStart, fence, [this, aLeader, aStart](WorkerCallResult aResult) {
+          Notify(aLeader, [&](Scheduler& aScheduler) {
+            aScheduler.OnStartResult(
               aStart.m_worker, aStart.m_task, aStart.m_attempt, aResult, m_now);
           });
+        });
       },
       [&](const StopTask& aStop) {
-        CallWorker(
-          aLeader,
-          aStop.m_worker,
-          [this, aStop, fence](FakeWorker& aWorker, bool) {
-            return aWorker.Stop(aStop, fence, m_now);
-          },
-          [this, scheduler, aStop](WorkerCallResult aResult) {
-            scheduler->OnStopResult(aStop.m_worker, aStop.m_task, aStop.m_attempt, aResult, m_now);
+        workers.Stop(aStop, fence, [this, aLeader, aStop](WorkerCallResult aResult) {
+          Notify(aLeader, [&](Scheduler& aScheduler) {
+            aScheduler.OnStopResult(aStop.m_worker, aStop.m_task, aStop.m_attempt, aResult, m_now);
           });
+        });
       },
       [&](const PollWorker& aPoll) {
-        const std::shared_ptr<WorkerStatus> status = std::make_shared<WorkerStatus>();
-        CallWorker(
-          aLeader,
-          aPoll.m_worker,
-          [this, aPoll, fence, status](FakeWorker& aWorker, bool aLate) {
-            WorkerStatus response;
-            const WorkerCallResult result = aWorker.Poll(aPoll, fence, m_now, response);
-            if (!aLate) {
-              *status = response;
-            }
-            return result;
-          },
-          [this, scheduler, aPoll, status](WorkerCallResult aResult) {
-            if (aResult == WorkerCallResult::Accepted) {
-              scheduler->OnPollResponse(aPoll.m_worker, aPoll.m_number, *status, m_now);
-            } else {
-              scheduler->OnPollFailed(aPoll.m_worker, aPoll.m_number, aResult, m_now);
-            }
-          });
+        workers.Poll(aPoll,
+                     fence,
+                     [this, aLeader, worker = aPoll.m_worker, number = aPoll.m_number](
+                       WorkerCallResult aResult, const WorkerStatus& aStatus) {
+                       Notify(aLeader, [&](Scheduler& aScheduler) {
+                         if (aResult == WorkerCallResult::Accepted) {
+                           aScheduler.OnPollResponse(worker, number, aStatus, m_now);
+                         } else {
+                           aScheduler.OnPollFailed(worker, number, aResult, m_now);
+                         }
+                       });
+                     });
       },
       [&](const ThrottleTask&) {},
       [&](const AppendRecords& aAppend) { Append(aLeader, aAppend); },
       [&](const CompleteRequest& aCompletion) { OnRequestCompleted(aLeader, aCompletion); },
       [&](const StepDown&) { aLeader->m_stopped = true; },
+      [&](const ForgetWorker& aForget) { workers.RemoveWorker(aForget.m_worker); },
     },
     aAction);
 }
@@ -445,7 +513,7 @@
     goneEntry.second = m_now;
   }
   for (const std::shared_ptr<Leader>& leader : m_leaders) {
-    leader->m_unreachableUntil.clear();
+    leader->m_caller->m_unreachableUntil.clear();
   }
   if (m_leaders.empty() || m_leaders.back()->m_stopped) {
     ElectLeader(false);
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -3,6 +3,8 @@
 
 #include "FakeFleet.h"
 
+#include "egretturn/Node/Ports.h"
+
 #include <functional>
 #include <queue>
 
@@ -16,10 +18,17 @@
   bool m_storeDown = false;             ///< Appends fail.
 };
 
+/// An instance that calls workers.
+struct Caller
+{
+  std::map<WorkerName, Instant> m_unreachableUntil; ///< For this instance only.
+};
+
 class SchedulerWorld
 {
 public:
   SchedulerWorld(uint64_t aSeed, size_t aWorkers);
+  virtual ~SchedulerWorld() = default;
 
   /// Submits a random job and returns its id.
   GraphId SubmitRandom();
@@ -63,22 +72,40 @@
   Instant Now() const { return m_now; }
   std::optional<JobState> StateOf(GraphId aId);
 
-private:
+protected:
   /// A leader, and its view of the end of the log.
   struct Leader
   {
     std::unique_ptr<Scheduler> m_scheduler;
+    std::shared_ptr<Caller> m_caller = std::make_shared<Caller>();
+    std::shared_ptr<WorkerPort> m_workerPort;
     uint64_t m_epoch = 0;
     size_t m_end = 0;
     bool m_stopped = false;
     bool m_reachesStore = true;
     Instant m_electedAt;
-    std::map<WorkerName, Instant> m_unreachableUntil; ///< For this leader only.
-    int64_t m_clockLagMs = 0;                         ///< How far its wall clock is behind.
+    int64_t m_clockLagMs = 0; ///< How far its wall clock is behind.
     std::map<RequestToken, std::pair<GraphId, bool>> m_requests; ///< The job; true to cancel it.
     std::map<WorkerName, bool> m_registered;
   };
 
+  /// Returns the port through which \p aLeader calls workers.
+  virtual std::shared_ptr<WorkerPort> MakeWorkerPort(const std::shared_ptr<Leader>& aLeader);
+
+  /// Returns how long a poll may take, including its timeout.
+  virtual Duration MaxPollTime() const { return std::chrono::seconds(2); }
+
+  /// Returns a port through which \p aCaller itself calls workers.
+  std::shared_ptr<WorkerPort> MakeDirectPort(const std::shared_ptr<Caller>& aCaller);
+
+  void After(Duration aDelay, std::function<void()> aCallback);
+  Duration Delay() { return std::chrono::milliseconds(1 + m_random.Below(15)); }
+
+  std::vector<std::shared_ptr<Leader>> m_leaders; ///< The last one has the highest epoch.
+
+private:
+  class DirectPort;
+
   struct Event
   {
     Instant m_at;
@@ -90,8 +117,6 @@
     }
   };
 
-  void After(Duration aDelay, std::function<void()> aCallback);
-  Duration Delay() { return std::chrono::milliseconds(1 + m_random.Below(15)); }
   void RunScheduler(const std::shared_ptr<Leader>& aLeader);
   /// Checks that gangs start whole, all tasks with the same attempt number.
   void CheckGangs(const std::vector<Action>& aActions);
@@ -107,10 +132,14 @@
   /// Restores a new leader from the store.
   std::shared_ptr<Leader> MakeLeader();
   void ReadDirectory(const std::shared_ptr<Leader>& aLeader);
-  void CallWorker(const std::shared_ptr<Leader>& aLeader,
+  void CallWorker(const std::shared_ptr<Caller>& aCaller,
                   const WorkerName& aWorker,
                   const std::function<WorkerCallResult(FakeWorker&, bool)>& aCall,
-                  const std::function<void(WorkerCallResult)>& aDone);
+                  const WorkerCallCallback& aDone);
+  void UpdateWorker(const std::shared_ptr<Leader>& aLeader, const WorkerReport& aReport);
+  /// Runs \p aEvent on the scheduler of \p aLeader, unless that has stopped.
+  void Notify(const std::shared_ptr<Leader>& aLeader,
+              const std::function<void(Scheduler&)>& aEvent);
   FakeWorker& WorkerOf(const WorkerName& aName);
   int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
   int64_t WallMs(const Leader& aLeader) const { return WallMs() - aLeader.m_clockLagMs; }
@@ -120,8 +149,7 @@
   uint64_t m_sequence = 0;
   std::map<std::string, std::string> m_store;
   size_t m_storeEnd = 0;
-  std::map<WorkerName, Instant> m_goneWorkers;    ///< Until when the directory lists each of them.
-  std::vector<std::shared_ptr<Leader>> m_leaders; ///< The last one has the highest epoch.
+  std::map<WorkerName, Instant> m_goneWorkers; ///< Until when the directory lists each of them.
   uint64_t m_epoch = 0;
   RequestToken m_request = 0;
 };
--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -7,7 +7,6 @@
 using std::chrono::seconds;
 
 static constexpr Duration kMaxPollDelay = seconds(2);
-static constexpr Duration kMaxPollTime = seconds(2); // including its timeout
 static constexpr Duration kRestartDetectionTime = seconds(2);
 static constexpr Duration kRestartedJobTime = seconds(20);
 static constexpr Duration kMaxRecoveryTime = milliseconds(8000); // a lease and the time to notice
@@ -72,7 +71,7 @@
     const bool dueSoon =
       worker->m_nextPollAt > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
     const bool inTime =
-      worker->m_pollInFlight ? m_now - worker->m_pollSentAt <= kMaxPollTime : dueSoon;
+      worker->m_pollInFlight ? m_now - worker->m_pollSentAt <= MaxPollTime() : dueSoon;
     if (pollExpected && !inTime) {
       m_oracle.ReportViolation("no poll in time: " + worker->m_report.m_id + " " +
                                std::string(NameOf(obstacle)));
