Open links after their confirmation, and let peers claim one after the other

Change: a shard says whether it knows that its session is confirmed, and orders wait for that; a claim is abandoned if it is no longer needed once all jobs were read; a leader ranks its peers, and one after the other claims, 300 ms apart; failed claims are repeated more rarely, but for the first in line.

--- a/include/egretturn/Node/LeaderElection.h
+++ b/include/egretturn/Node/LeaderElection.h
@@ -19,6 +19,16 @@
     std::chrono::milliseconds(1200); ///< A leader is replaced after losing the store for this long.
 };
 
+constexpr uint32_t kNoRank = UINT32_MAX;
+
+/// A leader's response to a ping.
+struct PingResult
+{
+  bool m_storeAvailable = true;
+  double m_maxWeight = 0;    ///< Highest weight among the leader and the peers that ping it.
+  uint32_t m_rank = kNoRank; ///< Place of this instance in the line of succession; 0 is first.
+};
+
 /// One instance's knowledge of the leader, and its election timers. Not thread-safe.
 class LeaderElection
 {
@@ -31,9 +41,8 @@
   /// Records that the topic of the leader has been read to its end, which took \p aRoundTrip.
   void OnStoreRead(Duration aRoundTrip, Instant aNow);
 
-  /// Records the leader's response to a ping: whether it has access to the store, and the highest
-  /// weight among itself and the peers that ping it.
-  void OnPing(bool aStoreAvailable, double aMaxWeight, Instant aNow);
+  /// Records the leader's response to a ping.
+  void OnPing(const PingResult& aResult, Instant aNow);
 
   /// Records that the leader still writes to the store although it does not respond to pings.
   void OnLeaderWriting(Instant aNow);
@@ -74,6 +83,8 @@
   Instant m_earliestClaimAt;
   bool m_storeRead = false;
   double m_maxWeight = 0;
+  uint32_t m_rank = kNoRank; ///< By the leader's last response, if it named one.
+  int m_failedClaims = 0;    ///< In a row.
   int m_deferrals = 0;
   Duration m_baseDelay{}; ///< Keeps instances from claiming simultaneously.
 };
--- a/include/egretturn/Node/LeadershipClaimer.h
+++ b/include/egretturn/Node/LeadershipClaimer.h
@@ -15,18 +15,25 @@
     std::optional<StoredClaim> m_own;   ///< Set if this instance is now the leader.
     std::optional<StoredClaim> m_other; ///< A claim newer than the one to succeed, if any.
     bool m_deferredToLeader = false;    ///< The known leader is still writing. Not with m_other.
+    bool m_abandoned = false;           ///< The claim was no longer needed before it was written.
     RecoveredState m_state;
   };
   using Callback = std::function<void(Outcome)>;
 
+  /// Tells whether the claim is still needed. Reading all jobs takes time, in which the leader may
+  /// have been heard from again.
+  using NeededCheck = std::function<bool()>;
+
   /// Succeeds the epoch \p aKnownEpoch; fails if the store holds a newer claim. With
   /// \p aDefersToLeader, it also fails if the current leader is still writing.
-  /// \p aDone is called once.
+  /// It is abandoned if \p aIsNeeded returns false before the claim is written. \p aDone is called
+  /// once.
   LeadershipClaimer(boost::asio::io_context& aIo,
                     StorePort& aStore,
                     StoredClaim aIdentity,
                     uint64_t aKnownEpoch,
                     bool aDefersToLeader,
+                    NeededCheck aIsNeeded,
                     Callback aDone);
 
   /// Starts reading the topic of jobs; \c aDone follows later.
@@ -51,6 +58,8 @@
   uint64_t m_knownEpoch;
   bool m_defersToLeader;
   bool m_deferred = false;
+  bool m_abandoned = false;
+  NeededCheck m_isNeeded;
   Callback m_done;
   std::unordered_map<std::string, std::string> m_values; ///< Latest value of each key.
   StoredClaim m_newest;
--- a/include/egretturn/Node/LinkProtocol.h
+++ b/include/egretturn/Node/LinkProtocol.h
@@ -196,6 +196,7 @@
   std::string m_instance;  ///< Id of the shard.
   std::vector<LinkCallResult> m_calls;
   std::vector<LinkPollResult> m_polls;
+  bool m_confirmed = false; ///< The shard knows that the leader has confirmed the session.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -206,6 +207,7 @@
     aVisit("instance", aSelf.m_instance);
     aVisit("calls", aSelf.m_calls);
     aVisit("polls", aSelf.m_polls);
+    aVisit("confirmed", aSelf.m_confirmed);
   }
 };
 
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -104,6 +104,9 @@
   std::string LinkMetrics() const;
   std::string ShardMetrics() const;
   struct Peer;
+  /// Ranks the peers by how well they would succeed this leader: the strongest first, then those
+  /// of its region, which is near the store.
+  void RankPeers();
   /// Returns the eligible peer with the highest weight, or nullptr.
   const Peer* StrongestPeer() const;
   void HandOverTo(const Peer* aTo);
@@ -120,6 +123,7 @@
   {
     PingMessage m_ping;
     Instant m_lastHeardAt;
+    uint32_t m_rank = kNoRank; ///< Place in the line of succession.
   };
 
   /// A peer that was asked to take the leadership but did not.
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -1,6 +1,7 @@
 // Messages between instances.
 #pragma once
 
+#include "egretturn/Node/LeaderElection.h"
 #include "egretturn/Scheduler/Scheduler.h"
 
 #include <functional>
@@ -127,6 +128,7 @@
   double m_maxWeight = 0; ///< Highest weight among the leader and the peers that ping it, in cores.
   uint64_t m_claimedEpoch = 0; ///< Epoch that the sender is claiming, or 0. It may have succeeded.
   bool m_declined = false;     ///< The sender was asked to claim the leadership and does not.
+  uint32_t m_rank = kNoRank;   ///< To a ping: the receiver's place in the line of succession.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -139,6 +141,7 @@
     aVisit("strongest", aSelf.m_maxWeight);
     aVisit("claimed_epoch", aSelf.m_claimedEpoch);
     aVisit("declined", aSelf.m_declined);
+    aVisit("rank", aSelf.m_rank);
   }
 };
 
--- a/include/egretturn/Node/WorkerLinks.h
+++ b/include/egretturn/Node/WorkerLinks.h
@@ -80,7 +80,7 @@
   enum class LinkState
   {
     Closed,
-    Opening, ///< A session has begun, but the shard has not sent a heartbeat yet.
+    Opening, ///< The shard does not know yet that its session is confirmed.
     Open,
   };
 
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -106,6 +106,33 @@
   return best;
 }
 
+void
+Node::RankPeers()
+{
+  if (!m_session) {
+    return;
+  }
+  const Instant now = BootClockNow();
+  const std::string region = DescribeSelf().m_region;
+  std::vector<Peer*> ranked;
+  for (std::pair<const std::string, Peer>& peerEntry : m_peers) {
+    Peer& peer = peerEntry.second;
+    peer.m_rank = kNoRank;
+    if (now - peer.m_lastHeardAt < kPeerTimeout && !peer.m_ping.m_stopping) {
+      ranked.push_back(&peer);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [&](const Peer* aLeft, const Peer* aRight) {
+    const PingMessage& left = aLeft->m_ping;
+    const PingMessage& right = aRight->m_ping;
+    return std::tuple(-left.m_weight, left.m_region != region, left.m_instance) <
+           std::tuple(-right.m_weight, right.m_region != region, right.m_instance);
+  });
+  for (size_t i = 0; i < ranked.size(); ++i) {
+    ranked[i]->m_rank = static_cast<uint32_t>(i);
+  }
+}
+
 void
 Node::HandOverTo(const Peer* aTo)
 {
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -14,7 +14,13 @@
 static constexpr int kRoundTripFactor = 8;
 static constexpr uint64_t kMaxJitterMs = 120;
 static constexpr Duration kMaxRoundTripDelay = std::chrono::milliseconds(400);
+
+// The leader ranks its peers, so that one after the other claims: a claimant reads all jobs first.
+static constexpr Duration kDelayPerRank = std::chrono::milliseconds(300);
+static constexpr Duration kMaxRankDelay = std::chrono::milliseconds(1800);
+
 static constexpr Duration kClaimRetryDelay = std::chrono::milliseconds(300);
+static constexpr int kMaxClaimBackoff = 4; // multiple of the delays after failures in a row
 
 LeaderElection::LeaderElection(LeaderElectionSettings aSettings, Instant aNow)
   : m_settings(std::move(aSettings))
@@ -32,6 +38,7 @@
     return;
   }
   m_leader = aClaim;
+  m_failedClaims = 0;
   m_maxWeight = std::max(m_maxWeight, aClaim.m_weight);
   m_deferrals = 0;
   m_lastHeardAt = aNow;
@@ -57,6 +64,9 @@
 Duration
 LeaderElection::ClaimDelay() const
 {
+  if (m_rank != kNoRank) {
+    return std::min(kDelayPerRank * m_rank, kMaxRankDelay);
+  }
   const double ratio = m_maxWeight / std::max(m_settings.m_weight, 0.01);
   const double weightMs = std::clamp(kWeightDelayMs * (ratio - 1.0), 0.0, kMaxWeightDelayMs);
   return m_baseDelay + std::chrono::milliseconds(static_cast<int64_t>(weightMs));
@@ -72,14 +82,16 @@
 }
 
 void
-LeaderElection::OnPing(bool aStoreAvailable, double aMaxWeight, Instant aNow)
+LeaderElection::OnPing(const PingResult& aResult, Instant aNow)
 {
-  m_maxWeight = aMaxWeight;
+  m_maxWeight = aResult.m_maxWeight;
+  m_rank = aResult.m_rank;
   m_deferrals = 0;
   m_lastHeardAt = aNow;
   m_leaderLostAt.reset();
-  if (aStoreAvailable) {
+  if (aResult.m_storeAvailable) {
     m_leaderStoreOkAt = aNow;
+    m_failedClaims = 0;
   }
 }
 
@@ -94,7 +106,8 @@
 void
 LeaderElection::OnClaimFailed(Instant aNow)
 {
-  m_earliestClaimAt = aNow + kClaimRetryDelay + ClaimDelay();
+  m_failedClaims = std::min(m_failedClaims + 1, kMaxClaimBackoff);
+  m_earliestClaimAt = aNow + kClaimRetryDelay + ClaimDelay() * m_failedClaims;
 }
 
 void
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -13,12 +13,14 @@
                                      StoredClaim aIdentity,
                                      uint64_t aKnownEpoch,
                                      bool aDefersToLeader,
+                                     NeededCheck aIsNeeded,
                                      Callback aDone)
   : m_timer(aIo)
   , m_store(aStore)
   , m_identity(std::move(aIdentity))
   , m_knownEpoch(aKnownEpoch)
   , m_defersToLeader(aDefersToLeader)
+  , m_isNeeded(std::move(aIsNeeded))
   , m_done(std::move(aDone))
 {
 }
@@ -86,7 +88,9 @@
     return;
   }
   const bool superseded = m_newest.m_epoch > m_knownEpoch;
-  if (superseded || m_deferred || ++m_tries > kMaxTries) {
+  // A claim that was sent may take effect, however late, so it is settled.
+  m_abandoned = m_tries == 0 && !m_isNeeded();
+  if (superseded || m_deferred || m_abandoned || ++m_tries > kMaxTries) {
     Fail();
     return;
   }
@@ -138,6 +142,7 @@
     outcome.m_other = m_newest; // the conflict was this claim, not an append of the known leader
   } else {
     outcome.m_deferredToLeader = m_deferred;
+    outcome.m_abandoned = m_abandoned;
   }
   m_done(std::move(outcome));
 }
--- a/lib/Node/LinkShard.cpp
+++ b/lib/Node/LinkShard.cpp
@@ -222,6 +222,7 @@
   results.m_session = aSession->m_number;
   results.m_sequence = aSession->m_unacknowledged.m_sequence + 1;
   results.m_instance = m_instance;
+  results.m_confirmed = aSession->m_confirmed;
   results.m_calls = std::exchange(draft.m_calls, {});
   const size_t polls = std::min(draft.m_polls.size(), kMaxPollsPerMessage);
   const auto end = draft.m_polls.begin() + static_cast<ptrdiff_t>(polls);
@@ -274,11 +275,12 @@
     EndSession("the leader has ended it");
     return;
   }
+  bool more = !aSession->m_draft.m_calls.empty() || !aSession->m_draft.m_polls.empty();
   if (aReply->m_outcome == LinkResultsOutcome::Confirmed) {
+    more = more || !aSession->m_confirmed; // the leader sends no orders before it knows
     aSession->m_confirmed = true;
     aSession->m_confirmedAt = aSentAt;
   }
-  const bool more = !aSession->m_draft.m_calls.empty() || !aSession->m_draft.m_polls.empty();
   ScheduleFlush(aSession, more ? kGatherTime : kHeartbeatInterval);
 }
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -131,6 +131,7 @@
     }
   }
   HandOverToStrongerPeer();
+  RankPeers();
   if (m_links) {
     m_links->SetInstances(ListLinkInstances());
   }
@@ -185,7 +186,7 @@
   m_election.OnClaim(response.m_leader, now); // ignored unless it is newer
   const uint64_t leader = m_election.Leader()->m_epoch;
   if (response.m_outcome == PeerOutcome::Ok && response.m_leader.m_epoch == leader) {
-    m_election.OnPing(response.m_storeAvailable, response.m_maxWeight, now);
+    m_election.OnPing({ response.m_storeAvailable, response.m_maxWeight, response.m_rank }, now);
     return;
   }
   // Other instances can read a claim before its claimant knows that it succeeded. The claimant gets
@@ -216,6 +217,7 @@
     identity,
     known,
     m_election.DefersToWritingLeader(),
+    [self = shared_from_this()] { return self->m_election.ShouldClaim(BootClockNow()); },
     [self = shared_from_this()](LeadershipClaimer::Outcome aOutcome) {
       self->m_claimer.reset();
       self->OnClaimResult(std::move(aOutcome));
@@ -231,6 +233,11 @@
   if (aOutcome.m_other) {
     m_election.OnClaim(*aOutcome.m_other, now);
   }
+  if (aOutcome.m_abandoned) {
+    Log(
+      LogLine(LogLevel::Info, "claim_abandoned").Add("reason", "the leader was heard from again"));
+    return;
+  }
   if (aOutcome.m_deferredToLeader) {
     m_election.OnLeaderWriting(now);
     return;
@@ -386,12 +393,15 @@
     aDone(MakeNotLeaderResponse());
     return;
   }
+  PeerResponse response;
   PingMessage ping;
   if (UnpackCompact(aBody, ping)) {
-    m_peers[ping.m_instance] = { ping, BootClockNow() };
     m_session->OnPing();
+    Peer& peer = m_peers[ping.m_instance];
+    peer.m_ping = std::move(ping);
+    peer.m_lastHeardAt = BootClockNow();
+    response.m_rank = peer.m_rank;
   }
-  PeerResponse response;
   response.m_outcome = PeerOutcome::Ok;
   response.m_leader = m_session->Claim();
   response.m_storeAvailable = m_session->IsStoreAvailable();
--- a/lib/Node/WorkerLinks.cpp
+++ b/lib/Node/WorkerLinks.cpp
@@ -392,7 +392,7 @@
   }
   Link& link = *it->second;
   link.m_heardAt = m_port.Now();
-  if (link.m_state == LinkState::Opening) {
+  if (link.m_state == LinkState::Opening && aResults.m_confirmed) {
     link.m_state = LinkState::Open;
     ScheduleFlush(link);
   }
--- /dev/null
+++ b/unittests/Node/LeadershipClaimerTest.cpp
@@ -0,0 +1,86 @@
+// Tests when a claim is written.
+#include "NodeFakes.h"
+
+#include "egretturn/Node/LeadershipClaimer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+using namespace egretturn::nodetest;
+
+namespace {
+
+/// A store without records, which answers the first read when the test says so.
+class SlowStore : public StorePort
+{
+public:
+  void ReadNewest(Topic, std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    m_read = [aDone] { aDone(TopicPage()); };
+  }
+
+  void ReadTail(Topic, LogOffset, Duration, std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    aDone(TopicPage());
+  }
+
+  void AppendAt(Topic,
+                LogOffset aAt,
+                const std::vector<KeyedRecord>& aRecords,
+                std::function<void(AppendResult)> aDone) override
+  {
+    ++m_appends;
+    aDone({ AppendResult::Kind::Appended, aAt + aRecords.size() });
+  }
+
+  void Append(Topic, const std::vector<KeyedRecord>&, std::function<void(AppendResult)>) override {}
+
+  std::function<void()> m_read;
+  int m_appends = 0;
+};
+
+/// A claim whose need can end while the jobs are read.
+struct ClaimFixture
+{
+  ClaimFixture()
+  {
+    const std::shared_ptr<LeadershipClaimer> claimer = std::make_shared<LeadershipClaimer>(
+      m_io,
+      m_store,
+      ClaimOf(0, "10.0.0.1:1"),
+      0,
+      true,
+      [this] { return m_needed; },
+      [this](LeadershipClaimer::Outcome aOutcome) { m_outcome = std::move(aOutcome); });
+    claimer->Start();
+  }
+
+  boost::asio::io_context m_io;
+  SlowStore m_store;
+  bool m_needed = true;
+  std::optional<LeadershipClaimer::Outcome> m_outcome;
+};
+
+} // namespace
+
+TEST_CASE("a claim is written after all jobs were read")
+{
+  ClaimFixture fixture;
+  fixture.m_store.m_read();
+  REQUIRE(fixture.m_outcome);
+  REQUIRE(fixture.m_outcome->m_own);
+  CHECK(fixture.m_outcome->m_own->m_epoch == 1);
+}
+
+// Guards against a claim that supersedes a leader which was heard from again while the claimant
+// read all jobs, as after an outage of the store.
+TEST_CASE("a claim is abandoned if the leader was heard from again meanwhile")
+{
+  ClaimFixture fixture;
+  fixture.m_needed = false;
+  fixture.m_store.m_read();
+  REQUIRE(fixture.m_outcome);
+  CHECK(fixture.m_outcome->m_abandoned);
+  CHECK_FALSE(fixture.m_outcome->m_own);
+  CHECK(fixture.m_store.m_appends == 0);
+}
--- a/unittests/Node/LinkShardTest.cpp
+++ b/unittests/Node/LinkShardTest.cpp
@@ -66,7 +66,13 @@
   {
     REQUIRE(m_shard->OnOrders(OrdersOf(aEpoch, aSession)).m_outcome == LinkOrdersOutcome::Taken);
     m_port.Advance(milliseconds(20));
-    REQUIRE(Reply(LinkResultsOutcome::Confirmed).size() == 1);
+    std::vector<LinkResults> results = Reply(LinkResultsOutcome::Confirmed);
+    REQUIRE(results.size() == 1);
+    REQUIRE_FALSE(results[0].m_confirmed);
+    m_port.Advance(milliseconds(20));
+    results = Reply(LinkResultsOutcome::Confirmed);
+    REQUIRE(results.size() == 1);
+    REQUIRE(results[0].m_confirmed); // now the leader may send orders
   }
 
   LinkOrdersOutcome Send(const LinkOrders& aOrders) { return m_shard->OnOrders(aOrders).m_outcome; }
--- a/unittests/Node/WorkerLinksTest.cpp
+++ b/unittests/Node/WorkerLinksTest.cpp
@@ -99,6 +99,7 @@
     results.m_session = m_sessions[aAddress];
     results.m_sequence = ++m_sequence;
     results.m_instance = aAddress.substr(0, aAddress.find(':'));
+    results.m_confirmed = true;
     return results;
   }
 
@@ -156,6 +157,30 @@
   CHECK(fixture.m_links->HolderOf("w0").substr(0, 5) == "shard");
 }
 
+// Guards against orders that overtake the confirmation of the session, which the shard refuses.
+TEST_CASE("no orders are sent before the shard knows that its session is confirmed")
+{
+  LinksFixture fixture;
+  fixture.AddShards(1);
+  fixture.Poll(0);
+  fixture.m_port.Advance(milliseconds(20));
+  std::vector<FakeLinkPort::SentOrders> sent = fixture.m_port.TakeOrders();
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].m_orders.CountCalls() == 0);
+  sent[0].m_done(LinkOrdersReply{ LinkOrdersOutcome::Taken });
+  fixture.m_sessions["shard0:1"] = sent[0].m_orders.m_session;
+  LinkResults heartbeat = fixture.MakeResults("shard0:1");
+  heartbeat.m_confirmed = false;
+  CHECK(fixture.m_links->OnResults(heartbeat).m_outcome == LinkResultsOutcome::Confirmed);
+  fixture.m_port.Advance(milliseconds(100));
+  CHECK(fixture.m_port.TakeOrders().empty());
+  fixture.m_links->OnResults(fixture.MakeResults("shard0:1"));
+  fixture.m_port.Advance(milliseconds(100));
+  sent = fixture.m_port.TakeOrders();
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].m_orders.CountCalls() == 1);
+}
+
 TEST_CASE("tasks of one job share the payload in a message")
 {
   LinksFixture fixture;
