--- a/lib/Node/LinkPlan.cpp
+++ b/lib/Node/LinkPlan.cpp
@@ -62,6 +62,7 @@
     return aInstance.m_zone == aZone ? 0 : aInstance.m_region == region ? 1 : 2;
   };
   std::vector<Budget*> order;
+  order.reserve(aBudgets.size());
   for (Budget& budget : aBudgets) {
     order.push_back(&budget);
   }
--- a/unittests/Node/LinkPlanTest.cpp
+++ b/unittests/Node/LinkPlanTest.cpp
@@ -77,10 +77,10 @@
 // Guards against connections that are all made anew when one instance comes or goes.
 TEST_CASE("when an instance is lost, only its workers change their instance")
 {
-  std::vector<LinkInstance> instances;
-  for (int i = 0; i < 4; ++i) {
-    instances.push_back(InstanceIn("a", i, 0.1));
-  }
+  std::vector<LinkInstance> instances{ InstanceIn("a", 0, 0.1),
+                                       InstanceIn("a", 1, 0.1),
+                                       InstanceIn("a", 2, 0.1),
+                                       InstanceIn("a", 3, 0.1) };
   const std::map<std::string, size_t> workers{ { "a", 160 } };
   const LinkPlan before(instances, workers, kRegionOf);
   instances.erase(instances.begin() + 1);
--- a/unittests/Node/LinkedWorld.cpp
+++ b/unittests/Node/LinkedWorld.cpp
@@ -47,7 +47,7 @@
   void Throttle(const ThrottleTask&, uint64_t, WorkerCallCallback) override {}
 
 private:
-  WorkerCallCallback Wrap(WorkerCallCallback aDone)
+  WorkerCallCallback Wrap(const WorkerCallCallback& aDone)
   {
     return [world = &m_world, process = m_process, aDone](WorkerCallResult aResult) {
       world->RunIn(process, [aDone, aResult] { aDone(aResult); });
@@ -180,7 +180,7 @@
 }
 
 void
-LinkedWorld::RunIn(const std::shared_ptr<Process>& aProcess, std::function<void()> aCallback)
+LinkedWorld::RunIn(const std::shared_ptr<Process>& aProcess, const std::function<void()>& aCallback)
 {
   if (aProcess->m_pausedUntil <= Now()) {
     aCallback();
--- a/unittests/Node/LinkedWorld.h
+++ b/unittests/Node/LinkedWorld.h
@@ -62,7 +62,7 @@
   void StartShard(const std::shared_ptr<Process>& aProcess);
   LinkInstance Describe(const Process& aProcess) const;
   /// Runs \p aCallback in the process once it is not suspended, unless it is restarted before.
-  void RunIn(const std::shared_ptr<Process>& aProcess, std::function<void()> aCallback);
+  void RunIn(const std::shared_ptr<Process>& aProcess, const std::function<void()>& aCallback);
   std::shared_ptr<Process> FindProcess(const std::string& aAddress) const;
   /// Lets the leader know of the shards, and the shards of the leader.
   void Introduce(const std::shared_ptr<Process>& aProcess);
