Start a task that may have run elsewhere only with a fresh confirmation of the leadership

Cause: a leader that does not know its successor yet gave up attempts on workers that only it could not reach, since their leases had expired by its own account, and started the tasks again on workers that the successor had not fenced yet; the successor meanwhile found them running or done. Change: tasks of recovered jobs, and of jobs with an expired attempt, start only within 50 ms of a batch that the store has confirmed; if there is none, the job's record is appended once more. While the store is away nothing changes. The gauges of waiting tasks no longer stay at their last report once nothing waits.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -293,7 +293,7 @@
   void ApplyThrottle(Worker& aWorker, const BestEffortGroup& aGroup, Instant aNow);
 
   // Batches.cpp
-  void MarkDirty(Job& aJob) { m_dirtyJobs.insert(aJob.m_stored.m_id); }
+  void MarkDirty(const Job& aJob) { m_dirtyJobs.insert(aJob.m_stored.m_id); }
   bool HasUnwrittenChanges() const;
   Instant BatchDueAt() const;
   void WriteBatch(Instant aNow);
@@ -319,7 +319,14 @@
   /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
   void UpdateUnknownTasks(Instant aNow);
 
+  /// Returns whether tasks of \p aJob may start now, or requests the confirmation that they need: a
+  /// leader that was superseded may not know that its successor has found them on a worker. Without
+  /// the store nothing can be confirmed, and CallAuthority alone stops a superseded leader.
+  bool MayStartTasksOf(const Job& aJob, Instant aNow);
+
   // Scheduler.cpp
+  /// Marks the attempts on \p aWorker as lost, since their leases have expired.
+  void MarkAttemptsExpired(Worker& aWorker, Instant aNow);
   /// Returns whether a state of \p aWorker can only change by its response. If so, a poll is in
   /// flight, or is sent once it is due.
   static bool NeedsPoll(const Worker& aWorker);
@@ -349,6 +356,8 @@
   uint64_t m_batch = 0;
   uint64_t m_pollNumber = 0;
   bool m_batchInFlight = false;
+  Instant m_confirmedAt;                ///< When the store last confirmed that this epoch leads.
+  bool m_confirmationRequested = false; ///< Tasks wait for the next confirmation.
   bool m_hasUnrecordedWorkers = false; ///< A worker has no record in the store yet.
   Instant m_nextBatchAt;
   bool m_urgent = false; ///< A caller waits for the next batch.
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -136,6 +136,8 @@
     return;
   }
   m_batchInFlight = false;
+  m_confirmedAt = aNow;
+  m_placementNeeded = std::exchange(m_confirmationRequested, false) || m_placementNeeded;
   m_nextBatchAt = aNow + kUrgentBatchInterval;
   for (const BatchedJob& batched : m_batchJobs) {
     Job* job = m_jobs.Find(batched.m_id);
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -8,6 +8,9 @@
 
 namespace egretturn {
 
+// A start that needs a confirmation follows it this closely.
+static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(50);
+
 void
 Scheduler::RestoreJob(StoredJob aJob, Instant aNow, int64_t aWallMs)
 {
@@ -174,6 +177,19 @@
   });
 }
 
+bool
+Scheduler::MayStartTasksOf(const Job& aJob, Instant aNow)
+{
+  const bool mayRunElsewhere = aJob.m_recovered || aJob.m_attemptExpired;
+  if (!mayRunElsewhere || !m_storeAvailable || aNow - m_confirmedAt <= kMaxConfirmationAge) {
+    return true;
+  }
+  m_confirmationRequested = true;
+  MarkDirty(aJob); // any append is a confirmation, also of a record that has not changed
+  m_urgent = true;
+  return false;
+}
+
 void
 Scheduler::ReportRecovery(Instant aNow)
 {
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -22,6 +22,7 @@
   : m_limits(aLimits)
   , m_epoch(aEpoch)
   , m_fleet(aLimits.m_lease)
+  , m_confirmedAt(aNow)
   , m_nextBatchAt(aNow)
   , m_createdAt(aNow)
   , m_nextRecoveryReportAt(aNow + kRecoveryReportInterval)
@@ -253,7 +254,7 @@
       worker->m_nextPollAt = std::min(worker->m_nextPollAt, aNow); // the poll acknowledges them
     }
     if (!worker->m_attempts.empty() && aNow >= worker->m_leaseExpiresAt) {
-      MarkAllAttemptsLost(*worker, aNow, "lease_over");
+      MarkAttemptsExpired(*worker, aNow);
     }
     // A polled worker runs exactly the attempts in m_attempts, so no lease needs to expire first.
     const bool idle =
@@ -269,6 +270,17 @@
   }
 }
 
+void
+Scheduler::MarkAttemptsExpired(Worker& aWorker, Instant aNow)
+{
+  for (const std::pair<const TaskRef, AttemptState>& attemptEntry : aWorker.m_attempts) {
+    if (Job* job = m_jobs.Find(attemptEntry.first.m_job)) {
+      job->m_attemptExpired = true;
+    }
+  }
+  MarkAllAttemptsLost(aWorker, aNow, "lease_over");
+}
+
 void
 Scheduler::OpenOccurrences(int64_t aWallMs)
 {
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -138,6 +138,11 @@
 void
 Scheduler::PlaceWaitingSteps(Instant aNow)
 {
+  if (m_waitingJobs.empty()) { // no report follows that would say so
+    m_counters.m_tasksWaiting = 0;
+    m_counters.m_tasksSkipped = 0;
+    m_counters.m_tasksRecovering = 0;
+  }
   const bool overdue = !m_waitingJobs.empty() && aNow >= m_nextPlacementAt + kMaxPlacementPause;
   if ((!m_placementNeeded && !overdue) || aNow < m_nextPlacementAt) {
     return;
@@ -293,6 +298,10 @@
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
+    if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
+      ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
+      return true;
+    }
     StartAttempt(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
     // The job is no longer idle, and a first sibling sets the preferred rack.
@@ -360,6 +369,10 @@
   if (chosen.size() < record.m_tasks.size()) {
     return;
   }
+  if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
+    ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
+    return;
+  }
   // All members have the same attempt number and the same checkpoint.
   uint32_t starts = 0;
   std::string checkpoint;
--- a/unittests/Node/LinkedWorld.cpp
+++ b/unittests/Node/LinkedWorld.cpp
@@ -26,12 +26,12 @@
 
   void Start(const StartTask& aStart, uint64_t aFence, WorkerCallCallback aDone) override
   {
-    m_direct->Start(aStart, aFence, Wrap(std::move(aDone)));
+    m_direct->Start(aStart, aFence, Wrap(aDone));
   }
 
   void Stop(const StopTask& aStop, uint64_t aFence, WorkerCallCallback aDone) override
   {
-    m_direct->Stop(aStop, aFence, Wrap(std::move(aDone)));
+    m_direct->Stop(aStop, aFence, Wrap(aDone));
   }
 
   void Poll(const PollWorker& aPoll, uint64_t aFence, PollCallback aDone) override
--- a/unittests/Scheduler/RandomFaults.h
+++ b/unittests/Scheduler/RandomFaults.h
@@ -7,8 +7,6 @@
 
 namespace egretturn::schedtest {
 
-constexpr uint64_t kMaxNoticeMs = 1000; ///< Until a superseded leader calls no workers.
-
 /// Plays random jobs and faults in \p aWorld, lets everything heal and finish, and checks the
 /// result. \p aExtraFault is called about once in 20 steps; \p aHeal before the end.
 void PlayRandomSteps(SchedulerWorld& aWorld,
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -43,6 +43,29 @@
   }
 }
 
+// Guards against a leader that takes its recovery for complete, since the leases on workers that it
+// can't reach have expired, while its successor reaches them and knows what they have done.
+TEST_CASE("no task runs twice when leases expire for a superseded leader")
+{
+  for (uint64_t seed : ListSeeds(400)) {
+    SchedulerWorld world(seed, 8);
+    world.ElectLeader(false);
+    for (int i = 0; i < 40; ++i) {
+      world.SubmitRandom();
+      world.Advance(milliseconds(100));
+    }
+    if (world.m_random.Below(2) == 0) { // the next epoch recovers, or this one loses its workers
+      world.ElectLeader(false);
+    }
+    world.CutWorkersFromLeader(seconds(12));
+    world.Advance(milliseconds(5800 + world.m_random.Below(2000)));
+    world.SupersedeUnnoticed(milliseconds(kMaxNoticeMs));
+    world.Advance(seconds(12));
+    CheckViolations(world, seed);
+  }
+  StopLogging();
+}
+
 TEST_CASE("the scheduler keeps its guarantees under random faults")
 {
   for (uint64_t seed : ListSeeds(kSeeds)) {
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -169,6 +169,8 @@
   if (!m_leaders.empty() && m_random.Unit() < 0.5) {
     m_leaders.back()->m_stopped = true; // it responds to the new leader, but calls no worker
     placed = m_leaders.back()->m_scheduler->ListPlacements(m_now);
+  } else if (!m_leaders.empty()) {
+    StopLater(m_leaders.back(), milliseconds(kMaxNoticeMs));
   }
   if (!aKeepPrevious) {
     m_leaders.clear();
@@ -182,6 +184,12 @@
   ReadDirectory(leader);
 }
 
+void
+SchedulerWorld::StopLater(const std::shared_ptr<Leader>& aLeader, Duration aNoticeTime)
+{
+  After(aNoticeTime, [aLeader] { aLeader->m_stopped = true; });
+}
+
 void
 SchedulerWorld::SupersedeUnnoticed(Duration aNoticeTime)
 {
@@ -190,7 +198,7 @@
   }
   const std::shared_ptr<Leader> previous = m_leaders.back();
   previous->m_reachesStore = false;
-  After(aNoticeTime, [previous] { previous->m_stopped = true; });
+  StopLater(previous, aNoticeTime);
   const std::shared_ptr<Leader> leader = MakeLeader();
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
     if (m_random.Below(2) == 0) {
@@ -202,6 +210,16 @@
   ReadDirectory(leader);
 }
 
+void
+SchedulerWorld::CutWorkersFromLeader(Duration aTime)
+{
+  for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    if (m_random.Below(2) == 0) {
+      m_leaders.back()->m_caller->m_unreachableUntil[worker->Report().m_id] = m_now + aTime;
+    }
+  }
+}
+
 void
 SchedulerWorld::ListGoneWorker(Duration aTime)
 {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -10,6 +10,9 @@
 
 namespace egretturn::schedtest {
 
+/// Until a superseded leader has no evidence left that it leads, and calls no workers.
+constexpr uint64_t kMaxNoticeMs = 1000;
+
 /// The faults to inject.
 struct Faults
 {
@@ -36,7 +39,7 @@
   void Cancel(GraphId aId);
 
   /// Lets a new instance claim the leadership; if \p aKeepPrevious, the previous leader keeps
-  /// running unaware.
+  /// running unaware until CallAuthority stops its calls.
   void ElectLeader(bool aKeepPrevious);
 
   /// Lets a new instance claim the leadership while the leader can't reach the store or its
@@ -44,6 +47,9 @@
   /// to the previous leader only.
   void SupersedeUnnoticed(Duration aNoticeTime);
 
+  /// Cuts some workers off from the leader, but not from its successors.
+  void CutWorkersFromLeader(Duration aTime);
+
   /// Lets the directory list a worker that is gone, for \p aTime.
   void ListGoneWorker(Duration aTime);
 
@@ -131,6 +137,8 @@
   void CheckRecoveryTime();
   /// Restores a new leader from the store.
   std::shared_ptr<Leader> MakeLeader();
+  /// Lets a superseded leader stop after \p aNoticeTime, as CallAuthority does.
+  void StopLater(const std::shared_ptr<Leader>& aLeader, Duration aNoticeTime);
   void ReadDirectory(const std::shared_ptr<Leader>& aLeader);
   void CallWorker(const std::shared_ptr<Caller>& aCaller,
                   const WorkerName& aWorker,
