Give up a link on which nothing new arrives

Cause: a shard that reached the leader, but did not get its replies, repeated its results; the leader counted the repetitions, and unconfirmed results of an opening link, as signs of life, so calls waited on such a link for as long as it lasted. Change: only new results of a confirmed session count; results time out after 0.4 s, so that a single lost reply does not end the link.

--- a/include/egretturn/Node/WorkerLinks.h
+++ b/include/egretturn/Node/WorkerLinks.h
@@ -102,7 +102,7 @@
     bool m_sending = false; ///< A message has no reply yet.
     bool m_flushScheduled = false;
     Instant m_nextFlushAt;
-    Instant m_heardAt; ///< When the shard last sent results, or when its session began.
+    Instant m_heardAt; ///< When new results came last, or when the session began or was confirmed.
     Instant m_excludedUntil;
     size_t m_workers = 0; ///< Number of routes through this link.
     std::unordered_map<LinkCallId, PendingCall> m_pending;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -358,7 +358,7 @@
   bool m_batchInFlight = false;
   Instant m_confirmedAt;                ///< When the store last confirmed that this epoch leads.
   bool m_confirmationRequested = false; ///< Tasks wait for the next confirmation.
-  bool m_hasUnrecordedWorkers = false; ///< A worker has no record in the store yet.
+  bool m_hasUnrecordedWorkers = false;  ///< A worker has no record in the store yet.
   Instant m_nextBatchAt;
   bool m_urgent = false; ///< A caller waits for the next batch.
   bool m_storeAvailable = true;
--- a/lib/Node/PeerLinkPort.cpp
+++ b/lib/Node/PeerLinkPort.cpp
@@ -9,7 +9,9 @@
 
 namespace egretturn {
 
-static constexpr Duration kReplyTimeout = std::chrono::milliseconds(900);
+static constexpr Duration kOrdersTimeout = std::chrono::milliseconds(900);
+// Results are repeated at once, and a link on which nothing new arrives is given up soon.
+static constexpr Duration kResultsTimeout = std::chrono::milliseconds(400);
 
 PeerLinkPort::PeerLinkPort(boost::asio::io_context& aIo, HttpClient& aClient)
   : m_io(aIo)
@@ -43,12 +45,13 @@
      const std::string& aAddress,
      PeerOperation aOperation,
      const Message& aMessage,
+     Duration aTimeout,
      std::function<void(const std::optional<Reply>&)> aDone)
 {
   aClient.Send(
     aAddress,
     MakeRequest(boost::beast::http::verb::post, PathOf(aOperation), PackCompact(aMessage)),
-    kReplyTimeout,
+    aTimeout,
     [done = std::move(aDone)](const ClientResponse& aResponse) {
       Reply reply;
       const bool replied = aResponse.m_result == ClientResult::Completed &&
@@ -62,7 +65,8 @@
                          const LinkOrders& aOrders,
                          LinkOrdersCallback aDone)
 {
-  Send<LinkOrdersReply>(m_client, aAddress, PeerOperation::LinkOrders, aOrders, std::move(aDone));
+  Send<LinkOrdersReply>(
+    m_client, aAddress, PeerOperation::LinkOrders, aOrders, kOrdersTimeout, std::move(aDone));
 }
 
 void
@@ -71,7 +75,7 @@
                           LinkResultsCallback aDone)
 {
   Send<LinkResultsReply>(
-    m_client, aAddress, PeerOperation::LinkResults, aResults, std::move(aDone));
+    m_client, aAddress, PeerOperation::LinkResults, aResults, kResultsTimeout, std::move(aDone));
 }
 
 } // namespace egretturn
--- a/lib/Node/WorkerLinks.cpp
+++ b/lib/Node/WorkerLinks.cpp
@@ -391,9 +391,9 @@
     return { LinkResultsOutcome::Ended };
   }
   Link& link = *it->second;
-  link.m_heardAt = m_port.Now();
   if (link.m_state == LinkState::Opening && aResults.m_confirmed) {
     link.m_state = LinkState::Open;
+    link.m_heardAt = m_port.Now();
     ScheduleFlush(link);
   }
   const LinkResultsReply reply{ m_mayCall() ? LinkResultsOutcome::Confirmed
@@ -402,6 +402,9 @@
     return reply; // repeated, since an earlier reply was lost
   }
   link.m_lastSequence = aResults.m_sequence;
+  if (link.m_state == LinkState::Open) {
+    link.m_heardAt = m_port.Now(); // neither repeated nor unconfirmed results show a working link
+  }
   for (const LinkCallResult& result : aResults.m_calls) {
     const auto call = link.m_pending.find(result.m_call);
     if (call != link.m_pending.end() && call->second.m_onCalled) {
--- a/unittests/Node/LinkedWorld.cpp
+++ b/unittests/Node/LinkedWorld.cpp
@@ -6,8 +6,10 @@
 
 using std::chrono::milliseconds;
 
-static constexpr Duration kReplyTimeout = milliseconds(900);    // as in PeerLinkPort
-static constexpr Duration kMaxLinkSilence = milliseconds(1000); // as in WorkerLinks
+static constexpr Duration kOrdersTimeout = milliseconds(900);     // as in PeerLinkPort
+static constexpr Duration kResultsTimeout = milliseconds(400);    // as in PeerLinkPort
+static constexpr Duration kMaxLinkSilence = milliseconds(1000);   // as in WorkerLinks
+static constexpr Duration kLinkCheckInterval = milliseconds(100); // as in WorkerLinks
 static constexpr Duration kPingInterval = milliseconds(200);
 static constexpr uint64_t kMaxAnnouncementMs = 1000; // until a shard knows of a new leader
 static constexpr double kLeaderWeight = 0.001;       // it can carry a single worker
@@ -91,6 +93,7 @@
       [](const Process& aTo, const LinkOrders& aMessage) {
         return aTo.m_shard ? aTo.m_shard->OnOrders(aMessage) : LinkOrdersReply();
       },
+      kOrdersTimeout,
       std::move(aDone));
   }
 
@@ -105,6 +108,7 @@
         const bool leads = aTo.m_links && !aTo.m_leader->m_stopped;
         return leads ? aTo.m_links->OnResults(aMessage) : LinkResultsReply();
       },
+      kResultsTimeout,
       std::move(aDone));
   }
 
@@ -113,6 +117,7 @@
   void Send(const std::string& aAddress,
             const Message& aMessage,
             Handler aHandler,
+            Duration aTimeout,
             std::function<void(const std::optional<Reply>&)> aDone)
   {
     // Whatever comes first, the reply or the timeout, completes the call.
@@ -125,7 +130,7 @@
         }
       });
     };
-    After(kReplyTimeout, [complete] { complete(std::nullopt); });
+    After(aTimeout, [complete] { complete(std::nullopt); });
     const std::shared_ptr<Process> to = m_world.FindProcess(aAddress);
     if (!to || m_world.IsLost(*m_process, *to)) {
       return;
@@ -215,7 +220,8 @@
 Duration
 LinkedWorld::MaxPollTime() const
 {
-  return SchedulerWorld::MaxPollTime() + kMaxLinkSilence;
+  // The orders wait for the reply to the ones before; then the call, and a link that is given up.
+  return kOrdersTimeout + SchedulerWorld::MaxPollTime() + kMaxLinkSilence + kLinkCheckInterval;
 }
 
 std::shared_ptr<WorkerPort>
--- a/unittests/Node/WorkerLinksTest.cpp
+++ b/unittests/Node/WorkerLinksTest.cpp
@@ -222,6 +222,32 @@
   CHECK(CountPolls(fixture.PlayShards(milliseconds(200))) + before > kWorkers);
 }
 
+// Guards against calls that wait on a link which works in one direction only.
+TEST_CASE("a shard that the leader's replies do not reach is given up")
+{
+  LinksFixture fixture;
+  fixture.AddShards(1);
+  const bool opened = GENERATE(false, true);
+  if (opened) {
+    fixture.Poll(0);
+    fixture.PlayShards(milliseconds(200));
+  }
+  fixture.Poll(1);
+  fixture.m_port.Advance(milliseconds(100));
+  for (FakeLinkPort::SentOrders& sent : fixture.m_port.TakeOrders()) {
+    fixture.m_sessions[sent.m_address] = sent.m_orders.m_session;
+    sent.m_done(LinkOrdersReply{ LinkOrdersOutcome::Taken });
+  }
+  LinkResults repeated = fixture.MakeResults("shard0:1");
+  repeated.m_confirmed = opened;
+  for (int i = 0; i < 30; ++i) {
+    fixture.m_links->OnResults(repeated);
+    fixture.m_port.Advance(milliseconds(50));
+  }
+  REQUIRE(fixture.m_polled.size() == (opened ? 2 : 1));
+  CHECK(fixture.m_polled.back().second == WorkerCallResult::LinkLost);
+}
+
 TEST_CASE("a shard that refuses orders, as after a restart, gets a new session later")
 {
   LinksFixture fixture;
