--- a/unittests/Node/LinkFuzzTest.cpp
+++ b/unittests/Node/LinkFuzzTest.cpp
@@ -16,16 +16,6 @@
 static constexpr size_t kWorkers = 8;
 static constexpr size_t kShards = 4;
 
-static void
-CheckViolations(const SchedulerWorld& aWorld, uint64_t aSeed)
-{
-  INFO("seed " << aSeed);
-  for (const std::string& violation : aWorld.m_oracle.m_violations) {
-    UNSCOPED_INFO(violation);
-  }
-  CHECK(aWorld.m_oracle.m_violations.empty());
-}
-
 TEST_CASE("leaders with link shards keep the scheduler's guarantees under random faults")
 {
   for (uint64_t seed : ListSeeds(kSeeds)) {
--- a/unittests/Scheduler/RandomFaults.cpp
+++ b/unittests/Scheduler/RandomFaults.cpp
@@ -2,6 +2,7 @@
 
 #include "egretturn/Support/Log.h"
 
+#include <catch2/catch.hpp>
 #include <cstdlib>
 #include <numeric>
 
@@ -107,6 +108,16 @@
   aWorld.CheckRestarts();
 }
 
+void
+CheckViolations(const SchedulerWorld& aWorld, uint64_t aSeed)
+{
+  INFO("seed " << aSeed);
+  for (const std::string& violation : aWorld.m_oracle.m_violations) {
+    UNSCOPED_INFO(violation);
+  }
+  CHECK(aWorld.m_oracle.m_violations.empty());
+}
+
 std::vector<uint64_t>
 ListSeeds(uint64_t aCount)
 {
--- a/unittests/Scheduler/RandomFaults.h
+++ b/unittests/Scheduler/RandomFaults.h
@@ -13,6 +13,9 @@
                      const std::function<void()>& aExtraFault = {},
                      const std::function<void()>& aHeal = {});
 
+/// Fails the test with each violation that the oracle of \p aWorld has recorded.
+void CheckViolations(const SchedulerWorld& aWorld, uint64_t aSeed);
+
 /// Returns the seeds to play: as many as \p aCount from 1 on, or as EGRETTURN_FUZZ_SEED and
 /// EGRETTURN_FUZZ_COUNT say. Starts the log if EGRETTURN_FUZZ_LOG is set.
 std::vector<uint64_t> ListSeeds(uint64_t aCount);
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -13,16 +13,6 @@
 
 static constexpr uint64_t kSeeds = 60;
 
-static void
-CheckViolations(const SchedulerWorld& aWorld, uint64_t aSeed)
-{
-  INFO("seed " << aSeed);
-  for (const std::string& violation : aWorld.m_oracle.m_violations) {
-    UNSCOPED_INFO(violation);
-  }
-  CHECK(aWorld.m_oracle.m_violations.empty());
-}
-
 // Guards against a task that runs twice: a superseded leader goes on calling workers that only it
 // can reach while two epochs begin one after the other.
 TEST_CASE("no task runs twice when a short epoch follows an unnoticed one")
