Read the items of an array before allocating the next

Cause: a message of 1 MB that claims a million items, each of which takes some 150 bytes in memory, made the reader allocate all of them before the first was found to be damaged. Test: 'the items of a damaged array are not allocated before they are read', capacity 1,000,000 before, below 10 after.

--- a/include/egretturn/Support/CompactFields.h
+++ b/include/egretturn/Support/CompactFields.h
@@ -126,10 +126,9 @@
     if (!size) {
       return false;
     }
-    aValue.clear();
-    aValue.resize(*size);
-    for (typename T::value_type& item : aValue) {
-      if (!ReadCompact(aReader, item)) {
+    aValue.clear(); // and not resized: an item takes more memory than the bytes that claim it
+    for (size_t i = 0; i < *size; ++i) {
+      if (!ReadCompact(aReader, aValue.emplace_back())) {
         return false;
       }
     }
--- a/unittests/Journal/CompactCodecTest.cpp
+++ b/unittests/Journal/CompactCodecTest.cpp
@@ -173,6 +173,18 @@
   }
 }
 
+// Guards against a message that makes the process run out of memory.
+TEST_CASE("the items of a damaged array are not allocated before they are read")
+{
+  constexpr uint32_t kClaimed = 1000000;
+  std::string bytes("\xdd\x00\x0f\x42\x40", 5); // an array of a million items
+  bytes += std::string(kClaimed, '\xc1');          // a byte that no value begins with
+  MessagePackReader reader(bytes);
+  std::vector<Outer> items;
+  CHECK_FALSE(ReadCompact(reader, items));
+  CHECK(items.capacity() < 10);
+}
+
 TEST_CASE("numbers that do not fit and trailing bytes are refused")
 {
   MessagePackWriter writer;
