--- a/unittests/Journal/CompactCodecTest.cpp
+++ b/unittests/Journal/CompactCodecTest.cpp
@@ -178,7 +178,7 @@
 {
   constexpr uint32_t kClaimed = 1000000;
   std::string bytes("\xdd\x00\x0f\x42\x40", 5); // an array of a million items
-  bytes += std::string(kClaimed, '\xc1');          // a byte that no value begins with
+  bytes += std::string(kClaimed, '\xc1');       // a byte that no value begins with
   MessagePackReader reader(bytes);
   std::vector<Outer> items;
   CHECK_FALSE(ReadCompact(reader, items));
