--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into review/build/.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p build
+g++ -std=c++20 -O1 -o build/stage standin/Main.cpp standin/World.cpp -lboost_json -lpthread
