Show that lasting tasks stay away when a leader dies after a worker

A review case. A worker is lost for good and the leader's process is killed a second later; the tasks that lasted on the worker start again 11.9 s after the process is back, while 23 workers have room. Nothing is fixed.

--- a/review/run-stage.sh
+++ b/review/run-stage.sh
@@ -30,20 +30,33 @@
 done
 [ -e "$folder/started" ] || exit 2
 instances=()
+declare -A pid_of
+start_instance() {
+  EGRETTURN_CONFIG="$folder/$1.toml" "$program" >>"$folder/$1.log" 2>&1 &
+  pid_of[$1]=$!
+  instances+=("$!")
+  pids+=("$!")
+}
 start_instances() {
   instances=()
   for settings in "$folder"/*.toml; do
-    EGRETTURN_CONFIG="$settings" "$program" >>"${settings%.toml}.log" 2>&1 &
-    instances+=("$!")
-    pids+=("$!")
+    start_instance "$(basename "$settings" .toml)"
   done
 }
+restart_instance() {
+  kill -KILL "${pid_of[$1]}"
+  wait "${pid_of[$1]}" 2>/dev/null
+  sleep 0.5 # "restarted after a short delay"
+  start_instance "$1"
+}
 start_instances
 while kill -0 "$stage_pid" 2>/dev/null; do
   if [ -e "$folder/order" ]; then
-    case $(cat "$folder/order") in
+    order=$(cat "$folder/order")
+    case $order in
       kill) for pid in "${instances[@]}"; do kill -KILL "$pid"; wait "$pid" 2>/dev/null; done ;;
       start) start_instances ;;
+      restart*) restart_instance "${order#restart }" ;;
     esac
     rm "$folder/order"
   fi
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <future>
 #include <iostream>
+#include <random>
 #include <thread>
 #include <unordered_map>
 
@@ -49,7 +50,10 @@
     m_trouble = !trouble || std::strcmp(trouble, "0") != 0;
   }
 
-  void AddWorkers(size_t aCount, const std::function<TaskKind(const std::string&)>& aKindOf)
+  /// The first worker is of kind \p aFirstKind, the others of kind "a".
+  void AddWorkers(size_t aCount,
+                  const std::function<TaskKind(const std::string&)>& aKindOf,
+                  const std::string& aFirstKind = "a")
   {
     static const char* zones[] = { "hobart-a", "launceston-a", "kingston-b" };
     for (size_t i = 0; i < aCount; ++i) {
@@ -57,6 +61,7 @@
                                                    "i-" + std::to_string(1000 + i),
                                                    "desk",
                                                    zones[i % 3],
+                                                   i == 0 ? aFirstKind : "a",
                                                    "r1-" + std::to_string(i / 8),
                                                    m_history,
                                                    aKindOf));
@@ -159,6 +164,24 @@
     return answer.m_status == 200 ? answer.m_body : "";
   }
 
+  /// Asks each instance for the queue's pending jobs. Returns the lowest answer, or -1.
+  int64_t LowestPending()
+  {
+    int64_t lowest = -1;
+    for (const Front& front : m_fronts) {
+      const Answer answer = Call(front.m_front, http::verb::get, kHost, kPrefix, "", kRequestMs);
+      m_record.Line("client: GET " + kPrefix + " at " + front.m_name + " -> " +
+                    std::to_string(answer.m_status) + " " + answer.m_body);
+      beast::error_code error;
+      const json::value body = json::parse(answer.m_body, error);
+      if (answer.m_status == 200 && !error && body.is_object()) {
+        const int64_t pending = body.as_object().at("pending").to_number<int64_t>();
+        lowest = lowest < 0 ? pending : std::min(lowest, pending);
+      }
+    }
+    return lowest;
+  }
+
   bool WaitForState(const std::string& aId, const std::string& aState, int64_t aForMs)
   {
     const int64_t until = NowMs() + aForMs;
@@ -188,6 +211,24 @@
     }
   }
 
+  /// Returns the instance that leads by its own metrics, or nothing.
+  std::string Leader()
+  {
+    for (const Front& front : m_fronts) {
+      const Answer answer = Call(front.m_ready, http::verb::get, "x", "/metrics", "", 500);
+      if (answer.m_body.find("egretturn_deciding 1") != std::string::npos) {
+        return front.m_name;
+      }
+    }
+    return "";
+  }
+
+  /// Drops a worker's entry, as the platform does after three ping intervals of silence.
+  void Unlist(const std::string& aWorker)
+  {
+    OnWorld([&] { m_store.Put("keyed.servers", aWorker, ""); });
+  }
+
   bool HasTrouble() const { return m_trouble; }
   Record& GetRecord() { return m_record; }
   History& GetHistory() { return m_history; }
@@ -202,18 +243,29 @@
     return Call(front.m_front, aMethod, kHost, kPrefix + aId, aBody, std::max<int64_t>(aMs, 1));
   }
 
+  /// Returns a free port below those that the system gives to outgoing connections.
   uint16_t FreePort()
   {
-    m_taken.push_back(std::make_unique<tcp::acceptor>(
-      m_io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
-    return m_taken.back()->local_endpoint().port();
+    std::uniform_int_distribution<int> ports(10000, 32000);
+    while (true) {
+      const uint16_t port = static_cast<uint16_t>(ports(m_random));
+      beast::error_code error;
+      std::unique_ptr<tcp::acceptor> acceptor = std::make_unique<tcp::acceptor>(m_io, tcp::v4());
+      acceptor->bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), error);
+      if (!error) {
+        m_taken.push_back(std::move(acceptor));
+        return port;
+      }
+    }
   }
 
   void Beat()
   {
     if (!m_store.IsDown()) {
       for (const std::unique_ptr<Worker>& worker : m_workers) {
-        m_store.Put("keyed.servers", worker->Id(), worker->Entry());
+        if (!worker->IsDead()) {
+          m_store.Put("keyed.servers", worker->Id(), worker->Entry());
+        }
       }
     }
     m_beat.expires_after(std::chrono::milliseconds(kHeartbeatMs));
@@ -243,7 +295,7 @@
          << "link_mbps = 1000.0\ndisk_mb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n"
          << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 4000\nack_ms = 5000\n"
          << "catch_up_s = 4\ndrain_ms = 2500\ngrace_s = 6\nloss_slack_ms = 200\nconfig_ms = 2500\n"
-         << "rollback_slack_ms = 250\nmax_stretch_ms = 6000\nrecover_s = 12\nhold_max_ms = 6000\n"
+         << "rollback_slack_ms = 250\nmax_stretch_ms = 6000\nrecover_s = 12\nhold_max_ms = " << HoldMaxMs() << "\n"
          << "stop_ms = 400\ngang_ms = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\n"
          << "finish_s = 14\nstatus_s = 120\nfar_x = 1.5\nsave_s = 2\nrestore_ms = 250\n"
          << "notice_ms = 5500\nmove_s = 1.5\nupkeep_s = 2\nrequire_fence = false\nlease_ms = 3000\n"
@@ -262,7 +314,8 @@
   asio::steady_timer m_beat;
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::vector<Front> m_fronts;
-  std::vector<std::unique_ptr<tcp::acceptor>> m_taken;
+  std::vector<std::unique_ptr<tcp::acceptor>> m_taken; ///< Keeps the ports until all are chosen.
+  std::random_device m_random;
   std::thread m_thread;
   std::atomic<size_t> m_nextFront = 0;
   bool m_trouble = true;
@@ -469,6 +522,143 @@
                    std::to_string(before) + " of " + std::to_string(kJobs) + " before");
 }
 
+/// A worker is lost for good, and the leader's process is killed a second later: a task that lasted
+/// on that worker stays away.
+static int
+PlayGoneWorker(Stage& aStage)
+{
+  static constexpr int64_t kPings = 3 * kHeartbeatMs;
+  static constexpr int64_t kStableMs = 4000; // `stable_window_ms`: in touch again after the kill
+  static constexpr int64_t kCalmMs = 4000;   // "the 4 s before them are calm"
+  static constexpr int64_t kAwayMs = 3000;   // "for 3 s, a job has nothing running"
+  static constexpr int64_t kRestMs = 6000;   // "from 6 s after its last run"
+  aStage.AddWorkers(24, [](const std::string&) { return TaskKind{ 600000, 0, 0 }; });
+  aStage.Open();
+  if (!aStage.WaitUntilReady()) {
+    return kNotRun;
+  }
+  const std::string body =
+    R"({"spec":"monitoring","steps":[{"count":6,"cpu":3200,"mem_mb":6400,"est_ms":500,"long_running":true}]})";
+  for (int i = 0; i < 4; ++i) {
+    if (!aStage.Submit(JobId(1 + i), body)) {
+      return kNotRun;
+    }
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  int64_t goneAt = 0;
+  int64_t quietAt = 0;
+  std::string gone;
+  size_t lost = 0;
+  aStage.OnWorld([&] {
+    for (const std::unique_ptr<Worker>& worker : aStage.Workers()) {
+      if (gone.empty() && worker->Running() > 0) {
+        gone = worker->Id();
+        lost = worker->Running();
+        worker->Die();
+        goneAt = NowMs();
+      }
+    }
+  });
+  if (gone.empty()) {
+    return kNotRun;
+  }
+  aStage.GetRecord().Line("worker " + gone + " is lost for good, with " + std::to_string(lost) +
+                          " tasks that last");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  quietAt = NowMs();
+  if (aStage.HasTrouble()) {
+    const std::string leader = aStage.Leader();
+    if (leader.empty()) {
+      return kNotRun;
+    }
+    aStage.GetRecord().Line("DISRUPTION: the process of " + leader + ", which leads, is killed");
+    aStage.Order("restart " + leader);
+    quietAt = NowMs();
+    aStage.GetRecord().Line("it has been started again");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(goneAt + kPings - NowMs()));
+  aStage.Unlist(gone);
+  std::this_thread::sleep_for(std::chrono::milliseconds(quietAt + 20000 - NowMs()));
+  const int64_t due = std::max(quietAt + kStableMs + kCalmMs, goneAt + kRestMs) + kAwayMs;
+  int late = 0;
+  aStage.OnWorld([&] {
+    const History& history = aStage.GetHistory();
+    for (const End& end : history.m_ends) {
+      if (end.m_how != "gone") {
+        continue;
+      }
+      int64_t back = -1;
+      for (const Start& start : history.m_starts) {
+        back = back < 0 && start.m_task == end.m_task && start.m_at > end.m_at ? start.m_at : back;
+      }
+      late += back < 0 || back > due ? 1 : 0;
+      aStage.GetRecord().Line("task " + end.m_task + " was away from " + std::to_string(end.m_at) +
+                              " to " + std::to_string(back) + " ms; to be at work again by " +
+                              std::to_string(due) + " ms");
+    }
+    size_t running = 0;
+    for (const std::unique_ptr<Worker>& worker : aStage.Workers()) {
+      running += worker->Running();
+    }
+    aStage.GetRecord().Line("tasks at work at the end: " + std::to_string(running) +
+                            ", workers that can run 5 of them each: 23");
+  });
+  return Verdict(aStage,
+                 late > 0,
+                 "LOST: " + std::to_string(late) + " of " + std::to_string(lost) +
+                   " tasks that last had nothing running for 3 s, calm since " +
+                   std::to_string(kStableMs + kCalmMs) + " ms, over 6 s after their last run");
+}
+
+/// The only worker that may run the jobs of a queue is unhealthy and refuses their starts.
+static int
+PlayPending(Stage& aStage)
+{
+  static constexpr int64_t kShedMs = 6500; // `srv_grey` of the site file: for_s = 6.5
+  static constexpr int64_t kDueMs = 5000;  // `visible_ms` + 2 s
+  static constexpr int kJobs = 10;
+  aStage.AddWorkers(12, [](const std::string&) { return TaskKind{ 1000, 0, 0 }; }, "b");
+  aStage.Open();
+  if (!aStage.WaitUntilReady()) {
+    return kNotRun;
+  }
+  const int64_t from = NowMs();
+  if (aStage.HasTrouble()) {
+    aStage.OnWorld([&] { aStage.Workers()[0]->SetShedding(true); });
+    aStage.GetRecord().Line("DISRUPTION: one worker of 12 answers starts with 503");
+  }
+  for (int i = 0; i < kJobs; ++i) {
+    if (!aStage.Submit(
+          JobId(1 + i),
+          R"({"spec":"one task","steps":[{"count":1,"cpu":1000,"mem_mb":500,"est_ms":1000,"required_label":"b"}]})")) {
+      return kNotRun;
+    }
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(kDueMs + 200));
+  size_t begun = 0;
+  aStage.OnWorld([&] { begun = aStage.GetHistory().m_starts.size(); });
+  const int64_t pending = aStage.LowestPending();
+  aStage.State(JobId(1));
+  aStage.GetRecord().Line("asked " + std::to_string(NowMs() - from) +
+                          " ms after the worker became unhealthy");
+  const int64_t waiting = kJobs - static_cast<int64_t>(begun);
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<int64_t>(0, from + kShedMs - NowMs())));
+  aStage.OnWorld([&] {
+    aStage.Workers()[0]->SetShedding(false);
+    aStage.GetRecord().Line("the worker is healthy; starts that it refused: " +
+                            std::to_string(aStage.GetHistory().m_shed));
+  });
+  const bool done = aStage.WaitForState(JobId(kJobs), "done", 20000);
+  if (pending < 0) {
+    return kNotRun;
+  }
+  return Verdict(aStage,
+                 pending * 2 < waiting,
+                 "MIXED: " + std::to_string(pending) + " jobs given as pending, " +
+                   std::to_string(waiting) + " accepted over 5 s before hadn't begun (the last is " +
+                   (done ? "done" : "not done") + " in the end)");
+}
+
 } // namespace standin
 
 int
@@ -480,12 +670,19 @@
     return kNotRun;
   }
   const std::string scenario = aArguments[1];
+  if (scenario == "gone-worker") {
+    SetHoldMaxMs(10000); // huon-retrofit-grown
+  }
   Stage stage(aArguments[2], aArguments[3]);
   int code = kNotRun;
   if (scenario == "many-ends") {
     code = PlayManyEnds(stage);
   } else if (scenario == "large-record") {
     code = PlayLargeRecord(stage);
+  } else if (scenario == "gone-worker") {
+    code = PlayGoneWorker(stage);
+  } else if (scenario == "pending") {
+    code = PlayPending(stage);
   }
   std::_Exit(code);
 }
--- a/review/standin/World.cpp
+++ b/review/standin/World.cpp
@@ -10,13 +10,25 @@
 // Limits of the pages: PROTOCOL.md and the settings of a small deployment.
 static constexpr size_t kRecordBytes = 262144;
 static constexpr size_t kCallBytes = 2097152;
-static constexpr int64_t kHoldMaxMs = 6000;
+static int64_t s_holdMaxMs = 6000;
 static constexpr int64_t kStopMs = 100;      // a stop takes at most stop_ms, 400
 static constexpr size_t kEndsPerAnswer = 500;
 static constexpr int64_t kAnswerMs = 3;      // append_ms
 static constexpr size_t kItemsPerPage = 500;
 static constexpr int64_t kMaxWaitMs = 2000;  // of a look at a worker
 
+void
+SetHoldMaxMs(int64_t aMs)
+{
+  s_holdMaxMs = aMs;
+}
+
+int64_t
+HoldMaxMs()
+{
+  return s_holdMaxMs;
+}
+
 int64_t
 NowMs()
 {
@@ -161,10 +173,20 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+void
+Server::Close()
+{
+  beast::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
 void
 Server::Accept()
 {
   m_acceptor.async_accept([this](beast::error_code aError, tcp::socket aSocket) {
+    if (!m_acceptor.is_open()) {
+      return;
+    }
     if (!aError) {
       std::make_shared<Session>(std::move(aSocket), m_handler)->Read();
     }
@@ -378,6 +400,7 @@
                std::string aId,
                std::string aService,
                std::string aZone,
+               std::string aKind,
                std::string aRack,
                History& aHistory,
                std::function<TaskKind(const std::string&)> aKindOf)
@@ -385,6 +408,7 @@
   , m_id(std::move(aId))
   , m_service(std::move(aService))
   , m_zone(std::move(aZone))
+  , m_kind(std::move(aKind))
   , m_rack(std::move(aRack))
   , m_history(aHistory)
   , m_kindOf(std::move(aKindOf))
@@ -409,7 +433,7 @@
                             { "state", "ready" },
                             { "cold_left_ms", 0 },
                             { "capacity", json::object{ { "cpu", 16000 }, { "mem_mb", 64000 }, { "gpu", 0 } } },
-                            { "labels", json::array{ "a", m_rack } },
+                            { "labels", json::array{ m_kind, m_rack } },
                             { "clock_ms", ClockMs() },
                             { "born", m_born },
                             { "seq", ++m_seq } };
@@ -429,6 +453,9 @@
 void
 Worker::Handle(const Request& aRequest, const Reply& aReply)
 {
+  if (m_dead) {
+    return;
+  }
   const std::string path(aRequest.target());
   const beast::string_view expected = aRequest["Expect-Instance"];
   if (!expected.empty() && expected != m_id) {
@@ -469,7 +496,7 @@
 void
 Worker::Extend(int64_t aUntilMs)
 {
-  m_until = std::max(m_until, std::min(aUntilMs, ClockMs() + kHoldMaxMs));
+  m_until = std::max(m_until, std::min(aUntilMs, ClockMs() + s_holdMaxMs));
   m_leaseTimer.expires_after(std::chrono::milliseconds(std::max<int64_t>(0, m_until - ClockMs())));
   m_leaseTimer.async_wait([this](beast::error_code aError) {
     if (!aError) {
@@ -493,6 +520,11 @@
 void
 Worker::StartRun(const json::object& aBody, const Reply& aReply)
 {
+  if (m_sheds) {
+    ++m_history.m_shed;
+    aReply(503, "{}");
+    return;
+  }
   const std::string task = Text(aBody, "task");
   const int64_t run = Number(aBody, "run");
   const auto running = m_running.find(task);
@@ -552,6 +584,21 @@
   AnswerHold();
 }
 
+void
+Worker::Die()
+{
+  m_dead = true;
+  m_hold.reset();
+  m_leaseTimer.cancel();
+  for (auto& [task, run] : m_running) {
+    run.m_timer->cancel();
+    m_history.m_ends.push_back({ task, run.m_run, m_id, "gone", NowMs() });
+  }
+  m_running.clear();
+  m_ended.clear();
+  m_server.Close();
+}
+
 std::string
 Worker::CheckpointOf(const Run& aRun) const
 {
--- a/review/standin/World.h
+++ b/review/standin/World.h
@@ -55,6 +55,9 @@
   Server(asio::io_context& aIo, const std::string& aIp, Handler aHandler);
   std::string Address() const;
 
+  /// Refuses new connections from now on.
+  void Close();
+
 private:
   void Accept();
   tcp::acceptor m_acceptor;
@@ -123,6 +126,10 @@
   size_t m_checkpointBytes = 16;
 };
 
+/// The longest lease, `hold_max_ms`.
+void SetHoldMaxMs(int64_t aMs);
+int64_t HoldMaxMs();
+
 /// One start, as a worker has carried it out.
 struct Start
 {
@@ -152,7 +159,7 @@
   std::vector<End> m_ends;
   int64_t m_lapses = 0;   ///< Leases that ended while something ran.
   int64_t m_fenced = 0;   ///< Calls with a lower fence.
-  int64_t m_overCapacity = 0;
+  int64_t m_shed = 0;     ///< Starts that were answered with 503.
 };
 
 /// A worker: runs what it is told to, under a lease.
@@ -163,6 +170,7 @@
          std::string aId,
          std::string aService,
          std::string aZone,
+         std::string aKind,
          std::string aRack,
          History& aHistory,
          std::function<TaskKind(const std::string&)> aKindOf);
@@ -172,6 +180,13 @@
   size_t Unnoted() const { return m_ended.size(); }
   size_t Running() const { return m_running.size(); }
 
+  /// Crashes for good: runs nothing, answers nothing and refuses connections.
+  void Die();
+  bool IsDead() const { return m_dead; }
+
+  /// While it sheds, it answers each start with 503 and does nothing for it.
+  void SetShedding(bool aSheds) { m_sheds = aSheds; }
+
 private:
   struct Run
   {
@@ -207,6 +222,7 @@
   std::string m_id;
   std::string m_service;
   std::string m_zone;
+  std::string m_kind;
   std::string m_rack;
   History& m_history;
   std::function<TaskKind(const std::string&)> m_kindOf;
@@ -216,6 +232,8 @@
   uint64_t m_lastNumber = 0;
   mutable uint64_t m_seq = 0;
   int64_t m_born = 0;
+  bool m_dead = false;
+  bool m_sheds = false;
   std::map<std::string, Run> m_running;
   std::map<std::string, int64_t> m_highestEnded; ///< Highest run stopped or ended, by task.
   std::deque<Listed> m_ended;
