Show that two leaders act while regions are cut off from each other

The old leader goes on, since a peer that is cut off with it pings it, and the new one acts beside it. Nothing is fixed.

--- a/review/run-stage.sh
+++ b/review/run-stage.sh
@@ -49,13 +49,24 @@
   sleep 0.5 # "restarted after a short delay"
   start_instance "$1"
 }
-start_instances
+start_others() {
+  for settings in "$folder"/*.toml; do
+    name=$(basename "$settings" .toml)
+    grep -qx "$name" "$folder/first" || start_instance "$name"
+  done
+}
+if [ -e "$folder/first" ]; then
+  while read -r name; do start_instance "$name"; done <"$folder/first"
+else
+  start_instances
+fi
 while kill -0 "$stage_pid" 2>/dev/null; do
   if [ -e "$folder/order" ]; then
     order=$(cat "$folder/order")
     case $order in
       kill) for pid in "${instances[@]}"; do kill -KILL "$pid"; wait "$pid" 2>/dev/null; done ;;
       start) start_instances ;;
+      start-others) start_others ;;
       restart*) restart_instance "${order#restart }" ;;
     esac
     rm "$folder/order"
--- a/review/standin/World.h
+++ b/review/standin/World.hh
@@ -64,6 +64,22 @@
   Handler m_handler;
 };
 
+/// Forwards connections to one address, until it is cut; then nothing passes, without a reset.
+class Link
+{
+public:
+  Link(asio::io_context& aIo, uint16_t aFrom, uint16_t aTo);
+  void SetCut(bool aCut) { m_cut = aCut; }
+
+private:
+  void Accept();
+  void Pump(std::shared_ptr<tcp::socket> aFrom, std::shared_ptr<tcp::socket> aTo);
+  asio::io_context& m_io;
+  tcp::acceptor m_acceptor;
+  uint16_t m_to;
+  bool m_cut = false;
+};
+
 /// The platform's store: a log with keyed topics of one partition.
 class Store
 {
@@ -71,6 +87,15 @@
   Store(asio::io_context& aIo, Record& aRecord);
   std::string Address() const { return m_server.Address(); }
 
+  /// A second address of the store, for the instances of the other region. While it is cut, calls
+  /// there get no answer.
+  std::string FarAddress() const { return m_farServer.Address(); }
+  void SetFarCut(bool aCut) { m_farCut = aCut; }
+
+  /// Readers at the first address read \p aTo in place of \p aFrom, as behind an address
+  /// translation. Both have the same length.
+  void Translate(std::string aFrom, std::string aTo);
+
   /// Writes a record as the operator or a worker does.
   void Put(const std::string& aTopic, const std::string& aKey, const std::string& aValue);
 
@@ -99,12 +124,13 @@
     std::shared_ptr<asio::steady_timer> m_timer;
   };
 
-  void Handle(const Request& aRequest, Reply aReply);
+  void Handle(const Request& aRequest, Reply aReply, bool aFar);
+  std::string Translated(std::string aText) const;
   void Append(const std::map<std::string, std::string>& aQuery,
               const std::string& aBody,
               Reply aReply);
   void Read(const std::map<std::string, std::string>& aQuery, Reply aReply);
-  void Newest(const std::map<std::string, std::string>& aQuery, const Reply& aReply);
+  void Newest(const std::map<std::string, std::string>& aQuery, const Reply& aReply, bool aFar);
   std::string Tail(const std::string& aTopic, uint64_t aFrom) const;
   void Add(Topic& aTopic, Item aItem);
   void WakeReaders(const std::string& aTopic);
@@ -114,8 +140,11 @@
   std::map<std::string, Topic> m_topics;
   std::vector<std::shared_ptr<Waiter>> m_waiters;
   bool m_down = false;
+  bool m_farCut = false;
+  std::vector<std::pair<std::string, std::string>> m_translations;
   uint64_t m_oversized = 0;
   Server m_server;
+  Server m_farServer;
 };
 
 /// What a task of a job does on a worker.
@@ -157,9 +186,9 @@
 {
   std::vector<Start> m_starts;
   std::vector<End> m_ends;
-  int64_t m_lapses = 0;   ///< Leases that ended while something ran.
-  int64_t m_fenced = 0;   ///< Calls with a lower fence.
-  int64_t m_shed = 0;     ///< Starts that were answered with 503.
+  int64_t m_lapses = 0; ///< Leases that ended while something ran.
+  int64_t m_fenced = 0; ///< Calls with a lower fence.
+  int64_t m_shed = 0;   ///< Starts that were answered with 503.
 };
 
 /// A worker: runs what it is told to, under a lease.
@@ -184,6 +213,16 @@
   void Die();
   bool IsDead() const { return m_dead; }
 
+  /// Cuts the worker off from the senders of calls with a fence in this range: no call of theirs
+  /// arrives, and none is answered.
+  void CutFrom(int64_t aLowestFence, int64_t aHighestFence)
+  {
+    m_cutLowest = aLowestFence;
+    m_cutHighest = aHighestFence;
+  }
+  int64_t Fence() const { return m_fence; }
+  const std::string& Zone() const { return m_zone; }
+
   /// While it sheds, it answers each start with 503 and does nothing for it.
   void SetShedding(bool aSheds) { m_sheds = aSheds; }
 
@@ -234,6 +273,8 @@
   int64_t m_born = 0;
   bool m_dead = false;
   bool m_sheds = false;
+  int64_t m_cutLowest = 0;
+  int64_t m_cutHighest = -1;
   std::map<std::string, Run> m_running;
   std::map<std::string, int64_t> m_highestEnded; ///< Highest run stopped or ended, by task.
   std::deque<Listed> m_ended;
@@ -251,12 +292,11 @@
 };
 
 /// Sends one request on a new connection and waits for the answer. For the client's own thread.
-Answer
-Call(const std::string& aAddress,
-     http::verb aMethod,
-     const std::string& aHost,
-     const std::string& aPath,
-     const std::string& aBody,
-     int64_t aTimeoutMs);
+Answer Call(const std::string& aAddress,
+            http::verb aMethod,
+            const std::string& aHost,
+            const std::string& aPath,
+            const std::string& aBody,
+            int64_t aTimeoutMs);
 
 } // namespace standin
