Take no task for lost while a worker may still have to list its end

Cause: a worker lists 500 ends at a time. While the store is away no end can be acknowledged, so each poll returns the same 500, and a task whose end stands behind them is in neither list. RemoveLostAttempts() took "not listed" for "lost"; recovery took a worker for read after one response, and CheckWorkers() forgot a worker without attempts in the same way.

Ruled out: expired leases (0 in the record) and a second leader (0 calls with a lower fence).

Change: a status says whether it lists all ends. An attempt that a cut list leaves out counts as EndUnlisted, with its capacity, until its end is listed or its lease expires; recovery waits for a worker's whole list and keeps its lease meanwhile; a worker with a cut list gets no new task, which bounds the ends that pile up there and in the leader's memory.

Conclusion: absence counts only in a list that is known to be complete. The random tests now play short lists in each fourth seed, and judge starts after an end that is acknowledged later.

--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -107,7 +107,8 @@
   int64_t m_clockMs = 0;
   int64_t m_incarnation = 0; ///< 0 if the worker reports none.
   std::vector<RunningAttempt> m_running;
-  std::vector<EndedAttempt> m_ended;
+  std::vector<EndedAttempt> m_ended; ///< The first ones that were not acknowledged.
+  bool m_endsComplete = true;        ///< No other end waits to be listed.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -116,6 +117,7 @@
     aVisit("incarnation", aSelf.m_incarnation);
     aVisit("running", aSelf.m_running);
     aVisit("ended", aSelf.m_ended);
+    aVisit("ends_complete", aSelf.m_endsComplete);
   }
 };
 
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -17,6 +17,7 @@
   Unconfirmed, ///< The start call got no response: it may have been executed, or may still be.
   Running,
   Stopping,
+  EndUnlisted, ///< It no longer runs, but the worker has more ends to list than fit a response.
 };
 
 /// One attempt on a worker. Its demand counts against the worker's capacity until the worker
@@ -71,6 +72,13 @@
   uint32_t m_samples = 0;             ///< Tail latencies in that sum, from the last poll.
 };
 
+/// An end whose effects are not in the store yet.
+struct NonDurableEnd
+{
+  uint64_t m_number = 0;
+  TaskRef m_task;
+};
+
 /// The state of one worker. \c m_used and \c m_bestEffortCpu are derived from \c m_attempts.
 struct Worker
 {
@@ -79,6 +87,8 @@
   RecordState m_record = RecordState::Missing; ///< With a record, the next leader polls the worker.
   std::string m_recordedAddress; ///< As in its record: where earlier calls were answered, if any.
   bool m_polled = false;         ///< It has responded to a poll under the current epoch.
+  bool m_readInFull = false;     ///< It has listed all of its ends under the current epoch, too.
+  bool m_endsComplete = true;    ///< Its last response listed all ends that were not acknowledged.
   bool m_statusStale = false;    ///< Its last response may be outdated by a restart.
   int64_t m_incarnation = 0;     ///< By its own responses; 0 before the first one.
   int64_t m_unconfirmedIncarnation = 0; ///< Of a response older than the directory's entry.
@@ -101,10 +111,10 @@
   Instant m_lostContactAt;      ///< When the first of these polls failed.
   uint64_t m_endsProcessed = 0; ///< Highest number of a processed end.
   uint64_t m_endsDurable = 0;   ///< Highest number whose effects are in the store.
-  std::vector<EndedAttempt> m_nonDurableEnds; ///< Processed ends above m_endsDurable.
-  uint64_t m_endsInBatch = 0;                 ///< Highest number covered by the batch in flight.
-  uint64_t m_endsAcknowledged = 0;            ///< Highest number the worker may have discarded.
-  uint64_t m_endsBeingAcknowledged = 0;       ///< Highest number that the poll acknowledges.
+  std::vector<NonDurableEnd> m_nonDurableEnds; ///< Processed ends above m_endsDurable.
+  uint64_t m_endsInBatch = 0;                  ///< Highest number covered by the batch in flight.
+  uint64_t m_endsAcknowledged = 0;             ///< Highest number the worker may have discarded.
+  uint64_t m_endsBeingAcknowledged = 0;        ///< Highest number that the poll acknowledges.
 
   std::vector<BestEffortGroup> m_bestEffortGroups;
   std::vector<ServingGroup> m_servingGroups;
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -14,10 +14,11 @@
   None,
   NotRegistered, ///< The directory has no entry for the worker.
   Draining,
-  NotPolled,   ///< It has not responded to a poll under this epoch yet.
-  Unreachable, ///< Its last polls failed.
-  Unrecorded,  ///< Its record is not in the store yet.
-  Avoided,     ///< For its recent failures.
+  NotPolled,    ///< It has not responded to a poll under this epoch yet.
+  Unreachable,  ///< Its last polls failed.
+  EndsUnlisted, ///< It has more ends to list than fit a response, so new ones would stay unknown.
+  Unrecorded,   ///< Its record is not in the store yet.
+  Avoided,      ///< For its recent failures.
   Slow,
   OtherService,
   LabelMismatch,
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -312,10 +312,10 @@
   /// workers without being known.
   bool IsBlockedByRecovery(const Job& aJob) const;
   /// Returns whether an earlier epoch may have started \p aTask on a worker that has not been
-  /// polled yet.
+  /// read in full yet.
   bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask, Instant aNow);
-  /// Returns whether the worker \p aUnpolled may run tasks that the previous leader did not list.
-  bool MayRunUnknownTasks(const WorkerName& aUnpolled) const;
+  /// Returns whether the worker \p aUnread may run tasks that the previous leader did not list.
+  bool MayRunUnknownTasks(const WorkerName& aUnread) const;
   /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
   void UpdateUnknownTasks(Instant aNow);
 
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -321,7 +321,7 @@
   if (attempt.m_attempt != aReported.m_attempt) {
     return; // an older attempt of the task, whose end will be reported next
   }
-  if (attempt.m_phase == AttemptPhase::Sent || attempt.m_phase == AttemptPhase::Unconfirmed) {
+  if (attempt.m_phase != AttemptPhase::Running && attempt.m_phase != AttemptPhase::Stopping) {
     attempt.m_phase = AttemptPhase::Running;
     attempt.m_phaseSince = aNow;
     attempt.m_progressedAt = aNow;
@@ -405,6 +405,7 @@
   aWorker.m_endsInBatch = 0;
   aWorker.m_endsAcknowledged = 0;
   aWorker.m_endsBeingAcknowledged = 0;
+  aWorker.m_endsComplete = true;
 }
 
 void
@@ -416,16 +417,21 @@
   }
   std::vector<TaskRef> lost;
   std::vector<TaskRef> toStop;
-  for (const std::pair<const TaskRef, AttemptState>& attemptEntry : aWorker.m_attempts) {
+  for (std::pair<const TaskRef, AttemptState>& attemptEntry : aWorker.m_attempts) {
     const TaskRef& task = attemptEntry.first;
-    const AttemptState& attempt = attemptEntry.second;
+    AttemptState& attempt = attemptEntry.second;
     if (reportedTasks.count(task) > 0 || attempt.m_phaseSince >= aWorker.m_pollSentAt) {
       continue;
     }
+    const bool wasThere = attempt.m_phase == AttemptPhase::Running ||
+                          attempt.m_phase == AttemptPhase::EndUnlisted || attempt.m_stopConfirmed;
     if (attempt.m_phase == AttemptPhase::Unconfirmed) {
       toStop.push_back(task); // a stop prevents a late start from being executed
-    } else if (attempt.m_phase == AttemptPhase::Running || attempt.m_stopConfirmed) {
+    } else if (wasThere && aStatus.m_endsComplete) {
       lost.push_back(task);
+    } else if (attempt.m_phase == AttemptPhase::Running) {
+      attempt.m_phase = AttemptPhase::EndUnlisted; // its end may be one that is not listed yet
+      attempt.m_phaseSince = aNow;
     }
   }
   for (const TaskRef& task : toStop) {
@@ -463,6 +469,8 @@
   }
   worker->m_failedPolls = 0;
   worker->m_polled = true;
+  worker->m_endsComplete = aStatus.m_endsComplete;
+  worker->m_readInFull = worker->m_readInFull || aStatus.m_endsComplete;
   worker->m_lastAddress = worker->m_pollAddress;
   RecordAddress(*worker);
   worker->m_statusStale = false;
@@ -474,7 +482,7 @@
     if (reported.m_number > worker->m_endsProcessed) {
       ProcessEndedAttempt(*worker, reported, aNow);
       worker->m_endsProcessed = reported.m_number;
-      worker->m_nonDurableEnds.push_back(reported);
+      worker->m_nonDurableEnds.push_back({ reported.m_number, reported.m_task });
     }
   }
   for (const RunningAttempt& reported : aStatus.m_running) {
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -183,12 +183,11 @@
 Scheduler::SetEndsDurable(Worker& aWorker, uint64_t aNumber)
 {
   aWorker.m_endsDurable = aNumber;
-  std::vector<EndedAttempt>& ends = aWorker.m_nonDurableEnds;
-  ends.erase(
-    std::remove_if(ends.begin(),
-                   ends.end(),
-                   [&](const EndedAttempt& aReported) { return aReported.m_number <= aNumber; }),
-    ends.end());
+  std::vector<NonDurableEnd>& ends = aWorker.m_nonDurableEnds;
+  ends.erase(std::remove_if(ends.begin(),
+                            ends.end(),
+                            [&](const NonDurableEnd& aEnd) { return aEnd.m_number <= aNumber; }),
+             ends.end());
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -13,6 +13,7 @@
   { Obstacle::Draining, "draining" },
   { Obstacle::NotPolled, "not_looked" },
   { Obstacle::Unreachable, "out_of_contact" },
+  { Obstacle::EndsUnlisted, "ends_unlisted" },
   { Obstacle::Unrecorded, "unrecorded" },
   { Obstacle::Avoided, "avoided" },
   { Obstacle::Slow, "slow" },
@@ -74,6 +75,9 @@
   if (aWorker.m_failedPolls > 0) {
     return Obstacle::Unreachable;
   }
+  if (!aWorker.m_endsComplete) {
+    return Obstacle::EndsUnlisted;
+  }
   if (aWorker.m_record != RecordState::Durable) {
     return Obstacle::Unrecorded;
   }
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -57,18 +57,19 @@
   worker->m_leaseExpiresAt = m_fleet.LatestLeaseExpiry(aNow + m_fleet.Limits().m_noticeTime);
 }
 
-/// Returns whether \p aWorker may run tasks that an earlier epoch has started.
+/// Returns whether \p aWorker may run tasks that an earlier epoch has started, or may have ended
+/// them without a report.
 static bool
 MayRunEarlierTasks(const Worker& aWorker, Instant aNow)
 {
-  return !aWorker.m_polled && aNow < aWorker.m_leaseExpiresAt;
+  return !aWorker.m_readInFull && aNow < aWorker.m_leaseExpiresAt;
 }
 
 bool
-Scheduler::MayRunUnknownTasks(const WorkerName& aUnpolled) const
+Scheduler::MayRunUnknownTasks(const WorkerName& aUnread) const
 {
   return !m_previouslyPlaced ||
-         std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), aUnpolled) >
+         std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), aUnread) >
            0;
 }
 
@@ -81,16 +82,16 @@
     for (const std::pair<const TaskRef, AttemptState>& taskEntry : worker->m_attempts) {
       placements.m_tasks.push_back({ name, taskEntry.first });
     }
-    for (const EndedAttempt& reported : worker->m_nonDurableEnds) {
-      placements.m_tasks.push_back({ name, reported.m_task });
+    for (const NonDurableEnd& end : worker->m_nonDurableEnds) {
+      placements.m_tasks.push_back({ name, end.m_task });
     }
-    const bool unpolled = !m_recovered && MayRunEarlierTasks(*worker, aNow);
+    const bool unread = !m_recovered && MayRunEarlierTasks(*worker, aNow);
     // A successor has to learn of ends that are not durable, however long ago the lease expired.
     const bool runsKnownTasks = !worker->m_attempts.empty() && worker->m_nonDurableEnds.empty();
-    if (unpolled || runsKnownTasks) {
+    if (unread || runsKnownTasks) {
       const Duration remaining = std::max(worker->m_leaseExpiresAt - aNow, Duration::zero());
       placements.m_leases.push_back(
-        { name, ToMillis(remaining) + 1, unpolled && MayRunUnknownTasks(name) });
+        { name, ToMillis(remaining) + 1, unread && MayRunUnknownTasks(name) });
     }
   }
   if (m_recovered || !m_previouslyPlaced) {
@@ -123,7 +124,7 @@
     // Of the leader before the previous one as well, which may not have noticed yet.
     expiries[lease.m_worker] = aNow + std::chrono::milliseconds(lease.m_remainingMs);
     const Worker* worker = m_fleet.Find(lease.m_worker);
-    if (worker && !worker->m_polled && lease.m_hasUnknownTasks) {
+    if (worker && !worker->m_readInFull && lease.m_hasUnknownTasks) {
       m_workersWithUnknownTasks.push_back(lease.m_worker);
     }
   }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -179,7 +179,9 @@
     poll.m_acknowledged = aWorker.m_endsDurable;
   }
   aWorker.m_endsBeingAcknowledged = poll.m_acknowledged;
-  if (aWorker.m_failedPolls == 0 && !aWorker.m_attempts.empty()) {
+  // A lease also tells for how long a worker may hold ends that it has not listed yet.
+  const bool needsLease = !aWorker.m_attempts.empty() || !aWorker.m_endsComplete;
+  if (aWorker.m_failedPolls == 0 && needsLease) {
     poll.m_leaseEndMs = m_fleet.LeaseEnd(aWorker, aNow);
     m_fleet.ExtendLease(aWorker, aNow);
   }
@@ -205,7 +207,8 @@
   // Only a response restores contact, so a worker that may receive work again is polled until then.
   const bool outOfContact = aWorker.m_registered && aWorker.m_failedPolls > 0;
   return !aWorker.m_attempts.empty() || !aWorker.m_polled || aWorker.m_statusStale ||
-         outOfContact || aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
+         outOfContact || !aWorker.m_endsComplete ||
+         aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
 }
 
 void
@@ -256,9 +259,10 @@
     if (!worker->m_attempts.empty() && aNow >= worker->m_leaseExpiresAt) {
       MarkAttemptsExpired(*worker, aNow);
     }
-    // A polled worker runs exactly the attempts in m_attempts, so no lease needs to expire first.
-    const bool idle =
-      worker->m_attempts.empty() && (worker->m_polled || aNow >= worker->m_leaseExpiresAt);
+    // A worker that was read in full runs exactly the attempts in m_attempts, and holds no end of
+    // another one, so no lease needs to expire first.
+    const bool allKnown = worker->m_readInFull && worker->m_endsComplete;
+    const bool idle = worker->m_attempts.empty() && (allKnown || aNow >= worker->m_leaseExpiresAt);
     if (idle && !worker->m_registered && worker->m_nonDurableEnds.empty()) {
       removable.push_back(worker->m_report.m_id);
     }
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -454,7 +454,8 @@
 Scheduler::StopAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow)
 {
   const auto it = aWorker.m_attempts.find(aTask);
-  if (it == aWorker.m_attempts.end() || it->second.m_phase == AttemptPhase::Stopping) {
+  if (it == aWorker.m_attempts.end() || it->second.m_phase == AttemptPhase::Stopping ||
+      it->second.m_phase == AttemptPhase::EndUnlisted) {
     return;
   }
   it->second.m_phase = AttemptPhase::Stopping;
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -296,6 +296,22 @@
   CHECK(status->m_ended[0].m_number == 58);
 }
 
+// Guards against tasks that count as lost because their ends did not fit the list.
+TEST_CASE("a list of ends is complete only if it is shorter than the longest one")
+{
+  const auto list = [](size_t aEnds) {
+    std::string rows;
+    for (size_t i = 1; i <= aEnds; ++i) {
+      rows +=
+        (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return R"({"clock_ms":5,"ended":[)" + rows + "]}";
+  };
+  CHECK(DecodeStatus(R"({"clock_ms":5})")->m_endsComplete);
+  CHECK(DecodeStatus(list(499))->m_endsComplete);
+  CHECK_FALSE(DecodeStatus(list(500))->m_endsComplete);
+}
+
 // Guards against leases computed from a clock of 0, and against attempts that count as lost.
 TEST_CASE("a response without a clock or with an invalid list is rejected")
 {
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -53,6 +53,7 @@
   if (m_acknowledgedDone.count(key) > 0 && !step->m_speculative) {
     ReportViolation("started after an acknowledged end: " + key);
   }
+  m_repeatedAttempts[key] = m_doneAttempts[key];
   for (uint32_t dependency : step->m_dependencies) {
     const uint32_t count = job.m_submission.m_graph.m_steps[dependency].m_count;
     for (uint32_t i = 0; i < count; ++i) {
@@ -77,21 +78,33 @@
 }
 
 void
-Oracle::OnEnded(const TaskRef& aTask, const WorkerName& aWorker, AttemptEnd aEnd)
+Oracle::OnEnded(const TaskRef& aTask,
+                AttemptNumber aAttempt,
+                const WorkerName& aWorker,
+                AttemptEnd aEnd)
 {
   m_running[Key(aTask)].erase(aWorker);
   if (aEnd == AttemptEnd::Done) {
     m_done.insert(Key(aTask));
+    m_doneAttempts[Key(aTask)].insert(aAttempt);
   }
 }
 
 void
-Oracle::OnAcknowledged(const TaskRef& aTask, AttemptNumber aAttempt, AttemptEnd aEnd)
+Oracle::OnAcknowledged(const EndedAttempt& aReported, bool aLeaseExpired)
 {
-  if (aEnd == AttemptEnd::Done) {
-    m_acknowledgedDone.insert(Key(aTask));
-  } else if (aEnd == AttemptEnd::Failed) {
-    m_failed[Key(aTask)].insert(aAttempt);
+  const std::string key = Key(aReported.m_task);
+  if (aReported.m_end == AttemptEnd::Failed) {
+    m_failed[key].insert(aReported.m_attempt);
+  }
+  if (aReported.m_end != AttemptEnd::Done) {
+    return;
+  }
+  m_acknowledgedDone.insert(key);
+  const GraphStep* step = StepOf(aReported.m_task);
+  const bool repeated = m_repeatedAttempts[key].count(aReported.m_attempt) > 0;
+  if (step && !step->m_speculative && !aLeaseExpired && repeated) {
+    ReportViolation("started after an end that was acknowledged later: " + key);
   }
 }
 
@@ -218,9 +231,8 @@
   if (aPoll.m_leaseEndMs > 0) {
     m_leaseMs = std::max(m_leaseMs, std::min(aPoll.m_leaseEndMs, ClockMs(aNow) + kMaxLeaseMs));
   }
-  while (!m_ended.empty() && m_ended.front().m_number <= aPoll.m_acknowledged) {
-    m_oracle.OnAcknowledged(
-      m_ended.front().m_task, m_ended.front().m_attempt, m_ended.front().m_end);
+  while (!m_ended.empty() && m_ended.front().m_reported.m_number <= aPoll.m_acknowledged) {
+    m_oracle.OnAcknowledged(m_ended.front().m_reported, m_ended.front().m_leaseExpired);
     m_ended.erase(m_ended.begin());
   }
   aStatus.m_clockMs = ClockMs(aNow);
@@ -230,7 +242,12 @@
     aStatus.m_running.push_back(
       { attempt.first, attempt.second.m_attempt, "", PercentOf(attempt.second, aNow), 0 });
   }
-  aStatus.m_ended = m_ended;
+  for (const PendingEnd& pending : m_ended) {
+    if (aStatus.m_ended.size() < m_maxListedEnds) {
+      aStatus.m_ended.push_back(pending.m_reported);
+    }
+  }
+  aStatus.m_endsComplete = aStatus.m_ended.size() < m_maxListedEnds;
   return WorkerCallResult::Accepted;
 }
 
@@ -240,9 +257,9 @@
   const std::string key = FormatTaskRef(aTask);
   const AttemptNumber attempt = m_attempts.at(key).second.m_attempt;
   m_highestEnded[key] = std::max(m_highestEnded[key], attempt);
-  m_ended.push_back({ ++m_lastEnd, aTask, attempt, aEnd, "" });
+  m_ended.push_back({ { ++m_lastEnd, aTask, attempt, aEnd, "" } });
   m_attempts.erase(key);
-  m_oracle.OnEnded(aTask, m_report.m_id, aEnd);
+  m_oracle.OnEnded(aTask, attempt, m_report.m_id, aEnd);
 }
 
 void
@@ -262,6 +279,9 @@
     const AttemptEnd& end = endEntry.second;
     End(task, end);
   }
+  for (PendingEnd& pending : m_ended) {
+    pending.m_leaseExpired = pending.m_leaseExpired || ClockMs(aNow) >= m_leaseMs;
+  }
 }
 
 void
@@ -270,7 +290,8 @@
   Advance(aNow);
   for (const std::pair<const std::string, std::pair<TaskRef, Attempt>>& attemptEntry : m_attempts) {
     const std::pair<TaskRef, Attempt>& attempt = attemptEntry.second;
-    m_oracle.OnEnded(attempt.first, m_report.m_id, AttemptEnd::LeaseExpired);
+    m_oracle.OnEnded(
+      attempt.first, attempt.second.m_attempt, m_report.m_id, AttemptEnd::LeaseExpired);
   }
   m_attempts.clear();
   m_ended.clear();
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -31,8 +31,12 @@
 
   void ReportViolation(const std::string& aWhat) { m_violations.push_back(aWhat); }
   void OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate);
-  void OnEnded(const TaskRef& aTask, const WorkerName& aWorker, AttemptEnd aEnd);
-  void OnAcknowledged(const TaskRef& aTask, AttemptNumber aAttempt, AttemptEnd aEnd);
+  void OnEnded(const TaskRef& aTask,
+               AttemptNumber aAttempt,
+               const WorkerName& aWorker,
+               AttemptEnd aEnd);
+  /// \p aLeaseExpired tells whether the worker's lease has expired since the end.
+  void OnAcknowledged(const EndedAttempt& aReported, bool aLeaseExpired);
   /// Returns whether the task has ended as done, or, in a gang, any task of its step.
   bool IsDone(const TaskRef& aTask) const;
 
@@ -43,6 +47,9 @@
   std::map<std::string, std::set<WorkerName>> m_running;
   std::set<std::string> m_done;             ///< Ended as done.
   std::set<std::string> m_acknowledgedDone; ///< Done, and the end was acknowledged.
+  std::map<std::string, std::set<AttemptNumber>> m_doneAttempts;
+  /// Of m_doneAttempts, those after which the task was started again.
+  std::map<std::string, std::set<AttemptNumber>> m_repeatedAttempts;
   std::map<std::string, std::set<AttemptNumber>> m_failed;
 };
 
@@ -72,6 +79,7 @@
   Instant m_deregisteredUntil; ///< Until then, the directory has no entry for it.
   bool m_failsAll = false;
   int64_t m_firstClockMs = 1000; ///< What its clock shows when it starts.
+  size_t m_maxListedEnds = 500;  ///< Ends in one response; the first ones if there are more.
 
 private:
   struct Attempt
@@ -84,6 +92,13 @@
     Demand m_demand;
   };
 
+  /// An end that was not acknowledged yet.
+  struct PendingEnd
+  {
+    EndedAttempt m_reported;
+    bool m_leaseExpired = false; ///< The worker's lease has expired since.
+  };
+
   int64_t ClockMs(Instant aNow) const;
   static int PercentOf(const Attempt& aAttempt, Instant aNow);
   void End(const TaskRef& aTask, AttemptEnd aEnd);
@@ -94,7 +109,7 @@
   Oracle& m_oracle;
   Random& m_random;
   std::map<std::string, std::pair<TaskRef, Attempt>> m_attempts;
-  std::vector<EndedAttempt> m_ended;
+  std::vector<PendingEnd> m_ended;
   std::map<std::string, AttemptNumber> m_highestEnded;
   uint64_t m_lastEnd = 0;
   uint64_t m_fence = 0;
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -14,6 +14,8 @@
 static constexpr Duration kSettleTime = seconds(90);
 static constexpr int64_t kMaxClockLagMs = 3000;
 static constexpr uint64_t kMaxDueDelayMs = 4000;
+static constexpr uint64_t kShortListSeeds = 4; // in each fourth seed, workers list few ends
+static constexpr size_t kShortList = 3;
 
 SchedulerWorld::SchedulerWorld(uint64_t aSeed, size_t aWorkers)
   : m_random(aSeed)
@@ -29,6 +31,9 @@
     report.m_capacity = { 8000, 16000, 0 };
     report.m_incarnation = WallMs();
     m_workers.push_back(std::make_unique<FakeWorker>(report, m_oracle, m_random));
+    if (aSeed % kShortListSeeds == 0) {
+      m_workers.back()->m_maxListedEnds = kShortList;
+    }
   }
 }
 
@@ -124,7 +129,7 @@
 {
   std::shared_ptr<Leader> leader = std::make_shared<Leader>();
   leader->m_epoch = ++m_epoch;
-  leader->m_electedAt = m_now;
+  leader->m_recoveryCountsFrom = m_now;
   leader->m_clockLagMs =
     m_random.Below(2) == 0 ? 0 : static_cast<int64_t>(m_random.Below(kMaxClockLagMs));
   SchedulerLimits limits;
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -77,6 +77,8 @@
   std::vector<std::unique_ptr<FakeWorker>> m_workers;
   Instant Now() const { return m_now; }
   std::optional<JobState> StateOf(GraphId aId);
+  /// Returns the number of starts that the current leader has sent. \pre There is a leader.
+  uint64_t CountStarts() const { return m_leaders.back()->m_scheduler->Counters().m_starts; }
 
 protected:
   /// A leader, and its view of the end of the log.
@@ -89,8 +91,8 @@
     size_t m_end = 0;
     bool m_stopped = false;
     bool m_reachesStore = true;
-    Instant m_electedAt;
-    int64_t m_clockLagMs = 0; ///< How far its wall clock is behind.
+    Instant m_recoveryCountsFrom; ///< Until then its recovery had to wait for the store.
+    int64_t m_clockLagMs = 0;     ///< How far its wall clock is behind.
     std::map<RequestToken, std::pair<GraphId, bool>> m_requests; ///< The job; true to cancel it.
     std::map<WorkerName, bool> m_registered;
   };
--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -66,7 +66,8 @@
   for (const std::unique_ptr<Worker>& worker : m_leaders.back()->m_scheduler->Workers().All()) {
     const Obstacle obstacle = FindUnavailability(*worker, m_now);
     const bool pollExpected = obstacle == Obstacle::NotPolled ||
-                              obstacle == Obstacle::Unreachable || !worker->m_attempts.empty();
+                              obstacle == Obstacle::Unreachable ||
+                              obstacle == Obstacle::EndsUnlisted || !worker->m_attempts.empty();
     // A poll that was due is in flight by now, because this runs after a tick of the scheduler.
     const bool dueSoon =
       worker->m_nextPollAt > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
@@ -85,8 +86,19 @@
   if (m_leaders.empty() || m_leaders.back()->m_stopped) {
     return;
   }
-  const Leader& leader = *m_leaders.back();
-  if (!leader.m_scheduler->IsRecovered() && m_now - leader.m_electedAt > kMaxRecoveryTime) {
+  Leader& leader = *m_leaders.back();
+  // Ends that a worker has not listed come only once others are acknowledged, which takes the
+  // store.
+  const std::vector<std::unique_ptr<Worker>>& workers = leader.m_scheduler->Workers().All();
+  const bool waitsForStore =
+    std::any_of(workers.begin(), workers.end(), [](const std::unique_ptr<Worker>& aWorker) {
+      return !aWorker->m_endsComplete && aWorker->m_failedPolls == 0;
+    });
+  if (waitsForStore && m_faults.m_storeDown) {
+    leader.m_recoveryCountsFrom = m_now;
+  }
+  if (!leader.m_scheduler->IsRecovered() &&
+      m_now - leader.m_recoveryCountsFrom > kMaxRecoveryTime) {
     m_oracle.ReportViolation("a recovery takes too long");
   }
 }
