Settle an append by reading it back in full

What callers would see: a change of leader although only the leader has written.

Cause: the read that settles an append without a response took one page for all records after the known end. The store returns at most 1 MB a read, and a batch with its workers' records may be longer, so the leader found too few records and stepped down.

Change: it reads on until it has as many records as it appended, and steps down as soon as one differs.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -92,6 +92,8 @@
   void SendAppend();
   void OnAppend(const AppendResult& aResult);
   void ResolveConflict();
+  /// Reads the next records after the end that was known before the append.
+  void ReadBack();
   void OnConflictRead(const Expected<TopicPage>& aPage);
   void FinishAppend(LogOffset aEnd);
   void RetryAppend();
@@ -112,7 +114,8 @@
   uint64_t m_appendingBatch = 0;        ///< 0 if the append renews the claim.
   std::vector<KeyedRecord> m_queued;    ///< The batch that waits for the append in flight.
   uint64_t m_queuedBatch = 0;
-  bool m_mayHaveAppended = false; ///< An earlier try of m_appending got no response.
+  bool m_mayHaveAppended = false;      ///< An earlier try of m_appending got no response.
+  std::vector<KeyedRecord> m_readBack; ///< Records that were read to settle the append in flight.
   LogOffset m_end = 0;
   Instant m_confirmedAt;
   Instant m_appendStartedAt;
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -151,6 +151,8 @@
 {
   std::string m_key;
   std::string m_value;
+
+  bool operator==(const KeyedRecord&) const = default;
 };
 
 /// Returns the key of a record. Thread-safe.
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -4,6 +4,8 @@
 #include "egretturn/Support/EnumTable.h"
 #include "egretturn/Support/Log.h"
 
+#include <algorithm>
+
 namespace egretturn {
 
 static constexpr Duration kDirectoryPollInterval = std::chrono::milliseconds(400);
@@ -357,10 +359,17 @@
 
 void
 LeaderSession::ResolveConflict()
+{
+  m_readBack.clear();
+  ReadBack();
+}
+
+void
+LeaderSession::ReadBack()
 {
   m_requestSentAt = BootClockNow();
   m_store.ReadTail(Topic::Jobs,
-                   m_end,
+                   m_end + m_readBack.size(),
                    Duration::zero(),
                    [self = shared_from_this()](const Expected<TopicPage>& aPage) {
                      if (!self->m_stopped) {
@@ -382,16 +391,23 @@
     return;
   }
   // The records after m_end are this instance's own append, unless another instance has claimed.
-  const std::vector<KeyedRecord>& found = aPage->m_records;
-  bool own = found.size() >= m_appending.size();
-  for (size_t i = 0; own && i < m_appending.size(); ++i) {
-    own = found[i].m_key == m_appending[i].m_key && found[i].m_value == m_appending[i].m_value;
-  }
-  if (!own || aPage->m_end != m_end + m_appending.size()) {
+  // A read may return only a part of them.
+  m_readBack.insert(m_readBack.end(), aPage->m_records.begin(), aPage->m_records.end());
+  const size_t compared = std::min(m_readBack.size(), m_appending.size());
+  const bool own =
+    aPage->m_end == m_end + m_appending.size() &&
+    std::equal(m_readBack.begin(), m_readBack.begin() + compared, m_appending.begin());
+  if (!own) {
     StepDownNow("another instance has claimed");
     return;
   }
-  FinishAppend(aPage->m_end);
+  if (m_readBack.size() >= m_appending.size()) {
+    FinishAppend(aPage->m_end);
+  } else if (aPage->m_records.empty()) {
+    RetryAppend(); // the response made no progress
+  } else {
+    ReadBack();
+  }
 }
 
 void
@@ -399,6 +415,7 @@
 {
   m_end = aEnd;
   m_appending.clear();
+  m_readBack.clear();
   m_confirmedAt = m_requestSentAt;
   m_authority.OnConfirmed(m_confirmedAt);
   SetStoreAvailable(true);
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -49,6 +49,48 @@
   int m_conflictReads = 0;
 };
 
+/// A store that executes each append but loses the response, and returns one record in each read.
+class PagingStore : public StorePort
+{
+public:
+  void ReadNewest(Topic, std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    aDone(TopicPage());
+  }
+  void ReadTail(Topic aTopic,
+                LogOffset aFrom,
+                Duration,
+                std::function<void(Expected<TopicPage>)> aDone) override
+  {
+    if (aTopic != Topic::Jobs) {
+      return;
+    }
+    TopicPage page;
+    page.m_end = m_records.size();
+    if (aFrom < m_records.size()) {
+      page.m_records.push_back(m_records[aFrom]);
+    }
+    aDone(std::move(page));
+  }
+  void AppendAt(Topic,
+                LogOffset aAt,
+                const std::vector<KeyedRecord>& aRecords,
+                std::function<void(AppendResult)> aDone) override
+  {
+    if (aAt != m_records.size()) {
+      aDone({ AppendResult::Kind::Conflict, m_records.size() });
+      return;
+    }
+    m_records.insert(m_records.end(), aRecords.begin(), aRecords.end());
+    m_mostRecords = std::max(m_mostRecords, aRecords.size());
+    aDone({ AppendResult::Kind::Unknown, 0 });
+  }
+  void Append(Topic, const std::vector<KeyedRecord>&, std::function<void(AppendResult)>) override {}
+
+  std::vector<KeyedRecord> m_records;
+  size_t m_mostRecords = 0; ///< In one append.
+};
+
 /// A store with one worker in the directory. Appends are confirmed only while \c m_available.
 class OneWorkerStore : public StorePort
 {
@@ -209,3 +251,40 @@
   CHECK(steppedDown);
   session->Stop();
 }
+
+// Guards against a leader that gives up although only it has written: its append is longer than
+// what the store returns in one read.
+TEST_CASE("an append without a response is settled also if it is read back in several parts")
+{
+  boost::asio::io_context io;
+  PagingStore store;
+  SilentWorkers workers;
+  size_t accepted = 0;
+  bool steppedDown = false;
+  StoredClaim claim;
+  claim.m_epoch = 1;
+  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    io,
+    store,
+    workers,
+    RejectEntry,
+    SchedulerLimits(),
+    claim,
+    LeaderSession::Callbacks{ [&](RequestToken, SubmitResult aResult) {
+                               accepted += aResult == SubmitResult::Accepted ? 1 : 0;
+                             },
+                              [&](const std::string&) { steppedDown = true; } });
+  session->Start({});
+  for (GraphId id = 1; id <= 5; ++id) {
+    Submission submission;
+    submission.m_id = id;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    submission.m_graph.m_steps.emplace_back();
+    session->Submit(id, std::move(submission));
+  }
+  io.run_for(milliseconds(700));
+  CHECK(store.m_mostRecords >= 5);
+  CHECK(accepted == 5);
+  CHECK_FALSE(steppedDown);
+  session->Stop();
+}
