Count the retention of ended jobs by the time that leaders have led

Cause: the end of a job was stored as the time of day of the instance that led, and compared with that of whichever instance leads later. Also found: it counted from the end, not from when callers are shown it, which is later by the length of an outage of the store.

Change: RetentionClock, a reading that counts led time while the store confirms, is stored with the claim at least each second and carried on by each claimant. Ends count from the reading at which they are durable. Older records without a reading count from when they are read, and a reading that lies ahead counts as now. The time of day is left for due times, the rank of restored jobs, and earlier versions.

Conclusion: no promise rests on clocks of different instances any more; the bounds are an end of 120 s at least and, for each change of leader, the time without one and a second more.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -90,6 +90,8 @@
   void Execute(const Action& aAction);
   void Append(std::vector<KeyedRecord> aRecords, uint64_t aBatch);
   void SendAppend();
+  /// Returns the record of the claim with the present reading of the retention clock.
+  KeyedRecord MakeClaimRecord();
   void OnAppend(const AppendResult& aResult);
   void ResolveConflict();
   /// Reads the next records after the end that was known before the append.
@@ -119,6 +121,7 @@
   LogOffset m_end = 0;
   Instant m_confirmedAt;
   Instant m_appendStartedAt;
+  Instant m_claimWrittenAt;
   Instant m_requestSentAt; ///< The last try of the append, or the read that settles it.
   CallAuthority m_authority;
   bool m_mayCall = true; ///< As of the last check.
--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -59,6 +59,7 @@
   std::vector<bool> m_stepDurationMeasured; ///< Whether that duration was measured, not predicted.
   Duration m_objective{};                   ///< From submission to completion, by m_stepDurationMs.
   int64_t m_endedMs = 0;                    ///< Unix time.
+  int64_t m_endedReadingMs = RetentionClock::kNoReading; ///< See StoredProgress.
   uint32_t m_nextOccurrence = 0;
   uint32_t m_liveAttempts = 0;
   ServingLoad m_servingLoad; ///< Of its serving tasks.
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "egretturn/JobGraph/Graph.h"
+#include "egretturn/Scheduler/RetentionClock.h"
 
 #include <cstdint>
 #include <string>
@@ -112,7 +113,9 @@
 {
   JobState m_state = JobState::Queued;
   std::vector<StoredOccurrence> m_occurrences;
-  int64_t m_endedMs = 0; ///< Unix time at which the job ended.
+  int64_t m_endedMs = 0; ///< Unix time at which the job ended; by it earlier versions forget it.
+  /// Reading of the retention clock by which the end was durable.
+  int64_t m_endedReadingMs = RetentionClock::kNoReading;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -120,6 +123,7 @@
     aVisit("state", aSelf.m_state);
     aVisit("occurrences", aSelf.m_occurrences);
     aVisit("ended_ms", aSelf.m_endedMs);
+    aVisit("ended_reading_ms", aSelf.m_endedReadingMs);
   }
 };
 
@@ -132,6 +136,7 @@
   std::string m_address;      ///< For calls between instances.
   uint64_t m_incarnation = 0; ///< Differs for each start of the instance's process.
   double m_weight = 0;        ///< The instance's share of a processor.
+  int64_t m_readingMs = 0;    ///< Of the retention clock, when the record was written.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -141,6 +146,7 @@
     aVisit("address", aSelf.m_address);
     aVisit("incarnation", aSelf.m_incarnation);
     aVisit("weight", aSelf.m_weight);
+    aVisit("reading_ms", aSelf.m_readingMs);
   }
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -85,6 +85,9 @@
   /// Adds a worker on which an earlier epoch may have started tasks.
   void RestoreWorker(const WorkerReport& aReport, Instant aNow);
 
+  /// Goes on from the last stored reading of the retention clock. Call before RestoreProgress().
+  void RestoreRetentionClock(int64_t aReadingMs) { m_retentionClock.Restore(aReadingMs); }
+
   /// Restores the models that an earlier epoch has learned. Call before RestoreJob().
   void RestoreModels(const StoredModels& aStored);
 
@@ -174,6 +177,9 @@
   size_t JobCount() { return m_jobs.All().size(); }
   bool IsRecovered() const { return m_recovered; }
 
+  /// Returns the reading of the retention clock, which the store should learn each second.
+  int64_t RetentionClockMs() const { return m_retentionClock.NowMs(); }
+
 private:
   /// Delay before the next poll, so that one poll reports several ends.
   static constexpr Duration kPollDelay = std::chrono::milliseconds(20);
@@ -335,7 +341,7 @@
   void RetryStops(Instant aNow);
   void CheckWorkers(Instant aNow);
   void OpenOccurrences(int64_t aWallMs);
-  void RemoveEndedJobs(int64_t aWallMs);
+  void RemoveEndedJobs();
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
 
   SchedulerLimits m_limits;
@@ -369,6 +375,7 @@
   Instant m_createdAt;
   Instant m_nextRecoveryReportAt;
   int64_t m_wallMs = 0;
+  RetentionClock m_retentionClock;
   bool m_placementNeeded = false;
   std::unordered_map<std::string, double> m_reservedShares; ///< By service, for one pass.
   std::vector<Worker*> m_availableWorkers;                  ///< For one pass.
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -15,6 +15,8 @@
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
 static constexpr Duration kBatchingDelayPerWorker = std::chrono::microseconds(3);
 static constexpr Duration kConfirmInterval = std::chrono::milliseconds(400);
+static constexpr Duration kReadingInterval =
+  std::chrono::milliseconds(1000); // between readings of the retention clock in the store
 static constexpr Duration kSuspendedInterval =
   std::chrono::milliseconds(50); // between checks whether workers may be called again
 
@@ -45,6 +47,7 @@
   m_end = aState.m_end;
   m_confirmedAt = aState.m_confirmedAt;
   m_authority.OnConfirmed(m_confirmedAt);
+  m_scheduler.RestoreRetentionClock(m_claim.m_readingMs);
   m_scheduler.RestoreModels(aState.m_models);
   for (StoredJob& job : aState.m_jobs) {
     m_scheduler.RestoreJob(std::move(job), now, wallMs);
@@ -141,10 +144,18 @@
 LeaderSession::RenewClaim()
 {
   if (m_appending.empty()) {
-    Append({ { std::string(kClaimKey), PackCompact(m_claim) } }, 0);
+    Append({ MakeClaimRecord() }, 0);
   }
 }
 
+KeyedRecord
+LeaderSession::MakeClaimRecord()
+{
+  m_claim.m_readingMs = m_scheduler.RetentionClockMs();
+  m_claimWrittenAt = BootClockNow();
+  return { std::string(kClaimKey), PackCompact(m_claim) };
+}
+
 void
 LeaderSession::Wake()
 {
@@ -304,6 +315,9 @@
   m_appendingBatch = aBatch;
   m_mayHaveAppended = false;
   m_appendStartedAt = BootClockNow();
+  if (m_appendStartedAt - m_claimWrittenAt >= kReadingInterval) {
+    m_appending.push_back(MakeClaimRecord());
+  }
   SendAppend();
 }
 
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -49,8 +49,8 @@
       continue;
     }
     StoredClaim claim;
-    if (UnpackCompact(record.m_value, claim) && claim.m_epoch > m_newest.m_epoch) {
-      m_newest = claim;
+    if (UnpackCompact(record.m_value, claim) && claim.m_epoch >= m_newest.m_epoch) {
+      m_newest = claim; // a leader writes its claim again and again
     }
   }
 }
@@ -95,6 +95,7 @@
     return;
   }
   m_identity.m_epoch = m_newest.m_epoch + 1;
+  m_identity.m_readingMs = m_newest.m_readingMs;
   m_requestSentAt = BootClockNow();
   m_store.AppendAt(Topic::Jobs,
                    m_end,
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -17,6 +17,9 @@
 Scheduler::AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes)
 {
   const GraphId id = aJob.m_stored.m_id;
+  if (IsEnded(aJob.m_state) && !IsEnded(aJob.m_durableState)) {
+    aJob.m_endedReadingMs = m_retentionClock.DurableByMs();
+  }
   KeyedRecord progress{ ProgressKey(id), PackCompact(DescribeProgress(aJob)) };
   KeyedRecord job;
   if (!aJob.m_recordWritten) {
@@ -137,6 +140,7 @@
   }
   m_batchInFlight = false;
   m_confirmedAt = aNow;
+  m_retentionClock.Advance(aNow, m_storeAvailable);
   m_placementNeeded = std::exchange(m_confirmationRequested, false) || m_placementNeeded;
   m_nextBatchAt = aNow + kUrgentBatchInterval;
   for (const BatchedJob& batched : m_batchJobs) {
@@ -156,6 +160,9 @@
             .Add("core_seconds", job->TotalWork())
             .Add("epoch", m_epoch));
     }
+    if (IsEnded(batched.m_state) && !IsEnded(job->m_durableState)) {
+      job->m_endedReadingMs = m_retentionClock.NowMs(); // callers are shown the end from now on
+    }
     job->m_durableState = batched.m_state;
     for (RequestToken request : std::exchange(job->m_submitRequests, {})) {
       Emit(CompleteRequest{ request, SubmitResult::Accepted });
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -221,6 +221,7 @@
   StoredProgress progress;
   progress.m_state = aJob.m_state;
   progress.m_endedMs = aJob.m_endedMs;
+  progress.m_endedReadingMs = aJob.m_endedReadingMs;
   if (IsEnded(aJob.m_state)) {
     return progress;
   }
@@ -265,6 +266,7 @@
   aJob.m_state = aProgress.m_state;
   aJob.m_durableState = aProgress.m_state;
   aJob.m_endedMs = aProgress.m_endedMs;
+  aJob.m_endedReadingMs = aProgress.m_endedReadingMs;
   for (const StoredOccurrence& stored : aProgress.m_occurrences) {
     ApplyOccurrence(aJob, stored);
   }
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -37,6 +37,10 @@
     return;
   }
   ApplyProgress(*job, aProgress);
+  // The job has not ended later than now, whatever the record says. Earlier versions say nothing.
+  const int64_t nowMs = m_retentionClock.NowMs();
+  const bool known = job->m_endedReadingMs != RetentionClock::kNoReading;
+  job->m_endedReadingMs = known ? std::min(job->m_endedReadingMs, nowMs) : nowMs;
 }
 
 void
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -26,6 +26,7 @@
   , m_nextBatchAt(aNow)
   , m_createdAt(aNow)
   , m_nextRecoveryReportAt(aNow + kRecoveryReportInterval)
+  , m_retentionClock(aNow)
   , m_nextPlacementAt(aNow)
   , m_nextSweepAt(aNow)
   , m_modelsWrittenAt(aNow)
@@ -301,16 +302,20 @@
 }
 
 void
-Scheduler::RemoveEndedJobs(int64_t aWallMs)
+Scheduler::RemoveEndedJobs()
 {
   const int64_t keepMs = ToMillis(m_limits.m_endedJobRetention);
+  const int64_t nowMs = m_retentionClock.NowMs();
   for (auto it = m_jobs.All().begin(); it != m_jobs.All().end();) {
     const Job& job = *it->second;
-    const bool old = IsEnded(job.m_durableState) && job.m_endedMs + keepMs < aWallMs;
+    const bool old = IsEnded(job.m_durableState) && job.m_endedReadingMs + keepMs < nowMs;
     if (!old) {
       ++it;
       continue;
     }
+    Log(LogLine(LogLevel::Info, "job_removed")
+          .Add("job", FormatGraphId(it->first))
+          .Add("kept_ms", nowMs - job.m_endedReadingMs));
     m_keysToDelete.push_back(JobKey(it->first));
     m_keysToDelete.push_back(ProgressKey(it->first));
     it = m_jobs.All().erase(it);
@@ -321,13 +326,14 @@
 Scheduler::Tick(Instant aNow, int64_t aWallMs)
 {
   m_wallMs = aWallMs;
+  m_retentionClock.Advance(aNow, m_storeAvailable);
   OpenOccurrences(aWallMs);
   if (aNow >= m_nextSweepAt) {
     m_nextSweepAt = aNow + kSweepInterval;
     RetryStops(aNow);
     CheckWorkers(aNow);
     CheckRecovery(aNow);
-    RemoveEndedJobs(aWallMs);
+    RemoveEndedJobs();
   }
   PlaceWaitingSteps(aNow);
   PollDueWorkers(aNow);
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -1,6 +1,7 @@
 // Tests how a leader resolves appends whose responses are lost.
 #include "NodeFakes.h"
 
+#include "egretturn/Journal/Codec.h"
 #include "egretturn/Node/LeaderSession.h"
 
 #include <catch2/catch.hpp>
@@ -112,6 +113,7 @@
                 std::function<void(AppendResult)> aDone) override
   {
     if (m_available) {
+      m_written.insert(m_written.end(), aRecords.begin(), aRecords.end());
       aDone({ AppendResult::Kind::Appended, aAt + aRecords.size() });
     } else {
       aDone({ AppendResult::Kind::NotAppended, aAt });
@@ -119,6 +121,7 @@
   }
   void Append(Topic, const std::vector<KeyedRecord>&, std::function<void(AppendResult)>) override {}
 
+  std::vector<KeyedRecord> m_written;
   bool m_available = true;
 };
 
@@ -288,3 +291,30 @@
   CHECK_FALSE(steppedDown);
   session->Stop();
 }
+
+// Guards against a retention clock that stands still over changes of leader: a busy leader never
+// renews its claim, since each batch confirms it.
+TEST_CASE("a leader that writes batches all the time stores its retention clock each second")
+{
+  boost::asio::io_context io;
+  OneWorkerStore store;
+  SilentWorkers workers;
+  const std::shared_ptr<LeaderSession> session = StartSession(io, store, workers);
+  for (GraphId id = 1; id <= 25; ++id) {
+    Submission submission;
+    submission.m_id = id;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    submission.m_graph.m_steps.emplace_back();
+    session->Submit(id, std::move(submission));
+    io.run_for(milliseconds(100));
+  }
+  StoredClaim last;
+  for (const KeyedRecord& record : store.m_written) {
+    if (record.m_key == kClaimKey) {
+      REQUIRE(UnpackCompact(record.m_value, last));
+    }
+  }
+  CHECK(last.m_readingMs >= 1000);
+  CHECK(last.m_readingMs <= 2600);
+  session->Stop();
+}
--- a/unittests/Node/LeadershipClaimerTest.cpp
+++ b/unittests/Node/LeadershipClaimerTest.cpp
@@ -1,6 +1,7 @@
 // Tests when a claim is written.
 #include "NodeFakes.h"
 
+#include "egretturn/Journal/Codec.h"
 #include "egretturn/Node/LeadershipClaimer.h"
 
 #include <catch2/catch.hpp>
@@ -10,13 +11,13 @@
 
 namespace {
 
-/// A store without records, which answers the first read when the test says so.
+/// A store that answers the first read when the test says so.
 class SlowStore : public StorePort
 {
 public:
   void ReadNewest(Topic, std::function<void(Expected<TopicPage>)> aDone) override
   {
-    m_read = [aDone] { aDone(TopicPage()); };
+    m_read = [this, aDone] { aDone(TopicPage{ m_records, 0 }); };
   }
 
   void ReadTail(Topic, LogOffset, Duration, std::function<void(Expected<TopicPage>)> aDone) override
@@ -35,6 +36,7 @@
 
   void Append(Topic, const std::vector<KeyedRecord>&, std::function<void(AppendResult)>) override {}
 
+  std::vector<KeyedRecord> m_records;
   std::function<void()> m_read;
   int m_appends = 0;
 };
@@ -84,3 +86,18 @@
   CHECK_FALSE(fixture.m_outcome->m_own);
   CHECK(fixture.m_store.m_appends == 0);
 }
+
+// Guards against ended jobs that are kept for a whole retention more under each leader.
+TEST_CASE("a claim carries the retention clock of the leader before on")
+{
+  ClaimFixture fixture;
+  StoredClaim previous = ClaimOf(0, "10.0.0.2:1");
+  previous.m_readingMs = 5000;
+  const KeyedRecord first{ std::string(kClaimKey), PackCompact(previous) };
+  previous.m_readingMs = 6000; // written again by the same leader
+  fixture.m_store.m_records = { first, { first.m_key, PackCompact(previous) } };
+  fixture.m_store.m_read();
+  REQUIRE(fixture.m_outcome);
+  REQUIRE(fixture.m_outcome->m_own);
+  CHECK(fixture.m_outcome->m_own->m_readingMs == 6000);
+}
