--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -235,20 +235,28 @@
     m_oracle.OnAcknowledged(m_ended.front().m_reported, m_ended.front().m_leaseExpired);
     m_ended.erase(m_ended.begin());
   }
-  aStatus.m_clockMs = ClockMs(aNow);
-  aStatus.m_incarnation = m_report.m_incarnation;
+  aStatus = Describe(aNow);
+  return WorkerCallResult::Accepted;
+}
+
+WorkerStatus
+FakeWorker::Describe(Instant aNow) const
+{
+  WorkerStatus status;
+  status.m_clockMs = ClockMs(aNow);
+  status.m_incarnation = m_report.m_incarnation;
   for (const std::pair<const std::string, std::pair<TaskRef, Attempt>>& attemptEntry : m_attempts) {
     const std::pair<TaskRef, Attempt>& attempt = attemptEntry.second;
-    aStatus.m_running.push_back(
+    status.m_running.push_back(
       { attempt.first, attempt.second.m_attempt, "", PercentOf(attempt.second, aNow), 0 });
   }
   for (const PendingEnd& pending : m_ended) {
-    if (aStatus.m_ended.size() < m_maxListedEnds) {
-      aStatus.m_ended.push_back(pending.m_reported);
+    if (status.m_ended.size() < m_maxListedEnds) {
+      status.m_ended.push_back(pending.m_reported);
     }
   }
-  aStatus.m_endsComplete = aStatus.m_ended.size() < m_maxListedEnds;
-  return WorkerCallResult::Accepted;
+  status.m_endsComplete = status.m_ended.size() < m_maxListedEnds;
+  return status;
 }
 
 void
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -66,6 +66,12 @@
                         Instant aNow,
                         WorkerStatus& aStatus);
 
+  /// Returns what a poll that has waited until \p aNow lists.
+  WorkerStatus Describe(Instant aNow) const;
+
+  /// Returns what its clock shows.
+  int64_t ClockMs(Instant aNow) const;
+
   /// Advances time: tasks end, leases expire.
   void Advance(Instant aNow);
 
@@ -99,7 +105,6 @@
     bool m_leaseExpired = false; ///< The worker's lease has expired since.
   };
 
-  int64_t ClockMs(Instant aNow) const;
   static int PercentOf(const Attempt& aAttempt, Instant aNow);
   void End(const TaskRef& aTask, AttemptEnd aEnd);
   bool Fence(uint64_t aFence);
