Let a leader go on without the store only while all of its witnesses follow it

Cause: on one side of a cut, any one peer's ping let a leader without the store call workers for any time, while a successor on the other side counted leases as expired a fixed time after its claim. The successor held the runs that it reached; the old leader, which did not, started them again.

Change: a leader names witnesses with its claim, one peer in each zone and three at least, and needs responses of all of them, sent for less than 1 s before, while the store does not confirm it. A successor that is no witness asks them to follow it and counts leases from when one does. Claims name earlier leaders that have not certainly stopped. An instance that follows a newer leader tells the one that asks.

Also: the soak reserves its ports as the other process tests do; beside it the test of the daemons had found port 18000 in use.

Conclusion: a leader's end is now known by those whose consent it needs, not by a time after the claim.

--- a/include/egretturn/Node/CallAuthority.h
+++ b/include/egretturn/Node/CallAuthority.h
@@ -4,10 +4,15 @@
 
 #include "egretturn/Support/Time.h"
 
+#include <map>
+#include <string>
+#include <vector>
+
 namespace egretturn {
 
 /// One leader's evidence that it has not been superseded: the store's confirmation of its claim or,
-/// while the store is unavailable, the pings of its peers, which ping the leader that they know.
+/// while the store is unavailable, that all of its witnesses follow it. A successor is a witness
+/// itself, or has a witness tell it that it follows, before it counts on the end of these calls.
 /// Not thread-safe.
 class CallAuthority
 {
@@ -15,22 +20,25 @@
   /// Records that a request which was sent at \p aSentAt has confirmed the claim.
   void OnConfirmed(Instant aSentAt);
 
-  /// Records a ping of a peer.
-  void OnPing(Instant aNow);
+  /// Records that a peer has followed this leader at some time since \p aSince.
+  void OnFollowed(const std::string& aPeer, Instant aSince);
 
-  /// Detects that the process was suspended since the last call. Call at least every 100 ms.
-  void OnRun(Instant aNow);
+  /// Sets the peers that have to follow this leader. Without any it needs the store.
+  void SetWitnesses(std::vector<std::string> aWitnesses);
 
-  /// Whether the leader may call workers now. After the claim of a successor that all of its peers
-  /// have learned of, this is false within LeaseLimits::m_noticeTime. Not bounded are peers that
-  /// can reach neither the store nor the successor and go on pinging this leader.
+  /// Whether the leader may call workers now. Once the store has confirmed a later claim and a
+  /// witness follows that one, or has made it, this is false within LeaseLimits::m_noticeTime.
   bool MayCall(Instant aNow) const;
 
+  /// Returns the witnesses that are not known to follow this leader any more.
+  std::vector<std::string> ListSilentWitnesses(Instant aNow) const;
+
 private:
+  bool IsFollowing(const std::string& aWitness, Instant aNow) const;
+
   Instant m_confirmedAt;
-  Instant m_pingedAt;
-  Instant m_lastRunAt;
-  Instant m_pingsCountFrom; ///< Earlier pings may have been sent before a suspension.
+  std::vector<std::string> m_witnesses;
+  std::map<std::string, Instant> m_followedAt; ///< By peer.
 };
 
 } // namespace egretturn
--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -18,6 +18,7 @@
   StoredModels m_models;
   LogOffset m_end = 0;   ///< End of the topic of jobs, after the claim.
   Instant m_confirmedAt; ///< When the request was sent whose response has confirmed the claim.
+  bool m_earlierLeadersActive = false; ///< An earlier leader has not certainly stopped.
 };
 
 /// The leadership of one instance for one epoch. Pending calls keep it alive.
@@ -58,11 +59,22 @@
   /// When the store last confirmed that no other instance has claimed the leadership.
   Instant ConfirmedAt() const { return m_confirmedAt; }
 
-  /// Records that a peer has pinged this leader.
-  void OnPing();
+  /// Records that a peer has followed this leader at some time since \p aSince.
+  void OnFollowed(const std::string& aPeer, Instant aSince);
+
+  /// Handles that all earlier leaders have stopped, or do so within LeaseLimits::m_noticeTime.
+  void OnEarlierLeadersStopping();
+
+  /// Sets the peers that have to follow this leader while the store does not confirm its claim.
+  /// They are written with the claim, so that a successor can tell that one of them no longer does.
+  void SetWitnesses(std::vector<Witness> aWitnesses);
+  const std::vector<Witness>& Witnesses() const { return m_witnesses; }
+
+  /// The leaders that may have been calling workers when this session began.
+  const std::vector<EarlierLeader>& EarlierLeaders() const { return m_earlierLeaders; }
 
   /// Whether there is evidence that this instance still leads, so that workers may be called.
-  bool MayCall();
+  bool MayCall() const;
 
   /// Whether the store has recently responded to appends.
   bool IsStoreAvailable() const { return m_storeAvailable; }
@@ -90,8 +102,11 @@
   void Execute(const Action& aAction);
   void Append(std::vector<KeyedRecord> aRecords, uint64_t aBatch);
   void SendAppend();
-  /// Returns the record of the claim with the present reading of the retention clock.
+  /// Returns the record of the claim, with the present witnesses and reading of the retention
+  /// clock.
   KeyedRecord MakeClaimRecord();
+  /// Has the authority ask for the witnesses of both records that a successor may have read.
+  void UpdateAuthority();
   void OnAppend(const AppendResult& aResult);
   void ResolveConflict();
   /// Reads the next records after the end that was known before the append.
@@ -124,6 +139,10 @@
   Instant m_claimWrittenAt;
   Instant m_requestSentAt; ///< The last try of the append, or the read that settles it.
   CallAuthority m_authority;
+  std::vector<Witness> m_witnesses;         ///< For the next record of the claim.
+  std::vector<Witness> m_storedWitnesses;   ///< Of the last record that is in the store.
+  std::vector<Witness> m_appendedWitnesses; ///< Of the record that was sent last.
+  std::vector<EarlierLeader> m_earlierLeaders;
   bool m_mayCall = true; ///< As of the last check.
   bool m_storeAvailable = true;
   bool m_stopped = false;
--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -74,6 +74,20 @@
   /// response take a list with unknown tasks as none.
   static PlacedTasksResponse MakePlacedTasksResponse(uint64_t aEpoch, Placements aPlacements);
   void RequestPlacedTasks(const StoredClaim& aPrevious);
+  PeerResponse ServeFollow(const std::string& aBody);
+  /// Returns the peers that this leader needs while the store is unavailable. \pre There is a
+  /// session.
+  std::vector<Witness> ChooseWitnesses() const;
+  /// Asks those peers to follow this leader whose responses it needs now.
+  void ContactFollowers();
+  void AskToFollow(const Witness& aPeer);
+  void OnFollowResponse(const std::string& aInstance,
+                        Instant aSentAt,
+                        const PeerResponse& aResponse);
+  /// Records that \p aInstance follows this leader.
+  void OnFollower(const std::string& aInstance);
+  /// Returns whether each of \p aLeaders has a contact that follows this leader.
+  bool AreEarlierLeadersStopping(const std::vector<EarlierLeader>& aLeaders) const;
   void ServeState(GraphId aId, const PeerCallback& aDone);
   void StartCall(PeerOperation aOperation,
                  std::string aBody,
@@ -151,8 +165,11 @@
   PlacedTasksResponse m_lastPlaced;           ///< For the last epoch that this instance led.
   std::unordered_map<RequestToken, PeerCallback> m_requests;
   std::unordered_map<std::string, Peer> m_peers; ///< Peers that have pinged this leader, by id.
-  std::string m_handoverPeer;              ///< Peer that was asked to take the leadership, if any.
-  FailedHandover m_failedHandover;         ///< The most recent one.
+  std::string m_handoverPeer;        ///< Peer that was asked to take the leadership, if any.
+  FailedHandover m_failedHandover;   ///< The most recent one.
+  std::set<std::string> m_followers; ///< Instances that have followed this leader.
+  std::map<std::string, Instant> m_nextContactAt; ///< When they are asked next at the earliest.
+  bool m_earlierLeadersStopping = false;   ///< No earlier leader can be calling workers for long.
   std::set<std::shared_ptr<Call>> m_calls; ///< Calls without a result yet.
   RequestToken m_nextRequest = 1;
   Instant m_startedAt;
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -19,6 +19,7 @@
   Placed,      ///< A new leader asks the previous one which tasks may be running on which workers.
   LinkOrders,  ///< The leader asks the receiver to call workers. See LinkProtocol.h.
   LinkResults, ///< The results of such calls.
+  Follow,      ///< A leader asks the receiver to follow it, since the store may not name it.
 };
 
 /// Returns the HTTP path of \p aOperation on the peer address.
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -127,16 +127,49 @@
   }
 };
 
+/// An instance that has to follow a leader while the store does not confirm the leader's claim.
+struct Witness
+{
+  std::string m_instance;
+  std::string m_address; ///< For calls between instances.
+
+  bool operator==(const Witness&) const = default;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("instance", aSelf.m_instance);
+    aVisit("address", aSelf.m_address);
+  }
+};
+
+/// A leader of an earlier epoch that may still call workers. For that all of its witnesses have to
+/// follow it, so it stops soon after one of them, or it itself, follows a later leader.
+struct EarlierLeader
+{
+  std::string m_instance;
+  std::vector<Witness> m_contacts; ///< Its witnesses and itself.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("instance", aSelf.m_instance);
+    aVisit("contacts", aSelf.m_contacts);
+  }
+};
+
 /// The claim of the leader. The epoch rises with each claim and is the fencing token of its worker
 /// calls.
 struct StoredClaim
 {
   uint64_t m_epoch = 0;
   std::string m_instance;
-  std::string m_address;      ///< For calls between instances.
-  uint64_t m_incarnation = 0; ///< Differs for each start of the instance's process.
-  double m_weight = 0;        ///< The instance's share of a processor.
-  int64_t m_readingMs = 0;    ///< Of the retention clock, when the record was written.
+  std::string m_address;              ///< For calls between instances.
+  uint64_t m_incarnation = 0;         ///< Differs for each start of the instance's process.
+  double m_weight = 0;                ///< The instance's share of a processor.
+  int64_t m_readingMs = 0;            ///< Of the retention clock, when the record was written.
+  std::vector<Witness> m_witnesses{}; ///< None: it calls no workers without the store.
+  std::vector<EarlierLeader> m_earlierLeaders{}; ///< Those that have not certainly stopped.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -147,6 +180,8 @@
     aVisit("incarnation", aSelf.m_incarnation);
     aVisit("weight", aSelf.m_weight);
     aVisit("reading_ms", aSelf.m_readingMs);
+    aVisit("witnesses", aSelf.m_witnesses);
+    aVisit("earlier_leaders", aSelf.m_earlierLeaders);
   }
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -82,6 +82,11 @@
   /// Applies the progress of a job that RestoreJob() has added.
   void RestoreProgress(GraphId aId, const StoredProgress& aProgress);
 
+  /// Says that leaders of earlier epochs may go on calling workers until
+  /// OnEarlierLeadersStopping(). Call before RestoreWorker(). Otherwise they stop within
+  /// LeaseLimits::m_noticeTime.
+  void ExpectEarlierLeaders() { m_earlierLeadersActive = true; }
+
   /// Adds a worker on which an earlier epoch may have started tasks.
   void RestoreWorker(const WorkerReport& aReport, Instant aNow);
 
@@ -99,6 +104,10 @@
   /// task that is not listed can start once no worker is left that may run unknown tasks.
   void RestorePlacements(const Placements& aPlacements, Instant aNow);
 
+  /// Handles that all leaders of earlier epochs stop calling workers within
+  /// LeaseLimits::m_noticeTime.
+  void OnEarlierLeadersStopping(Instant aNow);
+
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. \pre The
@@ -370,6 +379,7 @@
   bool m_storeAvailable = true;
   bool m_directoryRead = false;
   bool m_recovered = false;
+  bool m_earlierLeadersActive = false;
   std::optional<PlacedIndex> m_previouslyPlaced;     ///< If the previous leader has reported it.
   std::vector<WorkerName> m_workersWithUnknownTasks; ///< By the previous leader's report.
   Instant m_createdAt;
--- a/lib/Node/CallAuthority.cpp
+++ b/lib/Node/CallAuthority.cpp
@@ -4,14 +4,10 @@
 
 namespace egretturn {
 
-// The sums of these times, up to the last call that a superseded leader sends, stay below
+// The sums of these times and of the time that a call takes to leave stay below
 // LeaseLimits::m_noticeTime.
 static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
-static constexpr Duration kMaxPingAge = std::chrono::milliseconds(700);
-static constexpr Duration kMaxRunInterval = std::chrono::milliseconds(400);
-
-// By then the pings that arrived during a suspension have been read.
-static constexpr Duration kPingDelayAfterSuspension = std::chrono::milliseconds(300);
+static constexpr Duration kMaxFollowingAge = std::chrono::milliseconds(1000);
 
 void
 CallAuthority::OnConfirmed(Instant aSentAt)
@@ -20,27 +16,43 @@
 }
 
 void
-CallAuthority::OnPing(Instant aNow)
+CallAuthority::OnFollowed(const std::string& aPeer, Instant aSince)
 {
-  if (aNow >= m_pingsCountFrom) {
-    m_pingedAt = aNow;
-  }
+  Instant& followedAt = m_followedAt[aPeer];
+  followedAt = std::max(followedAt, aSince);
 }
 
 void
-CallAuthority::OnRun(Instant aNow)
+CallAuthority::SetWitnesses(std::vector<std::string> aWitnesses)
 {
-  if (aNow - m_lastRunAt > kMaxRunInterval) {
-    m_pingedAt = Instant();
-    m_pingsCountFrom = aNow + kPingDelayAfterSuspension;
-  }
-  m_lastRunAt = aNow;
+  m_witnesses = std::move(aWitnesses);
+}
+
+bool
+CallAuthority::IsFollowing(const std::string& aWitness, Instant aNow) const
+{
+  const auto it = m_followedAt.find(aWitness);
+  return it != m_followedAt.end() && aNow - it->second < kMaxFollowingAge;
 }
 
 bool
 CallAuthority::MayCall(Instant aNow) const
 {
-  return aNow - m_confirmedAt < kMaxConfirmationAge || aNow - m_pingedAt < kMaxPingAge;
+  if (aNow - m_confirmedAt < kMaxConfirmationAge) {
+    return true;
+  }
+  return !m_witnesses.empty() && ListSilentWitnesses(aNow).empty();
+}
+
+std::vector<std::string>
+CallAuthority::ListSilentWitnesses(Instant aNow) const
+{
+  std::vector<std::string> silent;
+  std::copy_if(m_witnesses.begin(),
+               m_witnesses.end(),
+               std::back_inserter(silent),
+               [&](const std::string& aWitness) { return !IsFollowing(aWitness, aNow); });
+  return silent;
 }
 
 } // namespace egretturn
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -36,6 +36,7 @@
   , m_claim(std::move(aClaim))
   , m_callbacks(std::move(aCallbacks))
   , m_scheduler(aLimits, m_claim.m_epoch, BootClockNow())
+  , m_earlierLeaders(std::exchange(m_claim.m_earlierLeaders, {}))
 {
 }
 
@@ -57,6 +58,9 @@
     const StoredProgress& progress = progressEntry.second;
     m_scheduler.RestoreProgress(id, progress);
   }
+  if (aState.m_earlierLeadersActive) {
+    m_scheduler.ExpectEarlierLeaders();
+  }
   for (const WorkerReport& report : aState.m_workers) {
     m_workers.SetWorkerZone(report.m_id, report.m_zone);
     m_scheduler.RestoreWorker(report, now);
@@ -151,9 +155,47 @@
 KeyedRecord
 LeaderSession::MakeClaimRecord()
 {
-  m_claim.m_readingMs = m_scheduler.RetentionClockMs();
   m_claimWrittenAt = BootClockNow();
-  return { std::string(kClaimKey), PackCompact(m_claim) };
+  m_appendedWitnesses = m_witnesses;
+  UpdateAuthority();
+  StoredClaim claim = m_claim;
+  claim.m_readingMs = m_scheduler.RetentionClockMs();
+  claim.m_witnesses = m_witnesses;
+  if (!m_scheduler.IsRecovered()) {
+    claim.m_earlierLeaders = m_earlierLeaders; // afterwards no lease of theirs is valid any more
+  }
+  return { std::string(kClaimKey), PackCompact(claim) };
+}
+
+void
+LeaderSession::SetWitnesses(std::vector<Witness> aWitnesses)
+{
+  m_witnesses = std::move(aWitnesses);
+}
+
+void
+LeaderSession::UpdateAuthority()
+{
+  std::vector<std::string> names;
+  for (const std::vector<Witness>* witnesses : { &m_storedWitnesses, &m_appendedWitnesses }) {
+    for (const Witness& witness : *witnesses) {
+      names.push_back(witness.m_instance);
+    }
+  }
+  m_authority.SetWitnesses(std::move(names));
+}
+
+void
+LeaderSession::OnFollowed(const std::string& aPeer, Instant aSince)
+{
+  m_authority.OnFollowed(aPeer, aSince);
+}
+
+void
+LeaderSession::OnEarlierLeadersStopping()
+{
+  m_scheduler.OnEarlierLeadersStopping(BootClockNow());
+  Wake();
 }
 
 void
@@ -189,7 +231,8 @@
 LeaderSession::RunScheduler()
 {
   const Instant now = BootClockNow();
-  if (m_appending.empty() && now - m_confirmedAt >= kConfirmInterval) {
+  if (m_appending.empty() &&
+      (now - m_confirmedAt >= kConfirmInterval || m_witnesses != m_storedWitnesses)) {
     RenewClaim();
   }
   if (!m_appending.empty() && now - m_appendStartedAt >= kStoreUnavailableAfter) {
@@ -212,7 +255,6 @@
 bool
 LeaderSession::CheckAuthority(Instant aNow)
 {
-  m_authority.OnRun(aNow);
   const bool mayCall = m_authority.MayCall(aNow);
   if (mayCall != m_mayCall) {
     m_mayCall = mayCall;
@@ -223,20 +265,10 @@
   return mayCall;
 }
 
-void
-LeaderSession::OnPing()
-{
-  const Instant now = BootClockNow();
-  m_authority.OnRun(now);
-  m_authority.OnPing(now);
-}
-
 bool
-LeaderSession::MayCall()
+LeaderSession::MayCall() const
 {
-  const Instant now = BootClockNow();
-  m_authority.OnRun(now);
-  return !m_stopped && m_authority.MayCall(now);
+  return !m_stopped && m_authority.MayCall(BootClockNow());
 }
 
 void
@@ -432,6 +464,9 @@
   m_readBack.clear();
   m_confirmedAt = m_requestSentAt;
   m_authority.OnConfirmed(m_confirmedAt);
+  m_storedWitnesses =
+    m_appendedWitnesses; // the append may not have held them, but earlier ones did
+  UpdateAuthority();
   SetStoreAvailable(true);
   if (m_appendingBatch > 0) {
     m_scheduler.OnAppended(m_appendingBatch, BootClockNow());
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -79,6 +79,24 @@
     });
 }
 
+/// Returns the leaders that may still call workers when \p aPrevious is succeeded: it, and those
+/// before it.
+static std::vector<EarlierLeader>
+ListEarlierLeaders(const StoredClaim& aPrevious)
+{
+  std::vector<EarlierLeader> leaders;
+  if (!aPrevious.m_witnesses.empty()) {
+    leaders.push_back({ aPrevious.m_instance, aPrevious.m_witnesses });
+    leaders.back().m_contacts.push_back({ aPrevious.m_instance, aPrevious.m_address });
+  }
+  for (const EarlierLeader& earlier : aPrevious.m_earlierLeaders) {
+    if (earlier.m_instance != aPrevious.m_instance) { // it leads one epoch at a time
+      leaders.push_back(earlier);
+    }
+  }
+  return leaders;
+}
+
 void
 LeadershipClaimer::TryClaim()
 {
@@ -96,6 +114,7 @@
   }
   m_identity.m_epoch = m_newest.m_epoch + 1;
   m_identity.m_readingMs = m_newest.m_readingMs;
+  m_identity.m_earlierLeaders = ListEarlierLeaders(m_newest);
   m_requestSentAt = BootClockNow();
   m_store.AppendAt(Topic::Jobs,
                    m_end,
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -16,7 +16,7 @@
 static constexpr size_t kMaxPeerBodyBytes =
   1024 * 1024; // request or response; lists of placed tasks are long
 
-static constexpr EnumTable<PeerOperation, 9> kPaths{ {
+static constexpr EnumTable<PeerOperation, 10> kPaths{ {
   { PeerOperation::Submit, "/v1/peer/submit" },
   { PeerOperation::Cancel, "/v1/peer/cancel" },
   { PeerOperation::State, "/v1/peer/state" },
@@ -26,6 +26,7 @@
   { PeerOperation::Placed, "/v1/peer/placed" },
   { PeerOperation::LinkOrders, "/v1/peer/link/orders" },
   { PeerOperation::LinkResults, "/v1/peer/link/results" },
+  { PeerOperation::Follow, "/v1/peer/follow" },
 } };
 
 std::string_view
@@ -81,6 +82,10 @@
         reply(ServePlaced(aRequest.body()));
         return;
       }
+      if (*operation == PeerOperation::Follow) {
+        reply(ServeFollow(aRequest.body()));
+        return;
+      }
       if (*operation == PeerOperation::LinkOrders) {
         reply(ServeLinkOrders(aRequest.body()));
         return;
@@ -132,6 +137,10 @@
   }
   HandOverToStrongerPeer();
   RankPeers();
+  ContactFollowers();
+  if (m_session) {
+    m_session->SetWitnesses(ChooseWitnesses());
+  }
   if (m_links) {
     m_links->SetInstances(ListLinkInstances());
   }
@@ -255,6 +264,9 @@
   RecordFailedHandover(previous, now);
   m_leadingSince = now;
   m_peers.clear();
+  m_followers.clear();
+  m_earlierLeadersStopping = AreEarlierLeadersStopping(claim.m_earlierLeaders);
+  aOutcome.m_state.m_earlierLeadersActive = !m_earlierLeadersStopping;
   LeaderSession::Callbacks callbacks;
   const std::weak_ptr<Node> weak = weak_from_this();
   callbacks.m_onRequestComplete = [weak](RequestToken aRequest, SubmitResult aResult) {
@@ -396,7 +408,6 @@
   PeerResponse response;
   PingMessage ping;
   if (UnpackCompact(aBody, ping)) {
-    m_session->OnPing();
     Peer& peer = m_peers[ping.m_instance];
     peer.m_ping = std::move(ping);
     peer.m_lastHeardAt = BootClockNow();
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -11,6 +11,10 @@
 // A start that needs a confirmation follows it this closely.
 static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(50);
 
+// Earlier leaders are taken as stopped after this time if none of their witnesses can be reached:
+// they have all been lost, or a cut separates an instance that none of them knew.
+static constexpr Duration kMaxActiveTime = std::chrono::seconds(30);
+
 void
 Scheduler::RestoreJob(StoredJob aJob, Instant aNow, int64_t aWallMs)
 {
@@ -58,7 +62,24 @@
   worker->m_record = RecordState::Durable;
   worker->m_registered = false; // until the directory has an entry
   worker->m_recordedAddress = aReport.m_address;
-  worker->m_leaseExpiresAt = m_fleet.LatestLeaseExpiry(aNow + m_fleet.Limits().m_noticeTime);
+  const Duration activeTime =
+    m_earlierLeadersActive ? kMaxActiveTime : m_fleet.Limits().m_noticeTime;
+  worker->m_leaseExpiresAt = m_fleet.LatestLeaseExpiry(aNow + activeTime);
+}
+
+void
+Scheduler::OnEarlierLeadersStopping(Instant aNow)
+{
+  if (!m_earlierLeadersActive) {
+    return;
+  }
+  m_earlierLeadersActive = false;
+  // Later than any lease that this leader has granted itself.
+  const Instant expiry = m_fleet.LatestLeaseExpiry(aNow + m_fleet.Limits().m_noticeTime);
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    worker->m_leaseExpiresAt = std::min(worker->m_leaseExpiresAt, expiry);
+  }
+  m_placementNeeded = true;
 }
 
 /// Returns whether \p aWorker may run tasks that an earlier epoch has started, or may have ended
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -197,7 +197,7 @@
   store.m_available = false;
   std::this_thread::sleep_for(milliseconds(1200));
   const int polls = workers.m_polls;
-  session->OnPing(); // it was sent before the suspension
+  session->OnFollowed("peer", BootClockNow()); // no witness: its claim named none
   io.run_for(milliseconds(800));
   CHECK(workers.m_polls == polls);
 
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -198,6 +198,36 @@
 /// time that an earlier leader may need to notice its successor.
 static constexpr Duration kMaxRecoveryTime = kLongestLease + milliseconds(2500);
 
+// Guards against two leaders that act on either side of a cut: the leases of a worker that only the
+// earlier one reaches were counted from the new one's claim, although the earlier one went on.
+TEST_CASE("a new leader counts leases from when earlier leaders are known to stop")
+{
+  Recovery recovery;
+  recovery.m_scheduler.ExpectEarlierLeaders();
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  recovery.ReadDirectory();
+  recovery.Advance(std::chrono::seconds(20));
+  CHECK_FALSE(recovery.m_startedAt);
+
+  recovery.m_scheduler.OnEarlierLeadersStopping(recovery.m_now);
+  const Instant stoppingAt = recovery.m_now;
+  recovery.Advance(kMaxRecoveryTime);
+  REQUIRE(recovery.m_startedAt);
+  CHECK(*recovery.m_startedAt - stoppingAt >= kLongestLease + LeaseLimits().m_noticeTime);
+}
+
+// Guards against tasks that wait forever, since all instances that knew the earlier leader are
+// lost.
+TEST_CASE("a new leader does not wait for ever for earlier leaders that it cannot reach")
+{
+  Recovery recovery;
+  recovery.m_scheduler.ExpectEarlierLeaders();
+  recovery.m_scheduler.RestoreWorker(MakeReport("unreachable"), recovery.m_now);
+  recovery.ReadDirectory();
+  recovery.Advance(std::chrono::seconds(40));
+  CHECK(recovery.m_startedAt);
+}
+
 // Guards against tasks that wait for the lease of a worker that is known to be gone.
 TEST_CASE("a new leader does not wait for a worker whose address another incarnation has")
 {
--- a/unittests/Soak/SoakWorld.cpp
+++ b/unittests/Soak/SoakWorld.cpp
@@ -5,7 +5,6 @@
 #include "egretturn/Journal/Codec.h"
 
 #include <csignal>
-#include <unistd.h>
 
 namespace egretturn::soak {
 
@@ -19,8 +18,6 @@
 static constexpr Duration kReadyTimeout = milliseconds(200);
 static constexpr Duration kStarvedRun = milliseconds(10);
 static constexpr Duration kStarvedPause = milliseconds(90);
-static constexpr uint16_t kFirstPort = 12000; // below those of outgoing connections
-static constexpr uint16_t kPorts = 18000;
 static constexpr size_t kMaxResponseBytes = 1024 * 1024;
 static constexpr const char* kJobsTopic = "keyed.jobs";
 static constexpr const char* kDirectoryTopic = "keyed.servers";
@@ -42,7 +39,6 @@
       })
   , m_instances(aSettings.m_program, aSettings.m_folder, aSettings.m_processorShare)
   , m_client(m_io, kMaxResponseBytes)
-  , m_nextPort(static_cast<uint16_t>(kFirstPort + static_cast<unsigned>(getpid()) * 400 % kPorts))
 {
   for (size_t i = 0; i < m_settings.m_instances; ++i) {
     m_instances.Add(MakeSite(i));
@@ -59,22 +55,6 @@
   Every(kEntryInterval, [this] { WriteEntries(); });
 }
 
-/// Returns the first free port from \p aNext on, and advances \p aNext.
-static uint16_t
-TakePort(boost::asio::io_context& aIo, uint16_t& aNext)
-{
-  using boost::asio::ip::tcp;
-  while (true) {
-    const uint16_t port = aNext++;
-    tcp::acceptor acceptor(aIo, tcp::v4());
-    boost::system::error_code error;
-    acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, error);
-    if (!error) {
-      return port;
-    }
-  }
-}
-
 InstanceSite
 SoakWorld::MakeSite(size_t aIndex)
 {
@@ -83,10 +63,10 @@
   site.m_zone = "z" + std::to_string(zone);
   site.m_region = zone + 1 == kZones ? "north" : "south";
   site.m_name = "front-" + site.m_zone + "-" + std::to_string(aIndex / kZones + 1);
-  site.m_ingressPort = TakePort(m_io, m_nextPort);
-  site.m_readyPort = TakePort(m_io, m_nextPort);
-  site.m_peerPort = TakePort(m_io, m_nextPort);
-  site.m_storePort = TakePort(m_io, m_nextPort);
+  site.m_ingressPort = m_ports.Take(m_io);
+  site.m_readyPort = m_ports.Take(m_io);
+  site.m_peerPort = m_ports.Take(m_io);
+  site.m_storePort = m_ports.Take(m_io);
   return site;
 }
 
@@ -99,7 +79,7 @@
     for (size_t to = 0; to < m_instances.Count(); ++to) {
       m_relays[from].emplace_back();
       if (from != to) {
-        m_relayPorts[from][to] = TakePort(m_io, m_nextPort);
+        m_relayPorts[from][to] = m_ports.Take(m_io);
         m_relays[from][to] =
           std::make_unique<Relay>(m_io, m_relayPorts[from][to], m_instances.Site(to).m_peerPort);
       }
@@ -114,7 +94,7 @@
     WorkerReport report;
     report.m_id = "w" + std::to_string(i);
     report.m_service = kService;
-    report.m_address = "127.0.0.1:" + std::to_string(TakePort(m_io, m_nextPort));
+    report.m_address = "127.0.0.1:" + std::to_string(m_ports.Take(m_io));
     report.m_zone = "z" + std::to_string(i % kZones);
     report.m_rack = "r" + std::to_string(i / kWorkersPerRack);
     report.m_labels = { i % 2 ? "b" : "a", report.m_rack };
--- a/unittests/Soak/SoakWorld.h
+++ b/unittests/Soak/SoakWorld.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Instances.h"
+#include "PortBlock.h"
 #include "Relay.h"
 #include "StoreStandin.h"
 #include "WorkerStandin.h"
@@ -127,6 +128,7 @@
             ClientCallback aDone);
 
   SoakSettings m_settings;
+  PortBlock m_ports;
   boost::asio::io_context m_io;
   std::ofstream m_record;
   Instant m_startedAt;
@@ -145,7 +147,6 @@
   std::vector<GraphId> m_jobs;
   size_t m_leader = 0;
   size_t m_nextInstance = 0;
-  uint16_t m_nextPort;
   size_t m_violationsRecorded = 0;
 };
 
