Give a known successor the usual time to respond before it counts as lost

Cause: a leader that steps down counted the leader that it knew as lost. If it stepped down because of a successor, that was the successor, and the next instance claimed after a fraction of a second, against the 1.3 s that a silent leader is given otherwise. A leader that was told twice of its successor stepped down twice.

Change: only a leader that still knows itself as the leader counts it as lost; one that has stepped down doesn't do so again.

Before and after: the test "a leader that steps down for a known successor gives that the usual time to respond" failed in both sections at (4 records instead of 2) and holds now.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -45,6 +45,7 @@
 
   /// Ends the session: no worker call is sent and no callback runs afterwards.
   void Stop();
+  bool IsStopped() const { return m_stopped; }
 
   /// Submits or cancels a job; m_onRequestComplete is called with \p aRequest.
   void Submit(RequestToken aRequest, Submission aSubmission);
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -496,8 +496,8 @@
   if (m_stopped) {
     return;
   }
-  Stop();
   m_callbacks.m_onStepDown(aReason);
+  Stop();
 }
 
 } // namespace egretturn
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -354,10 +354,11 @@
 void
 Node::OnStepDown(const std::string& aReason)
 {
-  Log(LogLine(LogLevel::Warning, "stepped_down")
-        .Add("epoch", m_session->Claim().m_epoch)
-        .Add("reason", aReason));
-  const Instant now = BootClockNow();
+  if (m_session->IsStopped()) {
+    return; // it has stepped down, and its end is scheduled
+  }
+  const uint64_t epoch = m_session->Claim().m_epoch;
+  Log(LogLine(LogLevel::Warning, "stepped_down").Add("epoch", epoch).Add("reason", aReason));
   // The session may be on the call stack; it is destroyed after the stack has unwound.
   boost::asio::post(m_io, [self = shared_from_this(), session = m_session] {
     if (self->m_session == session) {
@@ -366,8 +367,11 @@
   });
   m_session->Stop();
   m_links->End();
-  m_election.OnLeaderLost(now);
-  m_election.OnClaimFailed(now);
+  if (m_election.Leader()->m_epoch == epoch) { // otherwise the successor is known, and not lost
+    const Instant now = BootClockNow();
+    m_election.OnLeaderLost(now);
+    m_election.OnClaimFailed(now);
+  }
 }
 
 PeerResponse
--- a/unittests/Node/HandoverTest.cpp
+++ b/unittests/Node/HandoverTest.cpp
@@ -271,3 +271,28 @@
   fixture.m_io.run_for(seconds(2));
   CHECK(fixture.m_store.Size(Topic::Leader) == 1);
 }
+
+// Guards against leaders that follow each other without end: a superseded one counted its successor
+// as lost, and claimed unless that responded to a ping within a fraction of a second.
+TEST_CASE("a leader that steps down for a known successor gives that the usual time to respond")
+{
+  NodeFixture fixture;
+  fixture.StartAsLeader();
+  const std::unique_ptr<HttpServer> successor = fixture.MakePeer(kNewLeader); // does not respond
+  SECTION("by its announcement")
+  {
+    fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+    fixture.m_store.Announce(ClaimOf(2, kNewLeader));
+  }
+  SECTION("by its own call")
+  {
+    fixture.m_store.AppendClaim(Topic::Jobs, ClaimOf(2, kNewLeader));
+    fixture.Ask(PeerOperation::Follow, PackCompact(ClaimOf(2, kNewLeader)));
+  }
+  fixture.m_io.run_for(milliseconds(50));
+  const size_t records = fixture.m_store.Size(Topic::Jobs);
+  fixture.m_io.run_for(milliseconds(1000));
+  CHECK(fixture.m_store.Size(Topic::Jobs) == records); // no claim
+  fixture.m_io.run_for(milliseconds(1500));
+  CHECK(fixture.m_store.Size(Topic::Jobs) > records);
+}
