Start tasks whose leases have expired also on busy instances

Cause: tasks of recovered jobs and of jobs with an expired attempt started only within 50 ms of a batch that the store had confirmed. The confirmation was requested when the task could be placed, and the next pass came as late as the instance's processor allowed. On an instance that needs over 50 ms from the confirmation to the pass, each confirmation is too old, each pass requests another one, and the task never starts, while jobs that were accepted later do. A permission that expires by a fixed time, with nothing that bounds how long its use takes. Besides, "within 50 ms" did not say what it was for: a confirmation from before the end of the lease counted as well, and without the store none was needed.

Change: the confirmation has to be later than the end of the lease, and no pass may have run since it was received, or it is not older than 50 ms. So the first pass after a requested confirmation always uses it, however late. The witnesses' responses confirm as the store does.

--- a/include/egretturn/Node/CallAuthority.h
+++ b/include/egretturn/Node/CallAuthority.h
@@ -30,6 +30,10 @@
   /// witness follows that one, or has made it, this is false within LeaseLimits::m_noticeTime.
   bool MayCall(Instant aNow) const;
 
+  /// Returns the latest time at which no other instance had claimed, or only one that no witness
+  /// had learned of.
+  Instant ConfirmedSince() const;
+
   /// Returns the witnesses that are not known to follow this leader any more.
   std::vector<std::string> ListSilentWitnesses(Instant aNow) const;
 
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -87,6 +87,7 @@
   RecordState m_record = RecordState::Missing; ///< With a record, the next leader polls the worker.
   std::string m_recordedAddress; ///< As in its record: where earlier calls were answered, if any.
   bool m_polled = false;         ///< It has responded to a poll under the current epoch.
+  bool m_restored = false;       ///< An earlier epoch may have started tasks there.
   bool m_readInFull = false;     ///< It has listed all of its ends under the current epoch, too.
   bool m_endsComplete = true;    ///< Its last response listed all ends that were not acknowledged.
   bool m_statusStale = false;    ///< Its last response may be outdated by a restart.
--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -51,9 +51,9 @@
   JobState m_state = JobState::Queued;
   JobState m_durableState = JobState::Queued; ///< The state reported to callers.
   bool m_durable = false;                     ///< The job's record is in the store.
-  bool m_recovered = false;      ///< An earlier epoch may have started some of its tasks.
-  bool m_attemptExpired = false; ///< An attempt was given up unseen, since its lease has expired.
-  bool m_recordWritten = false;  ///< The job's record is in a batch or in the store.
+  bool m_recovered = false;     ///< An earlier epoch may have started some of its tasks.
+  Instant m_attemptExpiredAt;   ///< When an attempt was last given up unseen, if any was.
+  bool m_recordWritten = false; ///< The job's record is in a batch or in the store.
   Instant m_submittedAt;
   std::vector<int64_t> m_stepDurationMs;    ///< Expected duration of a task of each step.
   std::vector<bool> m_stepDurationMeasured; ///< Whether that duration was measured, not predicted.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -167,6 +167,10 @@
   /// Handles the confirmation that the batch numbered \p aBatch is durable.
   void OnAppended(uint64_t aBatch, Instant aNow);
 
+  /// Records that no other instance had claimed the leadership at \p aSince. Confirmed batches say
+  /// so, too.
+  void OnConfirmed(Instant aSince, Instant aNow);
+
   /// Sets whether the store accepts appends. While it does not, new jobs are refused immediately.
   void SetStoreAvailable(bool aAvailable) { m_storeAvailable = aAvailable; }
 
@@ -334,9 +338,11 @@
   /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
   void UpdateUnknownTasks(Instant aNow);
 
-  /// Returns whether tasks of \p aJob may start now, or requests the confirmation that they need: a
-  /// leader that was superseded may not know that its successor has found them on a worker. Without
-  /// the store nothing can be confirmed, and CallAuthority alone stops a superseded leader.
+  /// Records until when workers that were not read in full held leases, if those have expired.
+  void UpdateUnreadLeases(Instant aNow);
+  /// Returns whether tasks of \p aJob may start now, or requests the confirmation that they need.
+  /// If a lease has expired unseen, a successor that claimed before may have extended it, and one
+  /// that claims afterwards may find that the task was done.
   bool MayStartTasksOf(const Job& aJob, Instant aNow);
 
   // Scheduler.cpp
@@ -371,7 +377,11 @@
   uint64_t m_batch = 0;
   uint64_t m_pollNumber = 0;
   bool m_batchInFlight = false;
-  Instant m_confirmedAt;                ///< When the store last confirmed that this epoch leads.
+  Instant m_confirmedSince;             ///< Nobody else had claimed the leadership then.
+  Instant m_confirmedAt;                ///< When that was learned.
+  bool m_confirmationUnused = false;    ///< It was requested, and no placement pass has run since.
+  Instant m_batchSentAt;                ///< When the batch in flight was sent.
+  Instant m_unreadLeasesEnd;            ///< End of the last lease that expired on an unread worker.
   bool m_confirmationRequested = false; ///< Tasks wait for the next confirmation.
   bool m_hasUnrecordedWorkers = false;  ///< A worker has no record in the store yet.
   Instant m_nextBatchAt;
--- a/lib/Node/CallAuthority.cpp
+++ b/lib/Node/CallAuthority.cpp
@@ -44,6 +44,17 @@
   return !m_witnesses.empty() && ListSilentWitnesses(aNow).empty();
 }
 
+Instant
+CallAuthority::ConfirmedSince() const
+{
+  Instant followedBy = m_witnesses.empty() ? Instant() : Instant::max();
+  for (const std::string& witness : m_witnesses) {
+    const auto it = m_followedAt.find(witness);
+    followedBy = std::min(followedBy, it == m_followedAt.end() ? Instant() : it->second);
+  }
+  return std::max(m_confirmedAt, followedBy);
+}
+
 std::vector<std::string>
 CallAuthority::ListSilentWitnesses(Instant aNow) const
 {
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -240,6 +240,7 @@
   }
   const bool mayCall = CheckAuthority(now);
   if (mayCall) {
+    m_scheduler.OnConfirmed(m_authority.ConfirmedSince(), now);
     m_scheduler.Tick(now, WallNowMs());
   }
   for (const Action& action : m_scheduler.TakeActions()) {
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -128,6 +128,7 @@
     worker->m_endsInBatch = m_dirtyJobs.empty() ? worker->m_endsProcessed : worker->m_endsDurable;
   }
   m_batchInFlight = true;
+  m_batchSentAt = aNow;
   ++m_counters.m_batches;
   Emit(std::move(batch));
 }
@@ -139,9 +140,8 @@
     return;
   }
   m_batchInFlight = false;
-  m_confirmedAt = aNow;
   m_retentionClock.Advance(aNow, m_storeAvailable);
-  m_placementNeeded = std::exchange(m_confirmationRequested, false) || m_placementNeeded;
+  OnConfirmed(m_batchSentAt, aNow);
   m_nextBatchAt = aNow + kUrgentBatchInterval;
   for (const BatchedJob& batched : m_batchJobs) {
     Job* job = m_jobs.Find(batched.m_id);
@@ -186,6 +186,21 @@
   }
 }
 
+void
+Scheduler::OnConfirmed(Instant aSince, Instant aNow)
+{
+  if (aSince <= m_confirmedSince) {
+    return;
+  }
+  m_confirmedSince = aSince;
+  m_confirmedAt = aNow;
+  if (std::exchange(m_confirmationRequested, false)) {
+    m_confirmationUnused = true;
+    m_placementNeeded = true;
+    m_nextPlacementAt = std::min(m_nextPlacementAt, aNow); // the sooner, the less has changed
+  }
+}
+
 void
 Scheduler::SetEndsDurable(Worker& aWorker, uint64_t aNumber)
 {
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -8,7 +8,7 @@
 
 namespace egretturn {
 
-// A start that needs a confirmation follows it this closely.
+// A start that needs a confirmation follows it this closely, or in the first pass after it.
 static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(50);
 
 // Earlier leaders are taken as stopped after this time if none of their witnesses can be reached:
@@ -61,6 +61,7 @@
   Worker* worker = m_fleet.Find(aReport.m_id);
   worker->m_record = RecordState::Durable;
   worker->m_registered = false; // until the directory has an entry
+  worker->m_restored = true;
   worker->m_recordedAddress = aReport.m_address;
   const Duration activeTime =
     m_earlierLeadersActive ? kMaxActiveTime : m_fleet.Limits().m_noticeTime;
@@ -203,11 +204,27 @@
   });
 }
 
+void
+Scheduler::UpdateUnreadLeases(Instant aNow)
+{
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (worker->m_restored && !worker->m_readInFull && worker->m_leaseExpiresAt <= aNow) {
+      m_unreadLeasesEnd = std::max(m_unreadLeasesEnd, worker->m_leaseExpiresAt);
+    }
+  }
+}
+
 bool
 Scheduler::MayStartTasksOf(const Job& aJob, Instant aNow)
 {
-  const bool mayRunElsewhere = aJob.m_recovered || aJob.m_attemptExpired;
-  if (!mayRunElsewhere || !m_storeAvailable || aNow - m_confirmedAt <= kMaxConfirmationAge) {
+  const Instant expiredAt =
+    std::max(aJob.m_attemptExpiredAt, aJob.m_recovered ? m_unreadLeasesEnd : Instant());
+  if (expiredAt == Instant()) {
+    return true;
+  }
+  // On a busy instance the first pass comes late, but it does come.
+  const bool recent = m_confirmationUnused || aNow - m_confirmedAt <= kMaxConfirmationAge;
+  if (recent && m_confirmedSince > expiredAt) {
     return true;
   }
   m_confirmationRequested = true;
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -22,7 +22,8 @@
   : m_limits(aLimits)
   , m_epoch(aEpoch)
   , m_fleet(aLimits.m_lease)
-  , m_confirmedAt(aNow)
+  , m_confirmedSince(aNow)
+  , m_batchSentAt(aNow)
   , m_nextBatchAt(aNow)
   , m_createdAt(aNow)
   , m_nextRecoveryReportAt(aNow + kRecoveryReportInterval)
@@ -244,6 +245,7 @@
 Scheduler::CheckWorkers(Instant aNow)
 {
   std::vector<WorkerName> removable;
+  UpdateUnreadLeases(aNow); // before such a worker is removed
   // Ends that were reported during a batch and have changed nothing are followed by no other batch.
   const bool nothingToWrite = m_dirtyJobs.empty() && !m_batchInFlight;
   m_counters.m_workersRegistered = 0;
@@ -280,7 +282,7 @@
 {
   for (const std::pair<const TaskRef, AttemptState>& attemptEntry : aWorker.m_attempts) {
     if (Job* job = m_jobs.Find(attemptEntry.first.m_job)) {
-      job->m_attemptExpired = true;
+      job->m_attemptExpiredAt = aNow;
     }
   }
   MarkAllAttemptsLost(aWorker, aNow, "lease_over");
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -149,6 +149,7 @@
   }
   m_placementNeeded = false;
   m_reservedShares.clear();
+  UpdateUnreadLeases(aNow);
   m_availableWorkers = ListAvailableWorkers(m_fleet, aNow);
   if (aNow >= m_nextWaitingReportAt) {
     m_waitingReport.emplace();
@@ -178,6 +179,7 @@
                                   ReservedShareOf(*request.m_service));
     }
   }
+  m_confirmationUnused = false;
   FinishWaitingReport(aNow);
 }
 
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -57,7 +57,7 @@
 
   void Advance(Duration aTime)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += m_tickInterval) {
       m_scheduler.Tick(m_now, WallMs());
       for (const Action& action : m_scheduler.TakeActions()) {
         Execute(action);
@@ -67,6 +67,7 @@
 
   const Worker& WorkerOf(const WorkerName& aName) { return *m_scheduler.Workers().Find(aName); }
 
+  Duration m_tickInterval = milliseconds(20);
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   std::set<WorkerName> m_unreachable;
@@ -476,3 +477,55 @@
   world.Advance(seconds(4)); // less than a lease
   CHECK(world.m_running["other"].empty());
 }
+
+// Guards against tasks that never start again on an instance that is busy or slow: the confirmation
+// that they need was too old whenever there was time to place them.
+TEST_CASE("a task whose lease has expired starts elsewhere also if the scheduler runs rarely")
+{
+  for (const int64_t intervalMs : { 20, 60, 300 }) {
+    ContactWorld world;
+    world.m_tickInterval = milliseconds(intervalMs);
+    world.RegisterWorker("a");
+    world.SubmitLongRunning(1, 5000);
+    world.Advance(seconds(2));
+    REQUIRE(world.m_running["a"].size() == 1);
+    world.RegisterWorker("b");
+    world.Advance(seconds(2));
+
+    world.m_unreachable.insert("a");
+    world.Advance(seconds(10));
+    CHECK(world.m_running["b"].size() == 1);
+  }
+}
+
+// Guards against a task that runs twice: an instance that was superseded before the lease expired
+// learns nothing of it while the store does not confirm its claim.
+TEST_CASE("a task whose lease has expired starts only once the leadership was confirmed after that")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(seconds(1));
+  world.RegisterWorker("b");
+  world.Advance(seconds(2));
+  REQUIRE(world.m_running["a"].size() == 1);
+
+  world.m_confirmationsHeld = true;
+  world.m_unreachable.insert("a");
+  const Instant cutAt = world.m_now;
+  world.Advance(seconds(10));
+  REQUIRE(world.WorkerOf("a").m_attempts.empty());
+  CHECK(world.m_running["b"].empty());
+  SECTION("by the store, by a request from before the end of the lease")
+  {
+    world.m_scheduler.OnConfirmed(cutAt + seconds(5), world.m_now);
+    world.Advance(seconds(1));
+    CHECK(world.m_running["b"].empty());
+  }
+  SECTION("by a later request")
+  {
+    world.m_scheduler.OnConfirmed(world.m_now, world.m_now);
+    world.Advance(seconds(1));
+    CHECK(world.m_running["b"].size() == 1);
+  }
+}
