Let an unanswered start count no longer than its own lease

Cause: a start without an answer is looked for, and stopped if it is not listed, so that it is not carried out late. Until the stop is confirmed it counts. Each poll extended the worker's lease while the worker had any attempt, such ones included. So on a worker that responds to polls and to no orders, or is reached by turns, nothing bounded the wait. A state that only a response ends, whose bound was pushed ahead by another response.

Change: a poll extends the lease only for attempts that are to run on, or while ends are unlisted.

Before and after: "a start that was never answered counts no longer than its own lease" failed before and holds now.

Conclusion: the wait is bounded by one lease from the start.

--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -165,6 +165,20 @@
   m_directoryRead = true;
 }
 
+/// Returns whether \p aWorker has attempts that are to run on. A lease also tells for how long it
+/// may hold ends that it has not listed yet.
+static bool
+NeedsLease(const Worker& aWorker)
+{
+  return !aWorker.m_endsComplete ||
+         std::any_of(aWorker.m_attempts.begin(),
+                     aWorker.m_attempts.end(),
+                     [](const std::pair<const TaskRef, AttemptState>& aAttempt) {
+                       return aAttempt.second.m_phase != AttemptPhase::Unconfirmed &&
+                              aAttempt.second.m_phase != AttemptPhase::Stopping;
+                     });
+}
+
 void
 Scheduler::SendPoll(Worker& aWorker, Instant aNow)
 {
@@ -181,9 +195,7 @@
     poll.m_acknowledged = aWorker.m_endsDurable;
   }
   aWorker.m_endsBeingAcknowledged = poll.m_acknowledged;
-  // A lease also tells for how long a worker may hold ends that it has not listed yet.
-  const bool needsLease = !aWorker.m_attempts.empty() || !aWorker.m_endsComplete;
-  if (aWorker.m_failedPolls == 0 && needsLease) {
+  if (aWorker.m_failedPolls == 0 && NeedsLease(aWorker)) {
     poll.m_leaseEndMs = m_fleet.LeaseEnd(aWorker, aNow);
     m_fleet.ExtendLease(aWorker, aNow);
   }
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -71,7 +71,8 @@
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   std::set<WorkerName> m_unreachable;
-  std::set<WorkerName> m_replaced; ///< Another process responds at their address.
+  std::set<WorkerName> m_ordersLost; ///< Starts and stops get no response there, polls do.
+  std::set<WorkerName> m_replaced;   ///< Another process responds at their address.
   std::map<WorkerName, std::vector<RunningAttempt>> m_running;
   std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves report them.
   std::map<WorkerName, int64_t> m_clockLeadsMs; ///< Ahead of the wall clock.
@@ -131,10 +132,15 @@
         m_scheduler.OnAppended(append->m_batch, m_now);
       }
     } else if (const StopTask* stop = std::get_if<StopTask>(&aAction)) {
-      m_scheduler.OnStopResult(
-        stop->m_worker, stop->m_task, stop->m_attempt, WorkerCallResult::Accepted, m_now);
+      const bool lost = m_ordersLost.count(stop->m_worker) > 0;
+      m_scheduler.OnStopResult(stop->m_worker,
+                               stop->m_task,
+                               stop->m_attempt,
+                               lost ? WorkerCallResult::NoResponse : WorkerCallResult::Accepted,
+                               m_now);
     } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
-      const bool reached = IsReachable(start->m_worker, start->m_address);
+      const bool reached =
+        IsReachable(start->m_worker, start->m_address) && m_ordersLost.count(start->m_worker) == 0;
       const bool late = start->m_leaseEndMs <= ClockMs(start->m_worker);
       const WorkerCallResult result = !reached ? WorkerCallResult::NoResponse
                                       : late   ? WorkerCallResult::LeaseExpired
@@ -529,3 +535,21 @@
     CHECK(world.m_running["b"].size() == 1);
   }
 }
+
+// Guards against a task that waits for as long as a worker responds to polls, but to no order: each
+// poll extended the lease that bounds how long an unanswered start counts.
+TEST_CASE("a start that was never answered counts no longer than its own lease")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.m_ordersLost.insert("a");
+  world.Advance(seconds(1));
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(milliseconds(500));
+  REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
+  world.m_scheduler.DeregisterWorker("a", world.m_now); // nothing else starts there
+  world.RegisterWorker("b");
+  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
+  world.Advance(lease + seconds(1));
+  CHECK(world.m_running["b"].size() == 1);
+}
