Prefer another worker for a task that was lost on one

Cause: only failures made a task prefer another worker. A task that was given up on a worker that answers polls and no orders, or that goes down and up, was placed there again at once, since that worker had the most room again; each try can take a lease.

Change: a lost attempt counts like a failed one for the choice of the next worker. It is a preference: if only that worker fits, the task starts there.

Conclusion: one such worker costs a task at most one lease.

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -24,7 +24,7 @@
   std::vector<LiveAttempt> m_attempts; ///< More than one only for steps with speculative attempts.
   std::vector<AttemptNumber> m_failedAttempts;
   std::string m_checkpoint;
-  const Worker* m_avoidedWorker = nullptr; ///< Where it failed last; never dereferenced.
+  const Worker* m_avoidedWorker = nullptr; ///< Where it failed or was lost; never dereferenced.
   Instant m_notBefore;
 };
 
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -353,6 +353,7 @@
     return;
   }
   if (TaskRecord* task = JobRegistry::FindTask(*job, aTask)) {
+    task->m_avoidedWorker = &aWorker;
     DetachAttempt(*job, aTask, *task, aWorker, attempt, aNow);
     m_waitingJobs.insert(aTask.m_job);
   }
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -553,3 +553,20 @@
   world.Advance(lease + seconds(1));
   CHECK(world.m_running["b"].size() == 1);
 }
+
+// Guards against a task that waits for one lease after the other: once it had been given up on a
+// worker that answers no orders, that worker had most room again.
+TEST_CASE("a task that was lost on a worker starts on another one if there is one")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.m_ordersLost.insert("a");
+  world.Advance(seconds(1));
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(milliseconds(500));
+  REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
+  world.RegisterWorker("b");
+  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
+  world.Advance(lease + seconds(1));
+  CHECK(world.m_running["b"].size() == 1);
+}
