--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -4,6 +4,7 @@
 #include "egretturn/Scheduler/Actions.h"
 #include "egretturn/Scheduler/ImageInterference.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -20,6 +21,9 @@
   EndUnlisted, ///< It no longer runs, but the worker has more ends to list than fit a response.
 };
 
+/// Returns the stable name of \p aPhase. Thread-safe.
+std::string_view NameOf(AttemptPhase aPhase);
+
 /// One attempt on a worker. Its demand counts against the worker's capacity until the worker
 /// reports its end, or until the attempt is lost.
 struct AttemptState
@@ -130,6 +134,13 @@
   Instant m_slowUntil; ///< No starts before this time, because its attempts barely progress.
 };
 
+/// Returns when \p aAttempt on \p aWorker was last known to run. \pre It is in phase Running.
+inline Instant
+LastSeenRunning(const Worker& aWorker, const AttemptState& aAttempt)
+{
+  return std::max(aWorker.m_clockReadAt, aAttempt.m_phaseSince);
+}
+
 /// Limits of the lease protocol.
 struct LeaseLimits
 {
--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -26,6 +26,7 @@
   std::string m_checkpoint;
   const Worker* m_avoidedWorker = nullptr; ///< Where it failed last; never dereferenced.
   Instant m_notBefore;
+  Instant m_lastRanAt; ///< When an attempt that has left, or is to leave, was last known to run.
 };
 
 /// The tasks of one step, and how many of them are done or waiting.
@@ -42,6 +43,7 @@
   uint32_t m_number = 0;
   std::vector<StepRecord> m_steps;
   bool m_complete = false;
+  Instant m_openedAt; ///< When it became due under the current epoch, if it did.
 };
 
 /// A job in memory, with its occurrences until it ends.
@@ -64,6 +66,7 @@
   uint32_t m_liveAttempts = 0;
   ServingLoad m_servingLoad; ///< Of its serving tasks.
   Instant m_lastActiveAt;    ///< When one of its attempts last started or ended.
+  Instant m_lastRanAt;       ///< The latest of its tasks' TaskRecord::m_lastRanAt.
   std::vector<OccurrenceRecord> m_occurrences;
   std::vector<RequestToken> m_submitRequests;
   std::vector<RequestToken> m_cancelRequests;
@@ -91,7 +94,7 @@
   void Erase(GraphId aId) { m_jobs.erase(aId); }
 
   /// Opens the occurrences that are due at \p aWallMs. Returns true if any was opened.
-  bool OpenDue(Job& aJob, int64_t aWallMs);
+  bool OpenDue(Job& aJob, int64_t aWallMs, Instant aNow);
 
   /// Opens the occurrences up to \p aNumber, whether they are due or not. Returns true if any was
   /// opened; opens none if the job has no occurrence \p aNumber.
@@ -120,6 +123,9 @@
 /// Estimates the work that \p aOccurrence still needs. Thread-compatible.
 RemainingWork EstimateRemainingWork(const Job& aJob, const OccurrenceRecord& aOccurrence);
 
+/// Returns the worker of each live attempt of the step. Thread-compatible.
+std::vector<const Worker*> ListWorkersOf(const StepRecord& aStep);
+
 /// Returns the progress record of \p aJob. Thread-compatible.
 StoredProgress DescribeProgress(const Job& aJob);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -5,6 +5,7 @@
 
 #include "egretturn/Scheduler/JobRanking.h"
 #include "egretturn/Scheduler/JobRegistry.h"
+#include "egretturn/Scheduler/JobWait.h"
 #include "egretturn/Scheduler/Packing.h"
 #include "egretturn/Scheduler/SlownessModel.h"
 #include "egretturn/Scheduler/WaitingReport.h"
@@ -59,10 +60,12 @@
   uint64_t m_throttles = 0;
   uint64_t m_polls = 0;
   uint64_t m_batches = 0;
-  uint64_t m_tasksWaiting = 0;    ///< Ready tasks without a worker, as of the last waiting report.
-  uint64_t m_tasksSkipped = 0;    ///< The part of m_tasksWaiting for which no placement was tried.
-  uint64_t m_tasksRecovering = 0; ///< The part of m_tasksWaiting that may run on a worker of an
-                                  ///< earlier epoch.
+  uint64_t m_tasksWaiting = 0;     ///< Ready tasks without a worker, as of the last waiting report.
+  uint64_t m_tasksSkipped = 0;     ///< The part of m_tasksWaiting for which no placement was tried.
+  uint64_t m_tasksRecovering = 0;  ///< The part of m_tasksWaiting that may run on a worker of an
+                                   ///< earlier epoch.
+  uint64_t m_tasksUnconfirmed = 0; ///< The part of m_tasksWaiting that needs a confirmation.
+  uint64_t m_jobsWaiting = 0;      ///< Jobs that the last report on waiting jobs counted.
   uint64_t m_workersRegistered = 0;
   uint64_t m_workersUnreachable = 0; ///< Registered workers whose last polls failed.
 };
@@ -187,6 +190,9 @@
 
   const SchedulerCounters& Counters() const { return m_counters; }
   Fleet& Workers() { return m_fleet; }
+  /// Returns the jobs that had nothing running when that was last determined, once a second.
+  const JobWaits& WaitingJobs() const { return m_jobWaits; }
+
   size_t JobCount() { return m_jobs.All().size(); }
   bool IsRecovered() const { return m_recovered; }
 
@@ -210,6 +216,30 @@
   /// The workers on which the previous epoch has placed each task.
   using PlacedIndex = std::unordered_map<TaskRef, std::vector<WorkerName>, TaskRefHash>;
 
+  /// A step that did not fit in a placement pass, and its request.
+  struct FailedStep
+  {
+    WaitingStep m_waiting;
+    PlacementRequest m_request;
+  };
+
+  /// A task whose turn has come and that does not run.
+  struct WaitingTask
+  {
+    WaitingStep m_step;
+    size_t m_index;
+    Instant m_since;
+  };
+
+  /// What is at work and what waits of one job.
+  struct JobActivity
+  {
+    Instant m_lastRan;                         ///< Of the tasks that are not long-running.
+    uint32_t m_tasks = 0;                      ///< Tasks that wait.
+    std::optional<WaitingTask> m_shortRunning; ///< One of those that are not long-running.
+    std::optional<WaitingTask> m_longRunning;  ///< The longest wait of a long-running one.
+  };
+
   /// A job as written in the batch in flight.
   struct BatchedJob
   {
@@ -218,6 +248,8 @@
   };
 
   // AttemptEnds.cpp
+  /// Records that an attempt of \p aTask was known to run at \p aAt.
+  void RecordRun(const TaskRef& aTask, Instant aAt);
   void RecordDuration(const TaskRef& aTask, Duration aDuration);
   void ProcessEndedAttempt(Worker& aWorker, const EndedAttempt& aReported, Instant aNow);
   void ApplyAttemptEnd(Job& aJob,
@@ -282,21 +314,60 @@
   PlacementRequest MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow);
   /// Starts the tasks of the step that fit. Returns false if a task does not fit on any worker.
   bool PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow);
-  /// Collects why tasks wait, if a waiting report is due.
-  void ReportSkippedStep(const WaitingStep& aWaiting, Instant aNow);
-  void ReportUnplacedStep(const WaitingStep& aWaiting,
-                          const PlacementRequest& aRequest,
-                          Instant aNow);
-  void ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
-  void ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow);
-  void FinishWaitingReport(Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
+  /// Chooses a worker for each of \p aMembers members, or for as many as fit. Changes the siblings
+  /// of \p aRequest.
+  std::vector<Worker*> ChooseGangWorkers(size_t aMembers, PlacementRequest& aRequest);
   /// \pre No worker has an attempt of the task.
   void StartAttempt(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
   void StopAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow);
   void StopAllAttempts(Job& aJob, Instant aNow);
   void DrainWorker(Worker& aWorker, Instant aNow);
 
+  // TaskWaits.cpp
+  /// Collects why tasks wait, if a waiting report is due.
+  void ReportSkippedStep(const WaitingStep& aWaiting, Instant aNow);
+  void ReportUnplacedStep(const WaitingStep& aWaiting,
+                          const PlacementRequest& aRequest,
+                          Instant aNow);
+  using AddTasksToReport = void (WaitingReport::*)(ImageId, uint32_t, Duration);
+  void ReportTasks(AddTasksToReport aAdd,
+                   const WaitingStep& aWaiting,
+                   uint32_t aTasks,
+                   Instant aNow);
+  void FinishWaitingReport(const std::vector<FailedStep>& aFailed, Instant aNow);
+  /// Determines which jobs wait and why. \p aFailed are the steps that did not fit in this pass.
+  void ReportWaitingJobs(const std::vector<FailedStep>& aFailed, Instant aNow);
+  /// Returns the task that a report on \p aJob names, or nothing if none waits, and sets \p aTasks
+  /// to how many wait. One task at work is enough for all that are not long-running.
+  std::optional<WaitingTask> FindLongestWait(Job& aJob, uint32_t& aTasks, Instant aNow) const;
+  static bool HasAttempts(const WaitingTask& aWaiting);
+  /// Adds the tasks of a ready step to \p aActivity.
+  void AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow) const;
+  JobWait ExplainWait(const WaitingTask& aWaiting,
+                      const std::vector<FailedStep>& aFailed,
+                      Instant aNow);
+  /// Finds an attempt, on any worker, that holds the task or its gang. Returns false if none does.
+  bool ExplainByAttempts(const WaitingTask& aWaiting, JobWait& aWait, Instant aNow) const;
+  /// Finds a worker that the recovery awaits for the task or its gang. Returns false if the
+  /// recovery does not hold it.
+  bool ExplainByRecovery(const WaitingTask& aWaiting, JobWait& aWait, Instant aNow);
+  /// Finds what keeps a task without attempts from starting.
+  void ExplainByPlacement(const WaitingTask& aWaiting,
+                          const std::vector<FailedStep>& aFailed,
+                          JobWait& aWait,
+                          Instant aNow);
+  /// Returns whether the task of \p aRequest, or its whole gang, fits.
+  bool FitsNow(const WaitingTask& aWaiting, PlacementRequest& aRequest, const JobWait& aWait);
+  /// Returns the failed step for which \p aWaiting was not tried, or nullptr if it was tried.
+  const FailedStep* FindRulingOut(const WaitingStep& aWaiting,
+                                  const PlacementRequest& aRequest,
+                                  const std::vector<FailedStep>& aFailed,
+                                  Instant aNow) const;
+  /// Returns a worker with an attempt of \p aTask, or nullptr.
+  const Worker* FindWorkerOf(const TaskRef& aTask) const;
+  static HoldingWorker DescribeWorker(const Worker& aWorker, const TaskRef& aTask, Instant aNow);
+
   // Throttling.cpp
   void AdjustThrottles(Worker& aWorker, Instant aNow);
   void RecordTailLatencies(Worker& aWorker, Instant aNow);
@@ -333,6 +404,11 @@
   /// Returns whether an earlier epoch may have started \p aTask on a worker that has not been
   /// read in full yet.
   bool MayRunElsewhere(const Job& aJob, const TaskRef& aTask, Instant aNow);
+  /// Returns the worker for which MayRunElsewhere() holds the task, or nullptr if only the
+  /// directory is awaited.
+  const Worker* FindAwaitedWorker(const Job& aJob, const TaskRef& aTask, Instant aNow) const;
+  /// Returns the worker whose lease ends last of those that may run tasks of earlier epochs.
+  const Worker* FindLastUnread(Instant aNow) const;
   /// Returns whether the worker \p aUnread may run tasks that the previous leader did not list.
   bool MayRunUnknownTasks(const WorkerName& aUnread) const;
   /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
@@ -340,6 +416,9 @@
 
   /// Records until when workers that were not read in full held leases, if those have expired.
   void UpdateUnreadLeases(Instant aNow);
+  /// Returns whether tasks of \p aJob must not start before the store has confirmed that nobody
+  /// else leads.
+  bool NeedsConfirmation(const Job& aJob, Instant aNow) const;
   /// Returns whether tasks of \p aJob may start now, or requests the confirmation that they need.
   /// If a lease has expired unseen, a successor that claimed before may have extended it, and one
   /// that claims afterwards may find that the task was done.
@@ -355,7 +434,7 @@
   void SendPoll(Worker& aWorker, Instant aNow);
   void RetryStops(Instant aNow);
   void CheckWorkers(Instant aNow);
-  void OpenOccurrences(int64_t aWallMs);
+  void OpenOccurrences(int64_t aWallMs, Instant aNow);
   void RemoveEndedJobs();
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
 
@@ -402,6 +481,7 @@
   Instant m_nextPlacementAt;
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
   std::optional<WaitingReport> m_waitingReport; ///< Set while a report is collected.
+  JobWaits m_jobWaits;                          ///< Of the last report.
   Instant m_nextSweepAt;
   Instant m_modelsWrittenAt;
   SchedulerCounters m_counters;
--- a/include/egretturn/Scheduler/WaitingReport.h
+++ b/include/egretturn/Scheduler/WaitingReport.h
@@ -16,6 +16,8 @@
   uint32_t m_tasks = 0;
   uint32_t m_skipped = 0;       ///< Tasks that were not tried, because a similar step did not fit.
   uint32_t m_recovering = 0;    ///< Tasks that may run on a worker of an earlier epoch.
+  uint32_t m_unconfirmed = 0;   ///< Tasks that need a fresh confirmation that this leader leads.
+  uint32_t m_incomplete = 0;    ///< Tasks of gangs of which a member still has an attempt.
   uint32_t m_stopping = 0;      ///< Tasks of which a worker still stops an attempt.
   Duration m_oldestAge{};       ///< Age of the oldest of their jobs.
   ObstacleCounts m_obstacles{}; ///< Workers by what keeps the last tried step from them.
@@ -33,8 +35,9 @@
 struct WaitingTotals
 {
   uint64_t m_tasks = 0;
-  uint64_t m_skipped = 0;    ///< The part of m_tasks that was not tried.
-  uint64_t m_recovering = 0; ///< The part of m_tasks that may run on a worker of an earlier epoch.
+  uint64_t m_skipped = 0;     ///< The part of m_tasks that was not tried.
+  uint64_t m_recovering = 0;  ///< The part of m_tasks that may run on a worker of an earlier epoch.
+  uint64_t m_unconfirmed = 0; ///< The part of m_tasks that needs a fresh confirmation.
 };
 
 /// Collects why tasks wait. Not thread-safe.
@@ -54,6 +57,12 @@
   /// not been polled yet.
   void AddRecovering(ImageId aImage, uint32_t aTasks, Duration aAge);
 
+  /// Adds \p aTasks tasks of \p aImage that need a fresh confirmation that this leader leads.
+  void AddUnconfirmed(ImageId aImage, uint32_t aTasks, Duration aAge);
+
+  /// Adds \p aTasks tasks of \p aImage whose gangs still have attempts of other members.
+  void AddIncomplete(ImageId aImage, uint32_t aTasks, Duration aAge);
+
   /// Adds \p aTasks tasks of \p aImage of which a worker still stops an attempt, or of whose gang.
   void AddStopping(ImageId aImage, uint32_t aTasks, Duration aAge);
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -521,6 +521,8 @@
     { "egretturn_tasks_waiting", counters.m_tasksWaiting },
     { "egretturn_tasks_passed_over", counters.m_tasksSkipped },
     { "egretturn_tasks_recovering", counters.m_tasksRecovering },
+    { "egretturn_tasks_unconfirmed", counters.m_tasksUnconfirmed },
+    { "egretturn_jobs_waiting", counters.m_jobsWaiting },
     { "egretturn_workers_listed", counters.m_workersRegistered },
     { "egretturn_workers_out_of_contact", counters.m_workersUnreachable },
     { "egretturn_directory_age_ms",
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -83,6 +83,17 @@
   }
 }
 
+void
+Scheduler::RecordRun(const TaskRef& aTask, Instant aAt)
+{
+  Job* job = m_jobs.Find(aTask.m_job);
+  TaskRecord* task = job ? JobRegistry::FindTask(*job, aTask) : nullptr;
+  if (task) {
+    task->m_lastRanAt = std::max(task->m_lastRanAt, aAt);
+    job->m_lastRanAt = std::max(job->m_lastRanAt, aAt);
+  }
+}
+
 void
 Scheduler::EndJob(Job& aJob, JobState aState, Instant aNow)
 {
@@ -164,6 +175,7 @@
 {
   const bool longRunning = aJob.m_stored.m_graph.m_steps[aReported.m_task.m_step].m_longRunning;
   DetachAttempt(aJob, aReported.m_task, aTask, aWorker, aReported.m_attempt, aNow);
+  RecordRun(aReported.m_task, aNow);
   m_waitingJobs.insert(aJob.m_stored.m_id);
   m_placementNeeded = true;
   if (!aReported.m_checkpoint.empty() && !aTask.m_done) {
@@ -344,7 +356,11 @@
 void
 Scheduler::MarkAttemptLost(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause)
 {
-  const AttemptNumber attempt = aWorker.m_attempts.at(aTask).m_attempt;
+  const AttemptState& lost = aWorker.m_attempts.at(aTask);
+  const AttemptNumber attempt = lost.m_attempt;
+  if (lost.m_phase == AttemptPhase::Running) {
+    RecordRun(aTask, LastSeenRunning(aWorker, lost));
+  }
   LogAttempt("run_lost", aWorker, aTask, attempt, aCause);
   m_fleet.RemoveAttempt(aWorker, aTask);
   m_placementNeeded = true;
@@ -431,6 +447,7 @@
       lost.push_back(task);
     } else if (attempt.m_phase == AttemptPhase::Running) {
       attempt.m_phase = AttemptPhase::EndUnlisted; // its end may be one that is not listed yet
+      RecordRun(task, aNow);
       attempt.m_phaseSince = aNow;
     }
   }
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -7,6 +7,22 @@
 
 namespace egretturn {
 
+static constexpr size_t kAttemptPhases = static_cast<size_t>(AttemptPhase::EndUnlisted) + 1;
+
+static constexpr EnumTable<AttemptPhase, kAttemptPhases> kAttemptPhaseNames{ {
+  { AttemptPhase::Sent, "sent" },
+  { AttemptPhase::Unconfirmed, "unanswered" },
+  { AttemptPhase::Running, "running" },
+  { AttemptPhase::Stopping, "stopping" },
+  { AttemptPhase::EndUnlisted, "end_unlisted" },
+} };
+
+std::string_view
+NameOf(AttemptPhase aPhase)
+{
+  return NameIn(kAttemptPhaseNames, aPhase);
+}
+
 static constexpr Duration kLeaseMargin =
   std::chrono::milliseconds(200); // for timers that fire late
 
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -91,10 +91,11 @@
 }
 
 static OccurrenceRecord&
-OpenOccurrence(Job& aJob, uint32_t aNumber)
+OpenOccurrence(Job& aJob, uint32_t aNumber, Instant aNow = Instant())
 {
   OccurrenceRecord& occurrence = aJob.m_occurrences.emplace_back();
   occurrence.m_number = aNumber;
+  occurrence.m_openedAt = aNow;
   for (const GraphStep& step : aJob.m_stored.m_graph.m_steps) {
     StepRecord& record = occurrence.m_steps.emplace_back();
     record.m_tasks.resize(step.m_count);
@@ -104,20 +105,20 @@
 }
 
 bool
-JobRegistry::OpenDue(Job& aJob, int64_t aWallMs)
+JobRegistry::OpenDue(Job& aJob, int64_t aWallMs, Instant aNow)
 {
   const Graph& graph = aJob.m_stored.m_graph;
   if (graph.m_occurrences == 0) {
     if (aJob.m_nextOccurrence > 0) {
       return false;
     }
-    OpenOccurrence(aJob, aJob.m_nextOccurrence++);
+    OpenOccurrence(aJob, aJob.m_nextOccurrence++, aNow);
     return true;
   }
   bool opened = false;
   while (aJob.m_nextOccurrence < graph.m_occurrences &&
          graph.m_firstDueMs + aJob.m_nextOccurrence * graph.m_intervalMs <= aWallMs) {
-    OpenOccurrence(aJob, aJob.m_nextOccurrence++);
+    OpenOccurrence(aJob, aJob.m_nextOccurrence++, aNow);
     opened = true;
   }
   return opened;
@@ -168,6 +169,18 @@
   });
 }
 
+std::vector<const Worker*>
+ListWorkersOf(const StepRecord& aStep)
+{
+  std::vector<const Worker*> workers;
+  for (const TaskRecord& task : aStep.m_tasks) {
+    for (const LiveAttempt& attempt : task.m_attempts) {
+      workers.push_back(attempt.m_worker);
+    }
+  }
+  return workers;
+}
+
 RemainingWork
 EstimateRemainingWork(const Job& aJob, const OccurrenceRecord& aOccurrence)
 {
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -204,6 +204,39 @@
   });
 }
 
+const Worker*
+Scheduler::FindLastUnread(Instant aNow) const
+{
+  const Worker* last = nullptr;
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    const bool later = !last || worker->m_leaseExpiresAt > last->m_leaseExpiresAt;
+    last = MayRunEarlierTasks(*worker, aNow) && later ? worker.get() : last;
+  }
+  return last;
+}
+
+const Worker*
+Scheduler::FindAwaitedWorker(const Job& aJob, const TaskRef& aTask, Instant aNow) const
+{
+  if (!m_previouslyPlaced) {
+    return FindLastUnread(aNow);
+  }
+  if (IsBlockedByRecovery(aJob)) {
+    return m_fleet.Find(m_workersWithUnknownTasks.front());
+  }
+  const auto it = m_previouslyPlaced->find(aTask);
+  if (it == m_previouslyPlaced->end()) {
+    return nullptr;
+  }
+  for (const WorkerName& name : it->second) {
+    const Worker* worker = m_fleet.Find(name);
+    if (worker && MayRunEarlierTasks(*worker, aNow)) {
+      return worker;
+    }
+  }
+  return nullptr;
+}
+
 void
 Scheduler::UpdateUnreadLeases(Instant aNow)
 {
@@ -215,16 +248,22 @@
 }
 
 bool
-Scheduler::MayStartTasksOf(const Job& aJob, Instant aNow)
+Scheduler::NeedsConfirmation(const Job& aJob, Instant aNow) const
 {
   const Instant expiredAt =
     std::max(aJob.m_attemptExpiredAt, aJob.m_recovered ? m_unreadLeasesEnd : Instant());
   if (expiredAt == Instant()) {
-    return true;
+    return false;
   }
   // On a busy instance the first pass comes late, but it does come.
   const bool recent = m_confirmationUnused || aNow - m_confirmedAt <= kMaxConfirmationAge;
-  if (recent && m_confirmedSince > expiredAt) {
+  return !recent || m_confirmedSince <= expiredAt;
+}
+
+bool
+Scheduler::MayStartTasksOf(const Job& aJob, Instant aNow)
+{
+  if (!NeedsConfirmation(aJob, aNow)) {
     return true;
   }
   m_confirmationRequested = true;
@@ -242,14 +281,12 @@
   m_nextRecoveryReportAt = aNow + kRecoveryReportInterval;
   uint64_t awaited = 0;
   uint64_t unregistered = 0;
-  const Worker* last = nullptr;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     if (!MayRunEarlierTasks(*worker, aNow)) {
       continue;
     }
     ++awaited;
     unregistered += worker->m_registered ? 0 : 1;
-    last = !last || worker->m_leaseExpiresAt > last->m_leaseExpiresAt ? worker.get() : last;
   }
   LogLine line(LogLevel::Info, "recovery_waiting");
   line.Add("epoch", m_epoch)
@@ -259,7 +296,7 @@
     .Add("workers", awaited)
     .Add("workers_with_unknown_tasks", uint64_t{ m_workersWithUnknownTasks.size() })
     .Add("unlisted", unregistered);
-  if (last) {
+  if (const Worker* last = FindLastUnread(aNow)) {
     line.Add("last_worker", last->m_report.m_id)
       .Add("remaining_ms", ToMillis(last->m_leaseExpiresAt - aNow))
       .Add("failed_looks", last->m_failedPolls);
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -289,11 +289,11 @@
 }
 
 void
-Scheduler::OpenOccurrences(int64_t aWallMs)
+Scheduler::OpenOccurrences(int64_t aWallMs, Instant aNow)
 {
   for (auto it = m_jobsWithFutureOccurrences.begin(); it != m_jobsWithFutureOccurrences.end();) {
     Job* job = m_jobs.Find(*it);
-    if (job && job->m_durable && !IsEnded(job->m_state) && m_jobs.OpenDue(*job, aWallMs)) {
+    if (job && job->m_durable && !IsEnded(job->m_state) && m_jobs.OpenDue(*job, aWallMs, aNow)) {
       m_waitingJobs.insert(*it);
       m_placementNeeded = true;
     }
@@ -329,7 +329,7 @@
 {
   m_wallMs = aWallMs;
   m_retentionClock.Advance(aNow, m_storeAvailable);
-  OpenOccurrences(aWallMs);
+  OpenOccurrences(aWallMs, aNow);
   if (aNow >= m_nextSweepAt) {
     m_nextSweepAt = aNow + kSweepInterval;
     RetryStops(aNow);
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -28,8 +28,6 @@
 // An idle worker is polled this long after a start, or earlier, once it has responded to the start.
 static constexpr Duration kPollDelayAfterStart = std::chrono::milliseconds(1000);
 
-static constexpr Duration kWaitingReportInterval = std::chrono::seconds(1);
-
 // Share of the processors that is kept without serving tasks, for work that would interfere with
 // them.
 static constexpr double kMinShareWithoutServing = 0.15;
@@ -85,7 +83,7 @@
             continue;
           }
           if (IsBlockedByRecovery(*job)) {
-            ReportRecoveringTasks(step, occurrence.m_steps[s].m_waiting, aNow);
+            ReportTasks(&WaitingReport::AddRecovering, step, occurrence.m_steps[s].m_waiting, aNow);
           } else {
             waiting.push_back(step);
           }
@@ -142,6 +140,10 @@
     m_counters.m_tasksWaiting = 0;
     m_counters.m_tasksSkipped = 0;
     m_counters.m_tasksRecovering = 0;
+    m_counters.m_tasksUnconfirmed = 0;
+    if (aNow >= m_nextWaitingReportAt) { // attempts that do not run may hold jobs all the same
+      ReportWaitingJobs({}, aNow);
+    }
   }
   const bool overdue = !m_waitingJobs.empty() && aNow >= m_nextPlacementAt + kMaxPlacementPause;
   if ((!m_placementNeeded && !overdue) || aNow < m_nextPlacementAt) {
@@ -158,19 +160,19 @@
   m_nextPlacementAt =
     aNow + kMinPlacementInterval + kPlacementIntervalPerWorker * m_fleet.All().size() +
     std::min<Duration>(kPlacementIntervalPerStep * steps.size(), kMaxExtraPlacementInterval);
-  std::vector<PlacementRequest> failedRequests;
+  std::vector<FailedStep> failedSteps;
   for (const WaitingStep& waiting : steps) {
     const PlacementRequest request = MakePlacementRequest(waiting, aNow);
     const bool idle = IsIdle(*waiting.m_job, aNow);
     const bool ruledOut =
-      std::any_of(failedRequests.begin(),
-                  failedRequests.end(),
-                  [&](const PlacementRequest& aFailed) { return RulesOut(aFailed, request); });
+      std::any_of(failedSteps.begin(), failedSteps.end(), [&](const FailedStep& aFailed) {
+        return RulesOut(aFailed.m_request, request);
+      });
     if (ruledOut) {
       ReportSkippedStep(waiting, aNow);
     } else if (!PlaceStep(waiting, request, aNow)) {
       // Made anew: a job that is no longer idle failed with a task that must not interfere.
-      failedRequests.push_back(MakePlacementRequest(waiting, aNow));
+      failedSteps.push_back({ waiting, MakePlacementRequest(waiting, aNow) });
     }
     if (m_waitingReport && idle && waiting.m_job->m_liveAttempts == 0) {
       m_waitingReport->AddIdleJob(waiting.m_job->m_stored.m_id,
@@ -179,72 +181,8 @@
                                   ReservedShareOf(*request.m_service));
     }
   }
+  FinishWaitingReport(failedSteps, aNow);
   m_confirmationUnused = false;
-  FinishWaitingReport(aNow);
-}
-
-void
-Scheduler::ReportSkippedStep(const WaitingStep& aWaiting, Instant aNow)
-{
-  if (!m_waitingReport) {
-    return;
-  }
-  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  const ImageId image = m_interference.Intern(StepOf(aWaiting).m_image);
-  m_waitingReport->AddSkipped(image, record.m_waiting, aNow - aWaiting.m_job->m_submittedAt);
-}
-
-void
-Scheduler::ReportUnplacedStep(const WaitingStep& aWaiting,
-                              const PlacementRequest& aRequest,
-                              Instant aNow)
-{
-  if (!m_waitingReport) {
-    return;
-  }
-  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  m_waitingReport->AddUnplaced(aRequest.m_image,
-                               record.m_waiting,
-                               aNow - aWaiting.m_job->m_submittedAt,
-                               CountObstacles(m_fleet, aRequest, aNow));
-}
-
-void
-Scheduler::ReportRecoveringTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow)
-{
-  if (!m_waitingReport) {
-    return;
-  }
-  const ImageId image = m_interference.Intern(StepOf(aWaiting).m_image);
-  m_waitingReport->AddRecovering(image, aTasks, aNow - aWaiting.m_job->m_submittedAt);
-}
-
-void
-Scheduler::ReportStoppingTasks(const WaitingStep& aWaiting, uint32_t aTasks, Instant aNow)
-{
-  if (!m_waitingReport) {
-    return;
-  }
-  const ImageId image = m_interference.Intern(StepOf(aWaiting).m_image);
-  m_waitingReport->AddStopping(image, aTasks, aNow - aWaiting.m_job->m_submittedAt);
-}
-
-void
-Scheduler::FinishWaitingReport(Instant aNow)
-{
-  if (!m_waitingReport) {
-    return;
-  }
-  m_nextWaitingReportAt = aNow + kWaitingReportInterval;
-  const WaitingTotals totals = m_waitingReport->Totals();
-  m_counters.m_tasksWaiting = totals.m_tasks;
-  m_counters.m_tasksSkipped = totals.m_skipped;
-  m_counters.m_tasksRecovering = totals.m_recovering;
-  if (LogEnabled(LogLevel::Info)) {
-    m_waitingReport->LogLines(m_interference);
-    m_interference.LogChanges();
-  }
-  m_waitingReport.reset();
 }
 
 const GraphStep&
@@ -266,12 +204,7 @@
 Scheduler::PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  std::vector<const Worker*> siblings;
-  for (const TaskRecord& task : record.m_tasks) {
-    for (const LiveAttempt& attempt : task.m_attempts) {
-      siblings.push_back(attempt.m_worker);
-    }
-  }
+  std::vector<const Worker*> siblings = ListWorkersOf(record);
   aRequest.m_siblings = &siblings;
   if (aRequest.m_step->m_gang) {
     PlaceGang(aWaiting, aRequest, aNow);
@@ -285,11 +218,11 @@
       continue;
     }
     if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
-      ReportRecoveringTasks(aWaiting, 1, aNow);
+      ReportTasks(&WaitingReport::AddRecovering, aWaiting, 1, aNow);
       continue;
     }
     if (m_fleet.HasAttempt(ref)) {
-      ReportStoppingTasks(aWaiting, 1, aNow);
+      ReportTasks(&WaitingReport::AddStopping, aWaiting, 1, aNow);
       continue;
     }
     if (!ranking) {
@@ -301,7 +234,7 @@
       return false;
     }
     if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
-      ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
+      ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, record.m_waiting, aNow);
       return true;
     }
     StartAttempt(aWaiting, i, *worker, aNow);
@@ -319,30 +252,15 @@
   return true;
 }
 
-void
-Scheduler::PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow)
+std::vector<Worker*>
+Scheduler::ChooseGangWorkers(size_t aMembers, PlacementRequest& aRequest)
 {
-  StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  if (record.m_waiting < record.m_tasks.size()) {
-    return; // members of the last attempt are still being stopped
-  }
-  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
-    const TaskRef ref = MakeTaskRef(aWaiting, i);
-    if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
-      ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
-      return;
-    }
-    if (m_fleet.HasAttempt(ref)) {
-      ReportStoppingTasks(aWaiting, record.m_waiting, aNow);
-      return;
-    }
-  }
   // Capacity is reserved tentatively, member by member, so that members on one worker add up.
   std::vector<Worker*> chosen;
   std::vector<const Worker*> siblings;
   aRequest.m_siblings = &siblings;
   std::optional<CandidateRanking> ranking;
-  while (chosen.size() < record.m_tasks.size()) {
+  while (chosen.size() < aMembers) {
     if (!ranking) {
       ranking.emplace(m_availableWorkers, aRequest);
     }
@@ -368,11 +286,36 @@
     worker->m_used.m_memoryMb -= demand.m_memoryMb;
     worker->m_used.m_accelerators -= demand.m_accelerators;
   }
+  aRequest.m_siblings = nullptr;
+  return chosen;
+}
+
+void
+Scheduler::PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow)
+{
+  StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  if (record.m_waiting < record.m_tasks.size()) { // members of the last attempt are still there
+    ReportTasks(&WaitingReport::AddIncomplete, aWaiting, record.m_waiting, aNow);
+    return;
+  }
+  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
+    const TaskRef ref = MakeTaskRef(aWaiting, i);
+    if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
+      ReportTasks(&WaitingReport::AddRecovering, aWaiting, record.m_waiting, aNow);
+      return;
+    }
+    if (m_fleet.HasAttempt(ref)) {
+      ReportTasks(&WaitingReport::AddStopping, aWaiting, record.m_waiting, aNow);
+      return;
+    }
+  }
+  const std::vector<Worker*> chosen = ChooseGangWorkers(record.m_tasks.size(), aRequest);
   if (chosen.size() < record.m_tasks.size()) {
+    ReportUnplacedStep(aWaiting, aRequest, aNow);
     return;
   }
   if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
-    ReportRecoveringTasks(aWaiting, record.m_waiting, aNow);
+    ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, record.m_waiting, aNow);
     return;
   }
   // All members have the same attempt number and the same checkpoint.
@@ -460,6 +403,9 @@
       it->second.m_phase == AttemptPhase::EndUnlisted) {
     return;
   }
+  if (it->second.m_phase == AttemptPhase::Running) {
+    RecordRun(aTask, LastSeenRunning(aWorker, it->second));
+  }
   it->second.m_phase = AttemptPhase::Stopping;
   it->second.m_phaseSince = aNow;
   it->second.m_stopConfirmed = false;
--- a/lib/Scheduler/WaitingReport.cpp
+++ b/lib/Scheduler/WaitingReport.cpp
@@ -37,6 +37,18 @@
   AddTasks(aImage, aTasks, aAge).m_recovering += aTasks;
 }
 
+void
+WaitingReport::AddUnconfirmed(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  AddTasks(aImage, aTasks, aAge).m_unconfirmed += aTasks;
+}
+
+void
+WaitingReport::AddIncomplete(ImageId aImage, uint32_t aTasks, Duration aAge)
+{
+  AddTasks(aImage, aTasks, aAge).m_incomplete += aTasks;
+}
+
 void
 WaitingReport::AddStopping(ImageId aImage, uint32_t aTasks, Duration aAge)
 {
@@ -63,6 +75,7 @@
     totals.m_tasks += imageEntry.second.m_tasks;
     totals.m_skipped += imageEntry.second.m_skipped;
     totals.m_recovering += imageEntry.second.m_recovering;
+    totals.m_unconfirmed += imageEntry.second.m_unconfirmed;
   }
   return totals;
 }
@@ -78,7 +91,9 @@
       .Add("tasks", image.m_tasks)
       .Add("passed_over", image.m_skipped)
       .Add("recovering", image.m_recovering)
+      .Add("unconfirmed", image.m_unconfirmed)
       .Add("stopping", image.m_stopping)
+      .Add("gang_incomplete", image.m_incomplete)
       .Add("oldest_ms", ToMillis(image.m_oldestAge));
     for (size_t i = 0; i < image.m_obstacles.size(); ++i) {
       if (image.m_obstacles[i] > 0) {
--- /dev/null
+++ b/unittests/Scheduler/JobWaitTest.cpp
@@ -0,0 +1,426 @@
+// Tests that for a job with nothing running, one value says what holds it.
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr GraphId kJob = 7;
+constexpr TaskRef kFirstTask{ kJob, 0, 0, 0 };
+constexpr int64_t kWorkerCpu = 16000; ///< Thousandths of a core.
+
+/// How a worker behaves.
+struct Behavior
+{
+  bool m_silent = false; ///< Its polls and starts get no response.
+  bool m_endsComplete = true;
+  std::vector<RunningAttempt> m_running;
+  std::vector<EndedAttempt> m_ended;
+};
+
+WorkerReport
+MakeReport(const WorkerName& aName)
+{
+  WorkerReport report;
+  report.m_id = aName;
+  report.m_service = "desk";
+  report.m_address = "10.0.0.1:80";
+  report.m_capacity = { kWorkerCpu, 64000, 0 };
+  return report;
+}
+
+GraphStep
+MakeStep(uint32_t aCount, int64_t aCpuMilli)
+{
+  GraphStep step;
+  step.m_count = aCount;
+  step.m_demand = { aCpuMilli, 1000, 0 };
+  step.m_estimateMs = 60000;
+  return step;
+}
+
+/// A leader with workers that do what their Behavior says.
+class WaitWorld
+{
+public:
+  WaitWorld()
+    : m_scheduler(SchedulerLimits(), 2, m_now)
+  {
+  }
+
+  /// Adds a worker with a record in the store.
+  Behavior& AddWorker(const WorkerName& aName)
+  {
+    m_scheduler.RestoreWorker(MakeReport(aName), m_now);
+    m_scheduler.UpdateWorker(MakeReport(aName), m_now);
+    m_scheduler.OnDirectoryRead();
+    return m_workers[aName];
+  }
+
+  void Submit(GraphId aId, const GraphStep& aStep)
+  {
+    Submission submission;
+    submission.m_id = aId;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    submission.m_graph.m_steps.push_back(aStep);
+    m_scheduler.Submit(aId, std::move(submission), m_now, WallMs());
+  }
+
+  void RestoreJob(GraphId aId, const GraphStep& aStep)
+  {
+    StoredJob stored;
+    stored.m_id = aId;
+    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    stored.m_graph.m_steps.push_back(aStep);
+    m_scheduler.RestoreJob(stored, m_now, WallMs());
+  }
+
+  void Advance(Duration aTime)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, WallMs());
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Execute(action);
+      }
+    }
+  }
+
+  /// Returns the report on the job, or nothing if it was not reported in the last second.
+  std::optional<JobWait> WaitOf(GraphId aJob) const
+  {
+    for (const JobWait& wait : m_scheduler.WaitingJobs().m_longest) {
+      if (wait.m_task.m_job == aJob) {
+        return wait;
+      }
+    }
+    return std::nullopt;
+  }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Scheduler m_scheduler;
+  std::map<WorkerName, Behavior> m_workers;
+  bool m_storeConfirms = true;
+
+private:
+  void Execute(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      if (m_storeConfirms) {
+        m_scheduler.OnAppended(append->m_batch, m_now);
+      }
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      Start(*start);
+    } else if (const StopTask* stop = std::get_if<StopTask>(&aAction)) {
+      Stop(*stop);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      Poll(*poll);
+    }
+  }
+
+  void Start(const StartTask& aStart)
+  {
+    Behavior& worker = m_workers[aStart.m_worker];
+    if (!worker.m_silent) {
+      worker.m_running.push_back({ aStart.m_task, aStart.m_attempt, "", 10, 0 });
+    }
+    m_scheduler.OnStartResult(aStart.m_worker,
+                              aStart.m_task,
+                              aStart.m_attempt,
+                              worker.m_silent ? WorkerCallResult::NoResponse
+                                              : WorkerCallResult::Accepted,
+                              m_now);
+  }
+
+  void Stop(const StopTask& aStop)
+  {
+    const Behavior& worker = m_workers[aStop.m_worker];
+    m_scheduler.OnStopResult(aStop.m_worker,
+                             aStop.m_task,
+                             aStop.m_attempt,
+                             worker.m_silent ? WorkerCallResult::NoResponse
+                                             : WorkerCallResult::Accepted,
+                             m_now);
+  }
+
+  void Poll(const PollWorker& aPoll)
+  {
+    const Behavior& worker = m_workers[aPoll.m_worker];
+    if (worker.m_silent) {
+      m_scheduler.OnPollFailed(aPoll.m_worker, aPoll.m_number, WorkerCallResult::NoResponse, m_now);
+      return;
+    }
+    WorkerStatus status;
+    status.m_clockMs = WallMs();
+    status.m_running = worker.m_running;
+    status.m_ended = worker.m_ended;
+    status.m_endsComplete = worker.m_endsComplete;
+    for (RunningAttempt& running : status.m_running) {
+      running.m_percent = static_cast<int>((m_now - m_createdAt) / kPerPercent);
+    }
+    m_scheduler.OnPollResponse(aPoll.m_worker, aPoll.m_number, status, m_now);
+  }
+
+  int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+
+  static constexpr Duration kPerPercent = milliseconds(200); // no attempt is a straggler
+
+  const Instant m_createdAt = m_now;
+};
+
+/// Longer than a job waits before it is reported, with the interval of the reports.
+constexpr Duration kReportTime = milliseconds(3500);
+
+} // namespace
+
+// Guards against a job that waits for room and whose workers' obstacles nobody can see.
+TEST_CASE("a job that fits nowhere is reported with the obstacles of the workers")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  world.Submit(kJob, MakeStep(2, kWorkerCpu + 1));
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::NoWorker);
+  CHECK(wait->m_task == kFirstTask);
+  CHECK(wait->m_tasks == 2);
+  CHECK(wait->m_waited >= seconds(2));
+  CHECK(wait->m_waited <= kReportTime);
+  CHECK(wait->m_obstacles[static_cast<size_t>(Obstacle::Processors)] == 1);
+}
+
+// Guards against reports on jobs that are at work, which would hide the others.
+TEST_CASE("a job with a task at work is not reported, however many of its tasks wait")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  world.Submit(kJob, MakeStep(3, kWorkerCpu));
+  world.Advance(seconds(5));
+  CHECK(world.m_scheduler.Counters().m_starts == 1);
+  CHECK_FALSE(world.WaitOf(kJob));
+  CHECK(world.m_scheduler.Counters().m_jobsWaiting == 0);
+}
+
+// Guards against a lasting task that is missing unseen, because others of its job run.
+TEST_CASE("a long-running task that does not run is reported although others of its job run")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  GraphStep step = MakeStep(2, kWorkerCpu);
+  step.m_longRunning = true;
+  world.Submit(kJob, step);
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::NoWorker);
+  CHECK(wait->m_task == TaskRef{ kJob, 0, 0, 1 });
+  CHECK(wait->m_tasks == 1);
+}
+
+// Guards against a job that was not tried, and for which no line says why.
+TEST_CASE("a job that is passed over is reported with the request that did not fit")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  world.Submit(kJob, MakeStep(1, kWorkerCpu + 1));
+  world.Submit(kJob + 1, MakeStep(1, kWorkerCpu + 1));
+  world.Advance(kReportTime);
+  const std::optional<JobWait> first = world.WaitOf(kJob);
+  const std::optional<JobWait> second = world.WaitOf(kJob + 1);
+  REQUIRE(first);
+  REQUIRE(second);
+  const bool firstTried = first->m_cause == WaitCause::NoWorker;
+  const JobWait& tried = firstTried ? *first : *second;
+  const JobWait& passedOver = firstTried ? *second : *first;
+  CHECK(tried.m_cause == WaitCause::NoWorker);
+  CHECK(passedOver.m_cause == WaitCause::PassedOver);
+  CHECK(passedOver.m_behind == tried.m_task);
+}
+
+// Guards against a job that the leader counts as running while callers see it waiting: its only
+// start got no response, and its worker is out of contact.
+TEST_CASE("a job whose start got no response is reported with the worker and its lease")
+{
+  WaitWorld world;
+  Behavior& worker = world.AddWorker("w");
+  world.Advance(milliseconds(500));
+  worker.m_silent = true;
+  world.Submit(kJob, MakeStep(1, 2000));
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait->m_worker.m_name == "w");
+  CHECK(wait->m_worker.m_phase == AttemptPhase::Unconfirmed);
+  CHECK(wait->m_worker.m_inPhase >= seconds(2));
+  CHECK(wait->m_worker.m_leaseRemaining > Duration::zero());
+  CHECK(wait->m_worker.m_unheard > Duration::zero());
+}
+
+// Guards against a run that counts until its lease ends although nobody hears of it.
+TEST_CASE("a job that runs only on a worker out of contact is reported")
+{
+  WaitWorld world;
+  Behavior& worker = world.AddWorker("w");
+  world.Submit(kJob, MakeStep(1, 2000));
+  world.Advance(seconds(2));
+  REQUIRE(worker.m_running.size() == 1);
+  worker.m_silent = true;
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait->m_worker.m_name == "w");
+  CHECK(wait->m_worker.m_phase == AttemptPhase::Running);
+  CHECK(wait->m_waited <= kReportTime);
+}
+
+// Guards against an end that a worker has no room to list, and that holds its task unseen.
+TEST_CASE("a job whose end is not listed is reported")
+{
+  WaitWorld world;
+  Behavior& worker = world.AddWorker("w");
+  world.Submit(kJob, MakeStep(1, 2000));
+  world.Advance(seconds(1));
+  REQUIRE(worker.m_running.size() == 1);
+  worker.m_running.clear();
+  worker.m_endsComplete = false;
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait->m_worker.m_phase == AttemptPhase::EndUnlisted);
+}
+
+// Guards against a task that waits unseen for the stop of an attempt that nobody wanted.
+TEST_CASE("a job of which a worker still stops an attempt is reported with that worker")
+{
+  WaitWorld world;
+  Behavior& busy = world.AddWorker("busy");
+  world.AddWorker("free");
+  busy.m_running.push_back({ kFirstTask, 1, "", 10, 0 });
+  world.Advance(seconds(1));
+  world.Submit(kJob, MakeStep(1, 2000));
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::StoppingElsewhere);
+  CHECK(wait->m_worker.m_name == "busy");
+  CHECK(wait->m_worker.m_phase == AttemptPhase::Stopping);
+}
+
+// Guards against a gang that waits in silence for a member that can't be stopped.
+TEST_CASE("a gang of which a member is still present is reported with that member")
+{
+  WaitWorld world;
+  world.AddWorker("a");
+  world.AddWorker("b");
+  GraphStep step = MakeStep(2, kWorkerCpu);
+  step.m_gang = true;
+  world.Submit(kJob, step);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_workers["a"].m_running.size() == 1);
+  REQUIRE(world.m_workers["b"].m_running.size() == 1);
+  Behavior& worker = world.m_workers["a"];
+  const RunningAttempt ended = worker.m_running.front();
+  worker.m_running.clear();
+  worker.m_ended.push_back({ 1, ended.m_task, ended.m_attempt, AttemptEnd::Failed, "" });
+  world.m_workers["b"].m_silent = true;
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::GangIncomplete);
+  CHECK(wait->m_task == ended.m_task);
+  CHECK(wait->m_worker.m_name == "b");
+  CHECK(wait->m_worker.m_phase == AttemptPhase::Running);
+  REQUIRE(wait->m_behind);
+  CHECK(wait->m_behind->m_index == 1 - ended.m_task.m_index);
+  CHECK(world.m_scheduler.Counters().m_tasksWaiting == 1);
+}
+
+// Guards against a gang that fits in part and waits in silence.
+TEST_CASE("a gang of which not all members fit is reported and counted")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  GraphStep step = MakeStep(2, kWorkerCpu);
+  step.m_gang = true;
+  world.Submit(kJob, step);
+  world.Advance(kReportTime);
+  const std::optional<JobWait> wait = world.WaitOf(kJob);
+  REQUIRE(wait);
+  CHECK(wait->m_cause == WaitCause::NoWorker);
+  CHECK(wait->m_obstacles[static_cast<size_t>(Obstacle::None)] == 1);
+  CHECK(world.m_scheduler.Counters().m_tasksWaiting == 2);
+}
+
+// Guards against a recovery whose awaited worker nobody can name, and a confirmation that is taken
+// for a part of the recovery.
+TEST_CASE("a job that waits for the recovery is reported, and then that it waits to be confirmed")
+{
+  WaitWorld world;
+  world.RestoreJob(kJob, MakeStep(1, 2000));
+  world.AddWorker("w");
+  world.AddWorker("lost").m_silent = true;
+  world.m_storeConfirms = false;
+  world.Advance(kReportTime);
+  const std::optional<JobWait> recovering = world.WaitOf(kJob);
+  REQUIRE(recovering);
+  CHECK(recovering->m_cause == WaitCause::Recovering);
+  CHECK(recovering->m_worker.m_name == "lost");
+  CHECK(recovering->m_worker.m_leaseRemaining > Duration::zero());
+  CHECK(world.m_scheduler.Counters().m_tasksRecovering == 1);
+  CHECK(world.m_scheduler.Counters().m_tasksUnconfirmed == 0);
+
+  world.Advance(seconds(8));
+  REQUIRE(world.m_scheduler.IsRecovered());
+  const std::optional<JobWait> unconfirmed = world.WaitOf(kJob);
+  REQUIRE(unconfirmed);
+  CHECK(unconfirmed->m_cause == WaitCause::Unconfirmed);
+  CHECK(unconfirmed->m_confirmationRequested);
+  CHECK_FALSE(unconfirmed->m_confirmationAge);
+  CHECK(world.m_scheduler.Counters().m_tasksRecovering == 0);
+  CHECK(world.m_scheduler.Counters().m_tasksUnconfirmed == 1);
+}
+
+// Guards against a log that is flooded while many jobs wait.
+TEST_CASE("the jobs that have waited longest are reported, and the others are counted")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  for (GraphId id = 1; id <= 12; ++id) {
+    world.Submit(id, MakeStep(1, kWorkerCpu + 1));
+    world.Advance(milliseconds(100));
+  }
+  world.Advance(kReportTime);
+  const JobWaits& waits = world.m_scheduler.WaitingJobs();
+  REQUIRE(waits.m_longest.size() == 5);
+  CHECK(waits.m_heldBack == 7);
+  CHECK(world.m_scheduler.Counters().m_jobsWaiting == 12);
+  for (size_t i = 0; i < waits.m_longest.size(); ++i) {
+    CHECK(waits.m_longest[i].m_task.m_job == i + 1);
+  }
+}
+
+// Guards against a report that goes on after the job has started.
+TEST_CASE("a job is no longer reported once it runs")
+{
+  WaitWorld world;
+  Behavior& worker = world.AddWorker("w");
+  world.Advance(milliseconds(500));
+  worker.m_silent = true;
+  world.Submit(kJob, MakeStep(1, 2000));
+  world.Advance(kReportTime);
+  REQUIRE(world.WaitOf(kJob));
+  worker.m_silent = false;
+  world.Advance(seconds(12)); // the attempt without a response is given up first
+  REQUIRE(worker.m_running.size() == 1);
+  CHECK_FALSE(world.WaitOf(kJob));
+  CHECK(world.m_scheduler.WaitingJobs().m_longest.empty());
+}
