Ask for a confirmation before starting what an earlier leader has given up

Cause: a leader that answers its successor lists what it has placed. What it has given up just before, since leases had expired by its own account, is not in the list, and since a recovered job needed no confirmation unless a lease had expired by the successor's account. If both are superseded, a third leader may have found the task.

Change: the arrival of the list counts as the end of a lease, so that recovered jobs need a confirmation that is later.

--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -141,6 +141,7 @@
     return;
   }
   m_placementNeeded = true;
+  m_unreadLeasesEnd = aNow; // the previous leader may have given up tasks until now
   m_previouslyPlaced.emplace();
   for (const PlacedTask& placed : aPlacements.m_tasks) {
     (*m_previouslyPlaced)[placed.m_task].push_back(placed.m_worker);
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -524,3 +524,54 @@
   CHECK(scheduler.StateOf(7));
   CHECK_FALSE(store.m_records[JobKey(7)].empty());
 }
+
+// Guards against a task that runs twice: its lease has expired by the account of a leader that was
+// superseded before that, whose successor is superseded as well, and asked it for its tasks.
+TEST_CASE("a task that a superseded predecessor has given up starts only after a confirmation")
+{
+  LeaderOfLostWorker first;
+  first.m_scheduler.OnDirectoryRead();
+  first.m_scheduler.UpdateWorker(MakeReport("w"), first.m_now);
+  first.m_scheduler.Submit(1,
+                           { 7, MakeLongRunningJob(7).m_terms, MakeLongRunningJob(7).m_graph },
+                           first.m_now,
+                           ToMillis(first.m_now.time_since_epoch()));
+  first.Advance(std::chrono::seconds(2), true);
+  REQUIRE(first.m_scheduler.ListPlacements(first.m_now).m_tasks.size() == 1);
+  const Instant lostAt = first.m_now;
+  first.Advance(milliseconds(5800), false);
+  REQUIRE(first.m_scheduler.ListPlacements(first.m_now).m_tasks.size() == 1);
+
+  // The successor claims; a third leader may claim at any time after that.
+  Scheduler second(SchedulerLimits(), 2, first.m_now);
+  StoredJob job = MakeLongRunningJob(7);
+  second.RestoreJob(job, first.m_now, 0);
+  second.RestoreWorker(MakeReport("w"), first.m_now);
+  second.RestoreWorker(MakeReport("b"), first.m_now);
+  second.UpdateWorker(MakeReport("w"), first.m_now);
+  second.UpdateWorker(MakeReport("b"), first.m_now);
+  second.OnDirectoryRead();
+  const Instant claimedAt = first.m_now;
+  while (!first.m_scheduler.ListPlacements(first.m_now).m_tasks.empty()) {
+    first.Advance(milliseconds(20), false);
+  }
+  INFO("given up " << ToMillis(first.m_now - claimedAt) << " ms after the claim, "
+                   << ToMillis(first.m_now - lostAt) << " ms after contact was lost");
+  REQUIRE(first.m_now - claimedAt < milliseconds(1000));
+  second.RestorePlacements(first.m_scheduler.ListPlacements(first.m_now), first.m_now);
+  size_t starts = 0;
+  for (Instant now = first.m_now; now < claimedAt + milliseconds(1000); now += milliseconds(20)) {
+    second.Tick(now, ToMillis(now.time_since_epoch()));
+    for (const Action& action : second.TakeActions()) { // the store confirms nothing
+      if (const PollWorker* poll = std::get_if<PollWorker>(&action)) {
+        if (poll->m_worker == "b") {
+          second.OnPollResponse("b", poll->m_number, WorkerStatus(), now);
+        } else {
+          second.OnPollFailed("w", poll->m_number, WorkerCallResult::NoResponse, now);
+        }
+      }
+      starts += std::holds_alternative<StartTask>(action) ? 1 : 0;
+    }
+  }
+  CHECK(starts == 0);
+}
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -56,6 +56,53 @@
   StopLogging();
 }
 
+namespace {
+
+/// A world in which a superseded leader learns what its predecessor had placed.
+class ChainWorld : public SchedulerWorld
+{
+public:
+  using SchedulerWorld::SchedulerWorld;
+
+  /// \pre Two leaders were superseded unnoticed, one after the other.
+  void TellSecondWhatFirstPlaced()
+  {
+    const std::shared_ptr<Leader> first = m_leaders[m_leaders.size() - 3];
+    const std::shared_ptr<Leader> second = m_leaders[m_leaders.size() - 2];
+    if (first->m_stopped || second->m_stopped) {
+      return;
+    }
+    first->m_stopped = true; // it responds, but calls no worker any more
+    second->m_scheduler->RestorePlacements(first->m_scheduler->ListPlacements(Now()), Now());
+  }
+};
+
+} // namespace
+
+// Guards against a task that runs twice: a superseded leader takes its superseded predecessor's
+// account of leases for the truth.
+TEST_CASE("no task runs twice when leases expire while two leaders follow each other")
+{
+  for (uint64_t seed : ListSeeds(400)) {
+    ChainWorld world(seed, 8);
+    world.ElectLeader(false);
+    for (int i = 0; i < 40; ++i) {
+      world.SubmitRandom();
+      world.Advance(milliseconds(100));
+    }
+    world.CutWorkersFromLeader(seconds(12));
+    world.Advance(milliseconds(5200 + world.m_random.Below(2000)));
+    world.SupersedeUnnoticed(milliseconds(kMaxNoticeMs));
+    world.Advance(milliseconds(20 + world.m_random.Below(300)));
+    world.SupersedeUnnoticed(milliseconds(kMaxNoticeMs));
+    world.Advance(milliseconds(world.m_random.Below(600)));
+    world.TellSecondWhatFirstPlaced();
+    world.Advance(seconds(12));
+    CheckViolations(world, seed);
+  }
+  StopLogging();
+}
+
 TEST_CASE("the scheduler keeps its guarantees under random faults")
 {
   for (uint64_t seed : ListSeeds(kSeeds)) {
