Keep the place of a task that waits for a confirmation

What callers saw: jobs that were accepted later start first, for as long as places become free one by one ("could run and doesn't").

Cause: a task that needs a confirmation asked for it when a place was free, and the tasks that rank after it took the place in the same pass. The confirmation came when the room was gone, and was too old once there was room again.

Change: the pass keeps the place until it ends, as it does for the members of a gang. So the next one, with the confirmation, finds it free.

Conclusion: such a task ranks as it did before its lease expired.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -205,6 +205,13 @@
 
   static constexpr Duration kRecoveryReportInterval = std::chrono::seconds(1);
 
+  /// Capacity that a pass keeps for a task that may not start yet.
+  struct HeldPlace
+  {
+    Worker* m_worker;
+    Demand m_demand;
+  };
+
   struct WaitingStep
   {
     Job* m_job;
@@ -318,6 +325,10 @@
   /// Chooses a worker for each of \p aMembers members, or for as many as fit. Changes the siblings
   /// of \p aRequest.
   std::vector<Worker*> ChooseGangWorkers(size_t aMembers, PlacementRequest& aRequest);
+  /// Keeps the place of a task that may not start yet from the tasks that rank after it, until the
+  /// end of the pass.
+  void HoldPlace(Worker& aWorker, const Demand& aDemand);
+  void ReleaseHeldPlaces();
   /// \pre No worker has an attempt of the task.
   void StartAttempt(const WaitingStep& aWaiting, size_t aIndex, Worker& aWorker, Instant aNow);
   void StopAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow);
@@ -478,6 +489,7 @@
   bool m_placementNeeded = false;
   std::unordered_map<std::string, double> m_reservedShares; ///< By service, for one pass.
   std::vector<Worker*> m_availableWorkers;                  ///< For one pass.
+  std::vector<HeldPlace> m_heldPlaces;                      ///< For one pass.
   Instant m_nextPlacementAt;
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
   std::optional<WaitingReport> m_waitingReport; ///< Set while a report is collected.
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -181,6 +181,7 @@
                                   ReservedShareOf(*request.m_service));
     }
   }
+  ReleaseHeldPlaces();
   FinishWaitingReport(failedSteps, aNow);
   m_confirmationUnused = false;
 }
@@ -200,6 +201,38 @@
            static_cast<uint16_t>(aIndex) };
 }
 
+static void
+Reserve(Worker& aWorker, const Demand& aDemand)
+{
+  aWorker.m_used.m_cpuMilli += aDemand.m_cpuMilli;
+  aWorker.m_used.m_memoryMb += aDemand.m_memoryMb;
+  aWorker.m_used.m_accelerators += aDemand.m_accelerators;
+}
+
+static void
+Release(Worker& aWorker, const Demand& aDemand)
+{
+  aWorker.m_used.m_cpuMilli -= aDemand.m_cpuMilli;
+  aWorker.m_used.m_memoryMb -= aDemand.m_memoryMb;
+  aWorker.m_used.m_accelerators -= aDemand.m_accelerators;
+}
+
+void
+Scheduler::HoldPlace(Worker& aWorker, const Demand& aDemand)
+{
+  Reserve(aWorker, aDemand);
+  m_heldPlaces.push_back({ &aWorker, aDemand });
+}
+
+void
+Scheduler::ReleaseHeldPlaces()
+{
+  for (const HeldPlace& held : m_heldPlaces) {
+    Release(*held.m_worker, held.m_demand);
+  }
+  m_heldPlaces.clear();
+}
+
 bool
 Scheduler::PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
@@ -233,11 +266,12 @@
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
-    if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
-      ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, record.m_waiting, aNow);
-      return true;
+    if (MayStartTasksOf(*aWaiting.m_job, aNow)) {
+      StartAttempt(aWaiting, i, *worker, aNow);
+    } else {
+      ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, 1, aNow);
+      HoldPlace(*worker, aRequest.m_step->m_demand);
     }
-    StartAttempt(aWaiting, i, *worker, aNow);
     siblings.push_back(worker);
     // The job is no longer idle, and a first sibling sets the preferred rack.
     const bool changesAll =
@@ -268,10 +302,7 @@
     if (!worker) {
       break;
     }
-    const Demand& demand = aRequest.m_step->m_demand;
-    worker->m_used.m_cpuMilli += demand.m_cpuMilli;
-    worker->m_used.m_memoryMb += demand.m_memoryMb;
-    worker->m_used.m_accelerators += demand.m_accelerators;
+    Reserve(*worker, aRequest.m_step->m_demand);
     chosen.push_back(worker);
     siblings.push_back(worker);
     if (aRequest.m_step->m_sameRack && siblings.size() == 1) {
@@ -281,10 +312,7 @@
     }
   }
   for (Worker* worker : chosen) {
-    const Demand& demand = aRequest.m_step->m_demand;
-    worker->m_used.m_cpuMilli -= demand.m_cpuMilli;
-    worker->m_used.m_memoryMb -= demand.m_memoryMb;
-    worker->m_used.m_accelerators -= demand.m_accelerators;
+    Release(*worker, aRequest.m_step->m_demand);
   }
   aRequest.m_siblings = nullptr;
   return chosen;
@@ -316,6 +344,9 @@
   }
   if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
     ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, record.m_waiting, aNow);
+    for (Worker* worker : chosen) {
+      HoldPlace(*worker, aRequest.m_step->m_demand);
+    }
     return;
   }
   // All members have the same attempt number and the same checkpoint.
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -2,6 +2,7 @@
 // afterwards.
 #include "egretturn/Scheduler/Scheduler.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
@@ -570,3 +571,38 @@
   world.Advance(lease + seconds(1));
   CHECK(world.m_running["b"].size() == 1);
 }
+
+// Guards against a task that waits for a confirmation while tasks that rank after it take each
+// place that becomes free: nothing is kept for it until the store has answered.
+TEST_CASE("a task that needs a confirmation gets the next place, before tasks that rank after it")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.SubmitLongRunning(1, 4000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["a"].size() == 1);
+  world.RegisterWorker("b");
+  world.Advance(seconds(1));
+  world.m_unreachable.insert("a");
+  for (GraphId id = 2; id <= 60; ++id) {
+    world.SubmitOneMinute(id, 4000);
+  }
+  world.Advance(seconds(10));
+  REQUIRE(world.WorkerOf("a").m_attempts.empty());
+  const auto isRunning = [&] {
+    const std::vector<RunningAttempt>& running = world.m_running["b"];
+    return std::any_of(running.begin(), running.end(), [](const RunningAttempt& aAttempt) {
+      return aAttempt.m_task.m_job == 1;
+    });
+  };
+  REQUIRE_FALSE(isRunning()); // there was no room
+  REQUIRE(world.m_running["b"].size() == 2);
+
+  int freed = 0;
+  for (; freed < 20 && !isRunning(); ++freed) {
+    world.Advance(milliseconds(140));
+    world.End("b", AttemptEnd::Done);
+    world.Advance(milliseconds(160));
+  }
+  CHECK(freed <= 2);
+}
