Avoid at most half of a service's workers at a time

Cause: each failed run and each unanswered start counted against its worker, several of one moment too, and nothing limited how many workers were avoided. Jobs that can't be done fail everywhere, and a short cut of the leader fails calls to all: then the whole service was avoided, for up to 8 s.

Change: a worker is avoided only while no more than half of its service is. Failures on more have a cause that the workers share.

Conclusion: half of a service stays in use, whatever fails.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -296,6 +296,8 @@
   /// Counts a failure. The worker may have been healthy from its last failure until
   /// \p aHealthyUntil.
   void RecordFailure(Worker& aWorker, Instant aHealthyUntil, Instant aNow);
+  /// Returns whether \p aWorker may be avoided beside the workers of its service that are already.
+  bool MayAvoid(const Worker& aWorker, Instant aNow) const;
 
   // WorkerCalls.cpp
   bool StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -19,6 +19,8 @@
   std::chrono::seconds(10); // time without a failure after which they no longer count
 static constexpr Duration kInitialAvoidance = std::chrono::seconds(1);
 static constexpr uint32_t kMaxAvoidanceDoublings = 3; // doublings of kInitialAvoidance
+// Failures on more workers have a cause that all of them share, such as a job that can't be done.
+static constexpr double kMaxAvoidedShare = 0.5; // of the workers of a service
 
 void
 Scheduler::LogAttempt(const char* aEvent,
@@ -37,6 +39,22 @@
   }
 }
 
+bool
+Scheduler::MayAvoid(const Worker& aWorker, Instant aNow) const
+{
+  size_t total = 0;
+  size_t avoided = 1; // with this one
+  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+    if (!worker->m_registered || worker->m_report.m_service != aWorker.m_report.m_service) {
+      continue;
+    }
+    ++total;
+    avoided += worker.get() != &aWorker && worker->m_avoidUntil > aNow ? 1 : 0;
+  }
+  const double maxAvoided = kMaxAvoidedShare * static_cast<double>(total);
+  return static_cast<double>(avoided) <= std::max(1.0, maxAvoided);
+}
+
 void
 Scheduler::RecordFailure(Worker& aWorker, Instant aHealthyUntil, Instant aNow)
 {
@@ -46,7 +64,7 @@
   }
   aWorker.m_lastFailureAt = aNow;
   ++aWorker.m_consecutiveFailures;
-  if (aWorker.m_consecutiveFailures < kFailuresBeforeAvoidance) {
+  if (aWorker.m_consecutiveFailures < kFailuresBeforeAvoidance || !MayAvoid(aWorker, aNow)) {
     return;
   }
   const uint32_t doublings =
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -572,6 +572,53 @@
   CHECK(world.m_running["b"].size() == 1);
 }
 
+// Guards against a whole fleet that is avoided for seconds, since calls of one moment each counted
+// as a failure of their worker: a pause of the leader's process or its link looks like that.
+TEST_CASE("sound workers accept work within 3 s of a moment in which no start was answered")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.RegisterWorker("b");
+  world.Advance(seconds(2));
+  world.m_unreachable = { "a", "b" };
+  for (GraphId id = 1; id <= 8; ++id) {
+    world.SubmitOneMinute(id, 1000); // all fit on one of the workers
+  }
+  world.Advance(milliseconds(200));
+  world.m_unreachable.clear();
+  world.Advance(seconds(1)); // contact is regained
+  REQUIRE(world.WorkerOf("a").m_failedPolls == 0);
+  REQUIRE(world.WorkerOf("b").m_failedPolls == 0);
+  world.Advance(seconds(3));
+  CHECK(world.m_running["a"].size() + world.m_running["b"].size() == 8);
+}
+
+// Guards against a whole fleet that is avoided for seconds because of one job whose tasks fail.
+TEST_CASE("a job starts within 3 s after tasks of another job have failed on all workers")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.RegisterWorker("b");
+  for (GraphId id = 1; id <= 12; ++id) {
+    world.SubmitOneMinute(id, 1000);
+  }
+  world.Advance(seconds(2));
+  REQUIRE(world.m_running["a"].size() == 6);
+  REQUIRE(world.m_running["b"].size() == 6);
+  for (int i = 0; i < 6; ++i) {
+    world.End("a", AttemptEnd::Failed);
+    world.End("b", AttemptEnd::Failed);
+  }
+  for (GraphId id = 1; id <= 12; ++id) {
+    world.Cancel(id);
+  }
+  world.SubmitOneMinute(100, 1000);
+  world.SubmitLongRunning(101, 1000);
+  world.Advance(seconds(1)); // the failures are known
+  world.Advance(seconds(3));
+  CHECK(world.m_running["a"].size() + world.m_running["b"].size() == 2);
+}
+
 // Guards against a task that waits for a confirmation while tasks that rank after it take each
 // place that becomes free: nothing is kept for it until the store has answered.
 TEST_CASE("a task that needs a confirmation gets the next place, before tasks that rank after it")
