Acknowledge ends in the same turn as the response that lists them

What callers saw: ends that are never acknowledged on a busy instance (Acks); a worker whose list is full takes no more tasks.

Cause: an acknowledgement is sent only within 150 ms of a response, since a worker that restarts numbers its ends anew, and the poll that carries it waited for the next tick. If ticks come later than that, each acknowledgement is withheld.

Change: a response with ends to acknowledge is followed by the poll at once, and the actions that a response leads to are executed with it while the leader may call workers.

Before and after: "ends are acknowledged also if the scheduler runs rarely" failed with 160 and 300 ms between ticks and holds now.

Left: a link shard withholds an acknowledgement that reaches it 150 ms after the response; by reading only.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -98,6 +98,7 @@
   Duration BatchingDelay();
   void WakeAt(Instant aAt);
   void RunScheduler();
+  void ExecuteActions();
   /// Returns whether workers may be called, and logs when that changes.
   bool CheckAuthority(Instant aNow);
   void Execute(const Action& aAction);
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -243,14 +243,23 @@
     m_scheduler.OnConfirmed(m_authority.ConfirmedSince(), now);
     m_scheduler.Tick(now, WallNowMs());
   }
+  ExecuteActions();
+  if (m_stopped) {
+    return;
+  }
+  WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + BatchingDelay())
+                 : now + kSuspendedInterval);
+}
+
+void
+LeaderSession::ExecuteActions()
+{
   for (const Action& action : m_scheduler.TakeActions()) {
     Execute(action);
     if (m_stopped) {
       return;
     }
   }
-  WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + BatchingDelay())
-                 : now + kSuspendedInterval);
 }
 
 bool
@@ -320,6 +329,9 @@
             }
             if (aResult == WorkerCallResult::Accepted) {
               self->m_scheduler.OnPollResponse(worker, number, aStatus, BootClockNow());
+              if (self->MayCall()) {
+                self->ExecuteActions();
+              }
             } else {
               self->m_scheduler.OnPollFailed(worker, number, aResult, BootClockNow());
             }
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -538,6 +538,9 @@
   worker->m_nextPollAt = aNow + (unacknowledged ? Duration::zero()
                                  : nonDurable   ? kNonDurableEndsPollDelay
                                                 : kPollDelay);
+  if (unacknowledged) {
+    SendPoll(*worker, aNow); // the next tick may come too late to acknowledge them
+  }
   CheckRecovery(aNow);
 }
 
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -572,6 +572,24 @@
   CHECK(world.m_running["b"].size() == 1);
 }
 
+// Guards against ends that are never acknowledged on an instance that is busy or slow: an
+// acknowledgement is only sent within 150 ms of a response, and each poll comes later than that.
+TEST_CASE("ends are acknowledged also if the scheduler runs rarely")
+{
+  for (const int64_t intervalMs : { 20, 160, 300 }) {
+    ContactWorld world;
+    world.m_tickInterval = milliseconds(intervalMs);
+    world.RegisterWorker("a");
+    world.SubmitOneMinute(1, 5000);
+    world.Advance(seconds(2));
+    REQUIRE(world.m_running["a"].size() == 1);
+    world.End("a", AttemptEnd::Done);
+    world.Advance(seconds(10));
+    INFO("ms between passes: " << intervalMs);
+    CHECK(world.m_acknowledged["a"] == 1);
+  }
+}
+
 // Guards against a whole fleet that is avoided for seconds, since calls of one moment each counted
 // as a failure of their worker: a pause of the leader's process or its link looks like that.
 TEST_CASE("sound workers accept work within 3 s of a moment in which no start was answered")
