Count a job as pending until a start of it may have been executed

Cause: StartAttempt() set the job to Running when it emitted the call, and a refused start did not take that back.

Change: the state follows what is known of a start. Begun: accepted, unknown result, listed as running or as ended, given up without a result. Not begun: refused, also if the order to stop was sent before the refusal arrived; in flight (its result follows within the call's timeout of 1 s; the number may be 2 s old). The state only goes forward. Stored progress and adopted attempts count as before; new: an end or an unwanted attempt that a new leader is told of counts, too.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -124,7 +124,8 @@
   /// Returns the state reported to callers, or nothing for an unknown job.
   std::optional<JobState> StateOf(GraphId aId);
 
-  /// Returns the number of accepted jobs of \p aRoute of which no task has started.
+  /// Returns the number of accepted jobs of \p aRoute of which no start may have been executed, as
+  /// far as the results of calls tell. A start in flight does not count yet.
   uint64_t CountPending(const std::string& aRoute);
 
   // Workers.
@@ -248,6 +249,8 @@
   };
 
   // AttemptEnds.cpp
+  /// Records that a start of a task of \p aJob may have been executed: it is not pending any more.
+  static void RecordBegun(Job& aJob);
   /// Records that an attempt of \p aTask was known to run at \p aAt.
   void RecordRun(const TaskRef& aTask, Instant aAt);
   void RecordDuration(const TaskRef& aTask, Duration aDuration);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -83,6 +83,14 @@
   }
 }
 
+void
+Scheduler::RecordBegun(Job& aJob)
+{
+  if (aJob.m_state == JobState::Queued) {
+    aJob.m_state = JobState::Running;
+  }
+}
+
 void
 Scheduler::RecordRun(const TaskRef& aTask, Instant aAt)
 {
@@ -175,6 +183,7 @@
 {
   const bool longRunning = aJob.m_stored.m_graph.m_steps[aReported.m_task.m_step].m_longRunning;
   DetachAttempt(aJob, aReported.m_task, aTask, aWorker, aReported.m_attempt, aNow);
+  RecordBegun(aJob);
   RecordRun(aReported.m_task, aNow);
   m_waitingJobs.insert(aJob.m_stored.m_id);
   m_placementNeeded = true;
@@ -306,6 +315,9 @@
              aReported.m_task,
              aReported.m_attempt,
              "listed");
+  if (job) {
+    RecordBegun(*job);
+  }
   if (!needed) {
     StopAttempt(aWorker, aReported.m_task, aNow);
     return;
@@ -316,9 +328,6 @@
   --JobRegistry::FindOccurrence(*job, aReported.m_task.m_occurrence)
       ->m_steps[aReported.m_task.m_step]
       .m_waiting;
-  if (job->m_state == JobState::Queued) {
-    job->m_state = JobState::Running;
-  }
 }
 
 void
@@ -334,6 +343,9 @@
     return; // an older attempt of the task, whose end will be reported next
   }
   if (attempt.m_phase != AttemptPhase::Running && attempt.m_phase != AttemptPhase::Stopping) {
+    if (Job* job = m_jobs.Find(aReported.m_task.m_job)) {
+      RecordBegun(*job);
+    }
     attempt.m_phase = AttemptPhase::Running;
     attempt.m_phaseSince = aNow;
     attempt.m_progressedAt = aNow;
@@ -358,6 +370,7 @@
 {
   const AttemptState& lost = aWorker.m_attempts.at(aTask);
   const AttemptNumber attempt = lost.m_attempt;
+  const bool mayHaveRun = !lost.m_refused;
   if (lost.m_phase == AttemptPhase::Running) {
     RecordRun(aTask, LastSeenRunning(aWorker, lost));
   }
@@ -368,6 +381,9 @@
   if (!job || IsEnded(job->m_state)) {
     return;
   }
+  if (mayHaveRun) {
+    RecordBegun(*job);
+  }
   if (TaskRecord* task = JobRegistry::FindTask(*job, aTask)) {
     DetachAttempt(*job, aTask, *task, aWorker, attempt, aNow);
     m_waitingJobs.insert(aTask.m_job);
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -376,9 +376,6 @@
   start.m_checkpoint = task.m_checkpoint;
   start.m_leaseEndMs = m_fleet.LeaseEnd(aWorker, aNow);
   m_fleet.ExtendLease(aWorker, aNow);
-  if (job.m_state == JobState::Queued) {
-    job.m_state = JobState::Running;
-  }
   ++m_counters.m_starts;
   if (LogEnabled(LogLevel::Info)) {
     Log(LogLine(LogLevel::Info, "run_start")
--- a/lib/Scheduler/WorkerCalls.cpp
+++ b/lib/Scheduler/WorkerCalls.cpp
@@ -28,6 +28,14 @@
                                                                              : nullptr;
 }
 
+/// Returns whether a start call with \p aResult was certainly not executed.
+static bool
+IsRefusal(WorkerCallResult aResult)
+{
+  return aResult != WorkerCallResult::Accepted && aResult != WorkerCallResult::NoResponse &&
+         aResult != WorkerCallResult::LinkLost;
+}
+
 void
 Scheduler::OnStartResult(const WorkerName& aId,
                          const TaskRef& aTask,
@@ -40,8 +48,16 @@
   }
   Worker* worker = m_fleet.Find(aId);
   AttemptState* attempt = FindAttempt(worker, aTask, aAttempt);
-  if (!attempt || attempt->m_phase == AttemptPhase::Stopping) {
-    return; // without an attempt, its end was reported before the response arrived
+  if (!attempt) {
+    return; // its end was reported before the response arrived
+  }
+  attempt->m_refused = IsRefusal(aResult);
+  if (attempt->m_phase == AttemptPhase::Stopping) {
+    return;
+  }
+  Job* job = m_jobs.Find(aTask.m_job);
+  if (job && !attempt->m_refused) {
+    RecordBegun(*job);
   }
   if (aResult == WorkerCallResult::Accepted) {
     attempt->m_phase = AttemptPhase::Running;
--- /dev/null
+++ b/unittests/Scheduler/PendingTest.cpp
@@ -0,0 +1,268 @@
+// Tests which jobs count as pending: those of which no start may have been executed.
+#include "egretturn/Scheduler/Scheduler.h"
+
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr GraphId kJob = 7;
+constexpr TaskRef kFirstTask{ kJob, 0, 0, 0 };
+
+/// A leader with one worker, "w", that responds to starts as it is told.
+class PendingWorld
+{
+public:
+  PendingWorld()
+    : m_scheduler(SchedulerLimits(), 2, m_now)
+  {
+    m_scheduler.RestoreWorker(Report(), m_now);
+    m_scheduler.UpdateWorker(Report(), m_now);
+    m_scheduler.OnDirectoryRead();
+  }
+
+  static WorkerReport Report()
+  {
+    WorkerReport report;
+    report.m_id = "w";
+    report.m_service = "desk";
+    report.m_address = "10.0.0.1:80";
+    report.m_capacity = { 16000, 64000, 0 };
+    return report;
+  }
+
+  static Graph MakeGraph(uint32_t aTasks)
+  {
+    GraphStep step;
+    step.m_count = aTasks;
+    step.m_demand = { 1000, 500, 0 };
+    step.m_estimateMs = 60000;
+    step.m_checkpoints = true; // so that a draining worker is told to stop it
+    Graph graph;
+    graph.m_steps.push_back(step);
+    return graph;
+  }
+
+  void Submit(uint32_t aTasks = 1)
+  {
+    Submission submission;
+    submission.m_id = kJob;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    submission.m_graph = MakeGraph(aTasks);
+    m_scheduler.Submit(1, std::move(submission), m_now, WallMs());
+  }
+
+  void Restore()
+  {
+    StoredJob stored;
+    stored.m_id = kJob;
+    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    stored.m_graph = MakeGraph(1);
+    m_scheduler.RestoreJob(stored, m_now, WallMs());
+  }
+
+  void Advance(Duration aTime)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
+      m_scheduler.Tick(m_now, WallMs());
+      for (const Action& action : m_scheduler.TakeActions()) {
+        Execute(action);
+      }
+    }
+  }
+
+  /// Answers the last start with \p aResult.
+  void AnswerLast(WorkerCallResult aResult)
+  {
+    m_scheduler.OnStartResult("w", m_lastStart.m_task, m_lastStart.m_attempt, aResult, m_now);
+  }
+
+  uint64_t CountPending() { return m_scheduler.CountPending("route"); }
+
+  Instant m_now{ std::chrono::hours(1) };
+  Scheduler m_scheduler;
+  std::optional<WorkerCallResult> m_startResult; ///< Of each start; none: no answer.
+  bool m_silent = false;                         ///< Polls get no response.
+  std::vector<RunningAttempt> m_running;
+  std::vector<EndedAttempt> m_ended;
+  size_t m_starts = 0;
+  StartTask m_lastStart;
+
+private:
+  void Execute(const Action& aAction)
+  {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      m_scheduler.OnAppended(append->m_batch, m_now);
+    } else if (const StartTask* start = std::get_if<StartTask>(&aAction)) {
+      ++m_starts;
+      m_lastStart = *start;
+      if (m_startResult == WorkerCallResult::Accepted) {
+        m_running.push_back({ start->m_task, start->m_attempt, "", 10, 0 });
+      }
+      if (m_startResult) {
+        AnswerLast(*m_startResult);
+      }
+    } else if (const StopTask* stop = std::get_if<StopTask>(&aAction)) {
+      m_scheduler.OnStopResult(
+        "w", stop->m_task, stop->m_attempt, WorkerCallResult::Accepted, m_now);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      Poll(*poll);
+    }
+  }
+
+  void Poll(const PollWorker& aPoll)
+  {
+    if (m_silent) {
+      m_scheduler.OnPollFailed("w", aPoll.m_number, WorkerCallResult::NoResponse, m_now);
+      return;
+    }
+    WorkerStatus status;
+    status.m_clockMs = WallMs();
+    status.m_running = m_running;
+    status.m_ended = m_ended;
+    m_scheduler.OnPollResponse("w", aPoll.m_number, status, m_now);
+  }
+
+  int64_t WallMs() const { return ToMillis(m_now.time_since_epoch()); }
+};
+
+} // namespace
+
+// Guards against jobs that are said to have begun although a worker has refused all their starts.
+TEST_CASE("a job whose starts were all refused counts as pending")
+{
+  const WorkerCallResult refusal = GENERATE(WorkerCallResult::Superseded,
+                                            WorkerCallResult::LeaseExpired,
+                                            WorkerCallResult::NoCapacity,
+                                            WorkerCallResult::InvalidTicket,
+                                            WorkerCallResult::Rejected,
+                                            WorkerCallResult::Unhealthy,
+                                            WorkerCallResult::IncarnationMismatch,
+                                            WorkerCallResult::NotSent);
+  CAPTURE(NameOf(refusal));
+  PendingWorld world;
+  world.m_startResult = refusal;
+  world.Submit();
+  world.Advance(seconds(6));
+  REQUIRE(world.m_starts > 1);
+  CHECK(world.CountPending() == 1);
+  CHECK(world.m_scheduler.StateOf(kJob) == JobState::Queued);
+  world.m_startResult = WorkerCallResult::Accepted;
+  world.Advance(seconds(20)); // the worker is avoided for a while
+  REQUIRE(world.m_running.size() == 1);
+  CHECK(world.CountPending() == 0);
+  CHECK(world.m_scheduler.StateOf(kJob) == JobState::Running);
+}
+
+// Guards against jobs that are said not to have begun although a task may have run.
+TEST_CASE("a job counts as begun once the result of a start is unknown")
+{
+  const WorkerCallResult unknown =
+    GENERATE(WorkerCallResult::NoResponse, WorkerCallResult::LinkLost);
+  CAPTURE(NameOf(unknown));
+  PendingWorld world;
+  world.m_startResult = unknown;
+  world.Submit();
+  world.Advance(milliseconds(500));
+  REQUIRE(world.m_starts >= 1);
+  CHECK(world.CountPending() == 0);
+  world.m_startResult = WorkerCallResult::Unhealthy;
+  world.Advance(seconds(10));
+  REQUIRE(world.m_starts > 1);
+  CHECK(world.CountPending() == 0); // later refusals don't undo the start that may have run
+}
+
+// Guards against a job that counts as pending because another of its tasks was refused.
+TEST_CASE("a job of which one task runs is not pending, whatever happens to the other starts")
+{
+  PendingWorld world;
+  world.m_startResult = WorkerCallResult::Accepted;
+  world.Submit(40); // more than fit
+  world.Advance(milliseconds(500));
+  REQUIRE(world.m_running.size() == 16);
+  world.m_startResult = WorkerCallResult::Unhealthy;
+  world.m_ended.push_back(
+    { 1, world.m_running.back().m_task, world.m_running.back().m_attempt, AttemptEnd::Done, "" });
+  world.m_running.pop_back();
+  world.Advance(seconds(3));
+  REQUIRE(world.m_starts > 16);
+  CHECK(world.CountPending() == 0);
+}
+
+// Guards against a task that runs while its job is shown as pending, since the answer is late.
+TEST_CASE("a job counts as begun once a worker lists its task, before the start is answered")
+{
+  PendingWorld world;
+  world.Submit();
+  world.Advance(milliseconds(100));
+  REQUIRE(world.m_starts == 1);
+  world.m_running.push_back({ world.m_lastStart.m_task, world.m_lastStart.m_attempt, "", 10, 0 });
+  world.Advance(seconds(2));
+  CHECK(world.CountPending() == 0);
+  CHECK(world.m_scheduler.StateOf(kJob) == JobState::Running);
+}
+
+// Guards against a job that counts as pending after its only run has failed.
+TEST_CASE("a job counts as begun once a worker lists an end of its task")
+{
+  PendingWorld world;
+  world.Restore();
+  world.m_ended.push_back({ 1, kFirstTask, 1, AttemptEnd::Failed, "" });
+  world.Advance(seconds(2));
+  CHECK(world.CountPending() == 0);
+}
+
+// Guards against a new leader that shows jobs as pending whose tasks it has found running.
+TEST_CASE("a job counts as begun once a new leader adopts its task")
+{
+  PendingWorld world;
+  world.Restore();
+  CHECK(world.CountPending() == 1);
+  world.m_running.push_back({ kFirstTask, 1, "", 10, 0 });
+  world.Advance(seconds(2));
+  CHECK(world.CountPending() == 0);
+}
+
+// Guards against a new leader that forgets that a job has begun.
+TEST_CASE("a job that had begun by its stored progress is not pending after a refused start")
+{
+  PendingWorld world;
+  world.Restore();
+  StoredProgress progress;
+  progress.m_state = JobState::Running;
+  world.m_scheduler.RestoreProgress(kJob, progress);
+  world.m_startResult = WorkerCallResult::Unhealthy;
+  world.Advance(seconds(2));
+  REQUIRE(world.m_starts >= 1);
+  CHECK(world.CountPending() == 0);
+}
+
+// Guards against a job that counts as begun because its refusal arrived after the order to stop.
+TEST_CASE("a job whose start is refused after it was to be stopped counts as pending")
+{
+  PendingWorld world;
+  world.Submit();
+  world.Advance(milliseconds(100));
+  REQUIRE(world.m_starts == 1);
+  WorkerReport draining = PendingWorld::Report();
+  draining.m_draining = true;
+  world.m_scheduler.UpdateWorker(draining, world.m_now);
+  world.AnswerLast(WorkerCallResult::Unhealthy);
+  world.Advance(seconds(3));
+  CHECK(world.CountPending() == 1);
+}
+
+// Guards against a job that counts as pending although a start of it was given up without a result.
+TEST_CASE("a job counts as begun if the lease of its start expires without an answer")
+{
+  PendingWorld world;
+  world.Submit();
+  world.Advance(milliseconds(100));
+  REQUIRE(world.m_starts == 1);
+  world.m_silent = true;
+  world.Advance(seconds(10));
+  CHECK(world.CountPending() == 0);
+}
