--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -101,6 +101,14 @@
   }
 }
 
+void
+Scheduler::RecordBegun(Job& aJob)
+{
+  if (aJob.m_state == JobState::Queued) {
+    aJob.m_state = JobState::Running;
+  }
+}
+
 void
 Scheduler::RecordRun(const TaskRef& aTask, Instant aAt)
 {
@@ -193,6 +201,7 @@
 {
   const bool longRunning = aJob.m_stored.m_graph.m_steps[aReported.m_task.m_step].m_longRunning;
   DetachAttempt(aJob, aReported.m_task, aTask, aWorker, aReported.m_attempt, aNow);
+  RecordBegun(aJob);
   RecordRun(aReported.m_task, aNow);
   m_waitingJobs.insert(aJob.m_stored.m_id);
   m_placementNeeded = true;
@@ -324,6 +333,9 @@
              aReported.m_task,
              aReported.m_attempt,
              "listed");
+  if (job) {
+    RecordBegun(*job);
+  }
   if (!needed) {
     StopAttempt(aWorker, aReported.m_task, aNow);
     return;
@@ -334,9 +346,6 @@
   --JobRegistry::FindOccurrence(*job, aReported.m_task.m_occurrence)
       ->m_steps[aReported.m_task.m_step]
       .m_waiting;
-  if (job->m_state == JobState::Queued) {
-    job->m_state = JobState::Running;
-  }
 }
 
 void
@@ -352,6 +361,9 @@
     return; // an older attempt of the task, whose end will be reported next
   }
   if (attempt.m_phase != AttemptPhase::Running && attempt.m_phase != AttemptPhase::Stopping) {
+    if (Job* job = m_jobs.Find(aReported.m_task.m_job)) {
+      RecordBegun(*job);
+    }
     attempt.m_phase = AttemptPhase::Running;
     attempt.m_phaseSince = aNow;
     attempt.m_progressedAt = aNow;
@@ -376,6 +388,7 @@
 {
   const AttemptState& lost = aWorker.m_attempts.at(aTask);
   const AttemptNumber attempt = lost.m_attempt;
+  const bool mayHaveRun = !lost.m_refused;
   if (lost.m_phase == AttemptPhase::Running) {
     RecordRun(aTask, LastSeenRunning(aWorker, lost));
   }
@@ -386,6 +399,9 @@
   if (!job || IsEnded(job->m_state)) {
     return;
   }
+  if (mayHaveRun) {
+    RecordBegun(*job);
+  }
   if (TaskRecord* task = JobRegistry::FindTask(*job, aTask)) {
     task->m_avoidedWorker = &aWorker;
     DetachAttempt(*job, aTask, *task, aWorker, attempt, aNow);
