Take the end of each gang member off, and check the scheduler's records

After a gang was done, its job counted as running until its end: a fill step behind the gang never counted as idle, so it was not preferred where each worker's serving tasks are near their targets (LOST, "could run and doesn't"), and no jobs_idle line named it. A cancellation went through the attempts that were left, also if their worker had been removed.

Cause: the first end of a gang marks all members as done. The end of a member that is done by itself was then skipped, and its attempt stayed in the task's record and in the job's count. In the protocol members end done together, so this is the usual end of a gang. A member on the worker that listed the first end lost its attempt before that had ended.

Evidence: Scheduler::ListInconsistencies, which the simulated world now asks after each tick (each task waits, has an attempt that its worker has, too, or is done; a step's count of waiting tasks, a job's count of attempts, and the set of waiting jobs agree with that).

Change: the reported end is applied to its own task in any case, and the other members are marked as done with their attempts, which are stopped, and end by their own reports. New: members on the worker of the first end are stopped as well, as those on other workers are.

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -105,6 +105,7 @@
   static bool IsReady(const Job& aJob, const OccurrenceRecord& aOccurrence, size_t aStep);
 
   std::unordered_map<GraphId, std::unique_ptr<Job>>& All() { return m_jobs; }
+  const std::unordered_map<GraphId, std::unique_ptr<Job>>& All() const { return m_jobs; }
 
 private:
   std::unordered_map<GraphId, std::unique_ptr<Job>> m_jobs;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -190,6 +190,10 @@
   size_t JobCount() { return m_jobs.All().size(); }
   bool IsRecovered() const { return m_recovered; }
 
+  /// Returns what contradicts itself in the records of jobs that have not ended; for tests. A task
+  /// waits, has attempts, or is done, and each task that waits is found by the next placement pass.
+  std::vector<std::string> ListInconsistencies() const;
+
   /// Returns the reading of the retention clock, which the store should learn each second.
   int64_t RetentionClockMs() const { return m_retentionClock.NowMs(); }
 
@@ -225,6 +229,8 @@
                        const EndedAttempt& aReported,
                        Worker& aWorker,
                        Instant aNow);
+  /// Marks the other members of the gang of \p aDone as done: one such end represents all of them.
+  void CompleteGang(Job& aJob, const TaskRef& aDone, Instant aNow);
   void ApplyTaskDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow);
   void ApplyTaskFailure(Job& aJob,
                         TaskRecord& aTask,
@@ -345,6 +351,12 @@
   /// that claims afterwards may find that the task was done.
   bool MayStartTasksOf(const Job& aJob, Instant aNow);
 
+  // Consistency.cpp
+  void CheckJobRecord(const Job& aJob, std::vector<std::string>& aFound) const;
+  void CheckOccurrence(const Job& aJob,
+                       const OccurrenceRecord& aOccurrence,
+                       std::vector<std::string>& aFound) const;
+
   // Scheduler.cpp
   /// Marks the attempts on \p aWorker as lost, since their leases have expired.
   void MarkAttemptsExpired(Worker& aWorker, Instant aNow);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -220,19 +220,26 @@
   if (!task) {
     return;
   }
-  if (!job->m_stored.m_graph.m_steps[aReported.m_task.m_step].m_gang ||
-      aReported.m_end != AttemptEnd::Done) {
-    ApplyAttemptEnd(*job, *task, aReported, aWorker, aNow);
+  ApplyAttemptEnd(*job, *task, aReported, aWorker, aNow);
+  if (aReported.m_end == AttemptEnd::Done) {
+    CompleteGang(*job, aReported.m_task, aNow);
+  }
+}
+
+void
+Scheduler::CompleteGang(Job& aJob, const TaskRef& aDone, Instant aNow)
+{
+  const GraphStep& step = aJob.m_stored.m_graph.m_steps[aDone.m_step];
+  if (!step.m_gang || step.m_longRunning) {
     return;
   }
-  // One member that is done completes the whole gang.
-  EndedAttempt member = aReported;
-  const size_t members = job->m_stored.m_graph.m_steps[aReported.m_task.m_step].m_count;
-  for (size_t i = 0; i < members && !IsEnded(job->m_state); ++i) {
-    member.m_task.m_index = static_cast<uint16_t>(i);
-    TaskRecord* record = JobRegistry::FindTask(*job, member.m_task);
+  const size_t members = step.m_count;
+  TaskRef member = aDone;
+  for (size_t i = 0; i < members && !IsEnded(aJob.m_state); ++i) {
+    member.m_index = static_cast<uint16_t>(i);
+    TaskRecord* record = JobRegistry::FindTask(aJob, member);
     if (record && !record->m_done) {
-      ApplyAttemptEnd(*job, *record, member, aWorker, aNow);
+      ApplyTaskDone(aJob, *record, member, aNow);
     }
   }
 }
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -521,6 +521,7 @@
     for (const std::shared_ptr<Leader>& leader : std::vector(m_leaders)) {
       RunScheduler(leader);
     }
+    CheckRecords();
     CheckPolls();
     CheckRecoveryTime(m_now - previous);
   }
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -133,6 +133,8 @@
   void Append(const std::shared_ptr<Leader>& aLeader, const AppendRecords& aAppend);
   void OnRequestCompleted(const std::shared_ptr<Leader>& aLeader,
                           const CompleteRequest& aCompletion);
+  /// Checks that the records of the leader do not contradict themselves.
+  void CheckRecords();
   /// Checks that each state that only a response of a worker can change has a poll in flight, or
   /// due soon.
   void CheckPolls();
--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -57,6 +57,17 @@
   }
 }
 
+void
+SchedulerWorld::CheckRecords()
+{
+  if (m_leaders.empty() || m_leaders.back()->m_stopped) {
+    return;
+  }
+  for (const std::string& inconsistency : m_leaders.back()->m_scheduler->ListInconsistencies()) {
+    m_oracle.ReportViolation(inconsistency);
+  }
+}
+
 void
 SchedulerWorld::CheckPolls()
 {
