Take the attempts that a complete occurrence leaves off its job's count

A job of several occurrences of which one ended with a gang counted as running from then on, so that nothing of it was preferred as idle where fill work has to press serving tasks, and no jobs_idle line named it.

Cause: the tasks of a complete occurrence are dropped at once, the attempts of gang members that still end with them; the reports of their ends find no task and take nothing off the job's count.

All of SchedulerTests passes.

Change: what is left of the attempts is taken off when the occurrence is closed.

--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -102,6 +102,19 @@
         .Add("core_seconds", aJob.TotalWork()));
 }
 
+/// Removes the tasks of a complete occurrence. What is left of their attempts no longer counts.
+static void
+CloseOccurrence(Job& aJob, OccurrenceRecord& aOccurrence)
+{
+  for (const StepRecord& step : aOccurrence.m_steps) {
+    for (const TaskRecord& task : step.m_tasks) {
+      aJob.m_liveAttempts -= static_cast<uint32_t>(task.m_attempts.size());
+    }
+  }
+  aOccurrence.m_complete = true;
+  aOccurrence.m_steps.clear();
+}
+
 void
 Scheduler::ApplyTaskDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow)
 {
@@ -125,8 +138,7 @@
   if (!complete) {
     return;
   }
-  occurrence.m_complete = true;
-  occurrence.m_steps.clear();
+  CloseOccurrence(aJob, occurrence);
   m_urgent = true;
   if (!aJob.HasOpenOccurrences()) {
     EndJob(aJob, JobState::Done, aNow);
--- a/unittests/Scheduler/JobRecordsTest.cpp
+++ b/unittests/Scheduler/JobRecordsTest.cpp
@@ -51,3 +51,17 @@
     RunWithoutFaults(seed, MakeGangJob(6));
   }
 }
+
+// Guards against a job of several occurrences that counts as running for good: the attempts that
+// were left when an occurrence was complete were never taken off.
+TEST_CASE("an occurrence that ends with a gang leaves no attempts behind")
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Submission submission = MakeGangJob(6);
+    submission.m_graph.m_steps.pop_back();
+    submission.m_graph.m_occurrences = 2;
+    submission.m_graph.m_firstDueMs = ToMillis(Instant(std::chrono::hours(1)).time_since_epoch());
+    submission.m_graph.m_intervalMs = 10000;
+    RunWithoutFaults(seed, std::move(submission));
+  }
+}
