Ask in the random tests whether a job waits that could run

The oracle asked only at the end whether accepted jobs ended. It now asks the question of LOST while time runs (RULES.md): for 3 s nothing of an accepted job runs, a task's turn has come, there is room for it twice over on listed, sound workers, and under half of the capacity is in use; for each task that lasts, from 6 s after its last run, however full the service is; and the 3 s and the 4 s before are calm. It goes by what the simulated workers run, not by the scheduler's attempts. Not calm: an active fault, a change of leader, a worker's restart, and calls that are still to be carried out late. A busy instance is no fault.

New for sequences: workers that flap (down and up for 0.4 to 3 s, the same name, a new incarnation), an instance that runs its scheduler rarely, jobs of several occurrences with gangs and limits for each worker, and calm spells. The sequence of the existing tests is unchanged.

--- a/unittests/Node/LinkedWorld.cpp
+++ b/unittests/Node/LinkedWorld.cpp
@@ -301,6 +301,21 @@
   StartShard(m_shards[aIndex]);
 }
 
+bool
+LinkedWorld::HasOtherFaults()
+{
+  uint64_t lives = 0;
+  bool faulty = m_lossProbability > 0;
+  for (const std::shared_ptr<Process>& shard : m_shards) {
+    lives += shard->m_life;
+    faulty = faulty || shard->m_pausedUntil > Now() || shard->m_cutUntil > Now();
+    for (const std::pair<const WorkerName, Instant>& cut : shard->m_caller->m_unreachableUntil) {
+      faulty = faulty || cut.second > Now();
+    }
+  }
+  return std::exchange(m_knownLives, lives) != lives || faulty;
+}
+
 void
 LinkedWorld::InjectLinkFault()
 {
--- a/unittests/Node/LinkedWorld.h
+++ b/unittests/Node/LinkedWorld.h
@@ -37,6 +37,8 @@
 protected:
   std::shared_ptr<WorkerPort> MakeWorkerPort(const std::shared_ptr<Leader>& aLeader) override;
 
+  bool HasOtherFaults() override;
+
   /// A poll takes longer by the time in which a leader notices that a link has failed.
   Duration MaxPollTime() const override;
 
@@ -71,6 +73,7 @@
   std::vector<std::shared_ptr<Process>> m_shards;
   std::vector<std::shared_ptr<Process>> m_leaderProcesses;
   std::vector<std::shared_ptr<void>> m_retired; ///< What pending callbacks of an ended process use.
+  uint64_t m_knownLives = 0;                    ///< The sum of the shards' lives at the last check.
   double m_lossProbability = 0;                 ///< Of a message between instances.
 };
 
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -20,22 +20,54 @@
 }
 
 bool
-Oracle::IsDone(const TaskRef& aTask) const
+Oracle::IsAmong(const std::set<std::string>& aDone, const TaskRef& aTask) const
 {
   const GraphStep* step = StepOf(aTask);
   if (!step || !step->m_gang) {
-    return m_done.count(Key(aTask)) > 0;
+    return aDone.count(Key(aTask)) > 0;
   }
   TaskRef member = aTask;
   for (uint32_t i = 0; i < step->m_count; ++i) {
     member.m_index = static_cast<uint16_t>(i);
-    if (m_done.count(Key(member)) > 0) {
+    if (aDone.count(Key(member)) > 0) {
       return true;
     }
   }
   return false;
 }
 
+bool
+Oracle::IsDone(const TaskRef& aTask) const
+{
+  return IsAmong(m_done, aTask);
+}
+
+bool
+Oracle::IsDoneForGood(const TaskRef& aTask) const
+{
+  return IsAmong(m_acknowledgedDone, aTask);
+}
+
+bool
+Oracle::IsRunning(const TaskRef& aTask) const
+{
+  const auto it = m_running.find(Key(aTask));
+  return it != m_running.end() && !it->second.empty();
+}
+
+uint32_t
+Oracle::CountRunning(const TaskRef& aFirst, const WorkerName& aWorker) const
+{
+  uint32_t running = 0;
+  TaskRef task = aFirst;
+  for (uint32_t i = 0; i < StepOf(aFirst)->m_count; ++i) {
+    task.m_index = static_cast<uint16_t>(i);
+    const auto it = m_running.find(Key(task));
+    running += it != m_running.end() && it->second.count(aWorker) > 0 ? 1 : 0;
+  }
+  return running;
+}
+
 void
 Oracle::OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate)
 {
@@ -153,6 +185,27 @@
   return used;
 }
 
+Demand
+FakeWorker::TotalDemand() const
+{
+  Demand total;
+  for (const std::pair<const std::string, std::pair<TaskRef, Attempt>>& attemptEntry : m_attempts) {
+    const TaskRef& task = attemptEntry.second.first;
+    const Graph& graph = m_oracle.m_jobs.at(task.m_job).m_submission.m_graph;
+    total.m_cpuMilli += graph.m_steps[task.m_step].m_demand.m_cpuMilli;
+    total.m_memoryMb += graph.m_steps[task.m_step].m_demand.m_memoryMb;
+  }
+  return total;
+}
+
+bool
+FakeWorker::HoldsDoneEnd(const TaskRef& aTask) const
+{
+  return std::any_of(m_ended.begin(), m_ended.end(), [&](const PendingEnd& aEnd) {
+    return aEnd.m_reported.m_task == aTask && aEnd.m_reported.m_end == AttemptEnd::Done;
+  });
+}
+
 WorkerCallResult
 FakeWorker::Start(const StartTask& aStart, uint64_t aFence, Instant aNow, bool aLate)
 {
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -39,10 +39,17 @@
   void OnAcknowledged(const EndedAttempt& aReported, bool aLeaseExpired);
   /// Returns whether the task has ended as done, or, in a gang, any task of its step.
   bool IsDone(const TaskRef& aTask) const;
+  /// Returns whether an end of the task as done was acknowledged, or, in a gang, of any task.
+  bool IsDoneForGood(const TaskRef& aTask) const;
+  /// Returns whether any worker runs the task.
+  bool IsRunning(const TaskRef& aTask) const;
+  /// Returns on how many of the running tasks of the step \p aWorker is at work.
+  uint32_t CountRunning(const TaskRef& aFirst, const WorkerName& aWorker) const;
 
 private:
   static std::string Key(const TaskRef& aTask) { return FormatTaskRef(aTask); }
   const GraphStep* StepOf(const TaskRef& aTask) const;
+  bool IsAmong(const std::set<std::string>& aDone, const TaskRef& aTask) const;
 
   std::map<std::string, std::set<WorkerName>> m_running;
   std::set<std::string> m_done;             ///< Ended as done.
@@ -80,6 +87,10 @@
 
   const WorkerReport& Report() const { return m_report; }
   size_t Running() const { return m_attempts.size(); }
+  /// Returns the demand of all attempts, also of best-effort ones.
+  Demand TotalDemand() const;
+  /// Returns whether it holds an end of the task as done that was not acknowledged.
+  bool HoldsDoneEnd(const TaskRef& aTask) const;
 
   Instant m_unreachableUntil;  ///< Until then, calls get no response.
   Instant m_deregisteredUntil; ///< Until then, the directory has no entry for it.
--- a/unittests/Scheduler/RandomFaults.cpp
+++ b/unittests/Scheduler/RandomFaults.cpp
@@ -12,6 +12,9 @@
 using std::chrono::seconds;
 
 static constexpr int kSteps = 120;
+static constexpr int kSpells = 3; // of calm
+static constexpr int kStepsBeforeSpell = 30;
+static constexpr Duration kSpellTime = seconds(16); // tasks that last are missed 13 s after a run
 
 static void
 InjectWorkerFault(SchedulerWorld& aWorld)
@@ -69,6 +72,26 @@
   }
 }
 
+static void
+CancelLongRunningJobs(SchedulerWorld& aWorld)
+{
+  for (const std::pair<const GraphId, JobHistory>& historyEntry : aWorld.m_oracle.m_jobs) {
+    const JobHistory& history = historyEntry.second;
+    if (history.m_submission.m_graph.m_steps[0].m_longRunning) {
+      aWorld.Cancel(historyEntry.first);
+    }
+  }
+}
+
+static void
+SettleAndCheck(SchedulerWorld& aWorld)
+{
+  aWorld.Settle();
+  aWorld.CheckWorkersAvailable();
+  aWorld.CheckJobs();
+  aWorld.CheckRestarts();
+}
+
 void
 PlayRandomSteps(SchedulerWorld& aWorld,
                 const std::function<void()>& aExtraFault,
@@ -92,20 +115,54 @@
     }
     aWorld.Advance(milliseconds(aWorld.m_random.Below(600)));
   }
-  for (const std::pair<const GraphId, JobHistory>& historyEntry : aWorld.m_oracle.m_jobs) {
-    const GraphId id = historyEntry.first;
-    const JobHistory& history = historyEntry.second;
-    if (history.m_submission.m_graph.m_steps[0].m_longRunning) {
-      aWorld.Cancel(id);
-    }
-  }
+  CancelLongRunningJobs(aWorld);
   if (aHeal) {
     aHeal();
   }
-  aWorld.Settle();
-  aWorld.CheckWorkersAvailable();
-  aWorld.CheckJobs();
-  aWorld.CheckRestarts();
+  SettleAndCheck(aWorld);
+}
+
+static void
+InjectFault(SchedulerWorld& aWorld)
+{
+  const uint64_t draw = aWorld.m_random.Below(6);
+  if (draw == 0) {
+    InjectSystemFault(aWorld);
+  } else if (draw == 1) {
+    aWorld.KeepBusy(milliseconds(60 + aWorld.m_random.Below(340)),
+                    milliseconds(aWorld.m_random.Below(9000)));
+  } else if (draw < 4) {
+    aWorld.FlapWorker(*aWorld.m_workers[aWorld.m_random.Below(aWorld.m_workers.size())],
+                      milliseconds(2000 + aWorld.m_random.Below(10000)));
+  } else {
+    InjectWorkerFault(aWorld);
+  }
+}
+
+void
+PlayCalmSpells(SchedulerWorld& aWorld)
+{
+  aWorld.ElectLeader(false);
+  for (int spell = 0; spell < kSpells; ++spell) {
+    for (int step = 0; step < kStepsBeforeSpell; ++step) {
+      const uint64_t draw = aWorld.m_random.Below(20);
+      if (draw < 6) {
+        aWorld.SubmitRandom();
+      } else if (draw < 8) {
+        aWorld.SubmitRepeated();
+      } else if (draw < 11) {
+        InjectFault(aWorld);
+      }
+      aWorld.Advance(milliseconds(aWorld.m_random.Below(600)));
+    }
+    aWorld.Heal();
+    if (aWorld.m_random.Below(2) == 0) {
+      aWorld.KeepBusy(milliseconds(60 + aWorld.m_random.Below(340)), kSpellTime);
+    }
+    aWorld.Advance(kSpellTime);
+  }
+  CancelLongRunningJobs(aWorld);
+  SettleAndCheck(aWorld);
 }
 
 void
@@ -119,7 +176,7 @@
 }
 
 std::vector<uint64_t>
-ListSeeds(uint64_t aCount)
+ListSeeds(uint64_t aCount, uint64_t aFirst)
 {
   const char* first = std::getenv("EGRETTURN_FUZZ_SEED");
   const char* count = std::getenv("EGRETTURN_FUZZ_COUNT");
@@ -127,7 +184,7 @@
     StartLogging(LogLevel::Info, "fuzz");
   }
   std::vector<uint64_t> seeds(count ? std::strtoull(count, nullptr, 10) : aCount);
-  std::iota(seeds.begin(), seeds.end(), first ? std::strtoull(first, nullptr, 10) : 1);
+  std::iota(seeds.begin(), seeds.end(), first ? std::strtoull(first, nullptr, 10) : aFirst);
   return seeds;
 }
 
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -12,8 +12,9 @@
 static constexpr Duration kDirectoryInterval = milliseconds(400);
 static constexpr Duration kResponseTimeout = milliseconds(1000);
 static constexpr Duration kSettleTime = seconds(90);
-static constexpr int64_t kMaxClockLagMs = 3000;
 static constexpr uint64_t kMaxDueDelayMs = 4000;
+static constexpr uint64_t kMinFlapMs = 400; // a flapping worker is down or up this long
+static constexpr uint64_t kMaxFlapMs = 3000;
 static constexpr uint64_t kShortListSeeds = 4; // in each fourth seed, workers list few ends
 static constexpr size_t kShortList = 3;
 
@@ -91,6 +92,27 @@
   return id;
 }
 
+GraphId
+SchedulerWorld::SubmitRepeated()
+{
+  Submission submission;
+  submission.m_id = m_random.Next();
+  submission.m_terms = { "route", "desk", static_cast<uint32_t>(m_random.Below(3)), 3, 2.0, 500 };
+  const size_t steps = 1 + m_random.Below(2);
+  for (size_t i = 0; i < steps; ++i) {
+    GraphStep step = RandomStep(m_random, i, false);
+    step.m_gang = m_random.Below(2) == 0;
+    step.m_maxPerWorker = static_cast<uint32_t>(m_random.Below(3));
+    submission.m_graph.m_steps.push_back(step);
+  }
+  submission.m_graph.m_occurrences = static_cast<uint32_t>(1 + m_random.Below(3));
+  submission.m_graph.m_firstDueMs = WallMs() + static_cast<int64_t>(m_random.Below(kMaxDueDelayMs));
+  submission.m_graph.m_intervalMs = static_cast<int64_t>(1000 + m_random.Below(kMaxDueDelayMs));
+  const GraphId id = submission.m_id;
+  Submit(std::move(submission));
+  return id;
+}
+
 void
 SchedulerWorld::Submit(Submission aSubmission)
 {
@@ -269,9 +291,11 @@
 void
 SchedulerWorld::RunScheduler(const std::shared_ptr<Leader>& aLeader)
 {
-  if (aLeader->m_stopped) {
+  const bool busy = m_busyUntil > m_now && m_now - aLeader->m_lastRunAt < m_busyInterval;
+  if (aLeader->m_stopped || busy) {
     return;
   }
+  aLeader->m_lastRunAt = m_now;
   aLeader->m_scheduler->Tick(m_now, WallMs(*aLeader));
   const std::vector<Action> actions = aLeader->m_scheduler->TakeActions();
   CheckGangs(actions);
@@ -295,13 +319,14 @@
 {
   if (m_random.Unit() < m_faults.m_lateCallProbability) {
     After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NoResponse); });
-    After(milliseconds(2000 + m_random.Below(10000)),
-          [this, aWorker, aCall, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
-            FakeWorker& worker = WorkerOf(aWorker);
-            if (worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation) {
-              aCall(worker, true);
-            }
-          });
+    const Duration lateness = milliseconds(2000 + m_random.Below(10000));
+    m_lateCallsUntil = std::max(m_lateCallsUntil, m_now + lateness);
+    After(lateness, [this, aWorker, aCall, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
+      FakeWorker& worker = WorkerOf(aWorker);
+      if (worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation) {
+        aCall(worker, true);
+      }
+    });
     return;
   }
   After(
@@ -522,14 +547,62 @@
       RunScheduler(leader);
     }
     CheckRecords();
+    CheckRunnableTasks();
     CheckPolls();
     CheckRecoveryTime(m_now - previous);
   }
 }
 
+void
+SchedulerWorld::FlapUntil(FakeWorker& aWorker, Instant aEnd)
+{
+  if (m_now >= std::min(aEnd, m_flapsEnd)) {
+    return;
+  }
+  const auto period = [&] {
+    return milliseconds(kMinFlapMs + m_random.Below(kMaxFlapMs - kMinFlapMs));
+  };
+  const Duration down = period();
+  aWorker.Restart(m_now);
+  aWorker.m_unreachableUntil = std::max(aWorker.m_unreachableUntil, m_now + down);
+  if (m_random.Below(2) == 0) {
+    aWorker.m_deregisteredUntil = std::max(aWorker.m_deregisteredUntil, m_now + down);
+  }
+  After(down + period(), [this, &aWorker, aEnd] { FlapUntil(aWorker, aEnd); });
+}
+
+void
+SchedulerWorld::FlapWorker(FakeWorker& aWorker, Duration aTime)
+{
+  m_flapsEnd = std::max(m_flapsEnd, m_now + aTime);
+  FlapUntil(aWorker, m_now + aTime);
+}
+
+void
+SchedulerWorld::KeepBusy(Duration aInterval, Duration aTime)
+{
+  m_busyInterval = aInterval;
+  m_busyUntil = m_now + aTime;
+}
+
+Duration
+SchedulerWorld::MaxDelay() const
+{
+  return m_busyUntil > m_now ? m_busyInterval + kTickInterval : Duration::zero();
+}
+
 void
 SchedulerWorld::Settle()
 {
+  Heal();
+  Advance(kSettleTime);
+}
+
+void
+SchedulerWorld::Heal()
+{
+  m_flapsEnd = m_now;
+  m_busyUntil = m_now;
   m_faults = Faults();
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
     worker->m_unreachableUntil = m_now;
@@ -545,7 +618,6 @@
   if (m_leaders.empty() || m_leaders.back()->m_stopped) {
     ElectLeader(false);
   }
-  Advance(kSettleTime);
 }
 
 } // namespace egretturn::schedtest
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -13,6 +13,9 @@
 /// Until a superseded leader has no evidence left that it leads, and calls no workers.
 constexpr uint64_t kMaxNoticeMs = 1000;
 
+/// How far the clock of an instance may be behind.
+constexpr int64_t kMaxClockLagMs = 3000;
+
 /// The faults to inject.
 struct Faults
 {
@@ -53,11 +56,24 @@
   /// Lets the directory list a worker that is gone, for \p aTime.
   void ListGoneWorker(Duration aTime);
 
+  /// Lets a worker go down and come back under its name with a new incarnation, again and again,
+  /// for \p aTime; each time it loses what it runs.
+  void FlapWorker(FakeWorker& aWorker, Duration aTime);
+
+  /// Lets the schedulers run only once in \p aInterval, for \p aTime. A busy instance is no fault.
+  void KeepBusy(Duration aInterval, Duration aTime);
+
+  /// Submits a random job of several occurrences, with gangs and limits for each worker.
+  GraphId SubmitRepeated();
+
   /// Removes all leaders.
   void RemoveLeaders() { m_leaders.clear(); }
 
   void Advance(Duration aTime);
 
+  /// Clears all faults.
+  void Heal();
+
   /// Clears all faults, and lets everything finish that can.
   void Settle();
 
@@ -89,6 +105,7 @@
     std::shared_ptr<WorkerPort> m_workerPort;
     uint64_t m_epoch = 0;
     size_t m_end = 0;
+    Instant m_lastRunAt;
     bool m_stopped = false;
     bool m_reachesStore = true;
     bool m_responseLost = false;  ///< The response to its append in flight was lost.
@@ -101,6 +118,9 @@
   /// Returns the port through which \p aLeader calls workers.
   virtual std::shared_ptr<WorkerPort> MakeWorkerPort(const std::shared_ptr<Leader>& aLeader);
 
+  /// Returns whether a fault is active that this class does not know.
+  virtual bool HasOtherFaults() { return false; }
+
   /// Returns how long a poll may take, including its timeout.
   virtual Duration MaxPollTime() const { return std::chrono::seconds(2); }
 
@@ -126,6 +146,9 @@
     }
   };
 
+  void FlapUntil(FakeWorker& aWorker, Instant aEnd);
+  /// Returns how long a busy instance may let pass what is due; nothing if it isn't busy.
+  Duration MaxDelay() const;
   void RunScheduler(const std::shared_ptr<Leader>& aLeader);
   /// Checks that gangs start whole, all tasks with the same attempt number.
   void CheckGangs(const std::vector<Action>& aActions);
@@ -133,6 +156,25 @@
   void Append(const std::shared_ptr<Leader>& aLeader, const AppendRecords& aAppend);
   void OnRequestCompleted(const std::shared_ptr<Leader>& aLeader,
                           const CompleteRequest& aCompletion);
+  /// Checks that no accepted job has nothing running for long although one of its tasks could run
+  /// (RULES.md, LOST). For long-running tasks it asks of each one, however full the service is.
+  void CheckRunnableTasks();
+  /// Returns whether a fault is active or has just occurred.
+  bool IsDisturbed();
+  std::vector<int64_t> DescribeParties() const;
+  bool HasTurnCome(GraphId aId, const JobHistory& aJob, uint32_t aOccurrence, size_t aStep) const;
+  bool IsStepDone(const TaskRef& aFirst) const;
+  bool IsTaskDone(const TaskRef& aTask) const;
+  bool IsAnythingRunning(GraphId aId, const JobHistory& aJob) const;
+  /// Returns whether the task of the step, or its gang, would fit twice in what sound workers have
+  /// left.
+  bool FitsTwice(const TaskRef& aTask, const GraphStep& aStep) const;
+  /// Returns the larger share in use of what sound workers have in processors and memory.
+  double ShareInUse() const;
+  void CheckJobRuns(GraphId aId, const JobHistory& aJob);
+  void CheckLongRunningJob(GraphId aId, const JobHistory& aJob);
+  /// Records whether \p aWhat could run, and reports it once it could for long without running.
+  void NoteRunnable(const std::string& aWhat, bool aRunnable);
   /// Checks that the records of the leader do not contradict themselves.
   void CheckRecords();
   /// Checks that each state that only a response of a worker can change has a poll in flight, or
@@ -165,6 +207,15 @@
   std::map<WorkerName, Instant> m_goneWorkers; ///< Until when the directory lists each of them.
   uint64_t m_epoch = 0;
   RequestToken m_request = 0;
+  Instant m_flapsEnd; ///< No worker flaps after that.
+  Instant m_busyUntil;
+  Duration m_busyInterval{};
+  std::vector<int64_t> m_parties; ///< Of the last check: leaders and lives of workers.
+  Instant m_calmSince;
+  Instant m_lateCallsUntil; ///< Calls without a response are executed until then.
+  Instant m_nextRunnableCheckAt;
+  std::map<std::string, Instant> m_runnableSince; ///< By the job or task.
+  std::map<std::string, Instant> m_lastRunAt;     ///< By the long-running task.
 };
 
 } // namespace egretturn::schedtest
--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -81,7 +81,7 @@
                               obstacle == Obstacle::EndsUnlisted || !worker->m_attempts.empty();
     // A poll that was due is in flight by now, because this runs after a tick of the scheduler.
     const bool dueSoon =
-      worker->m_nextPollAt > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
+      worker->m_nextPollAt + MaxDelay() > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
     const bool inTime =
       worker->m_pollInFlight ? m_now - worker->m_pollSentAt <= MaxPollTime() : dueSoon;
     if (pollExpected && !inTime) {
