Acknowledge ends also on an instance that runs its scheduler rarely

Cause: ends are acknowledged only within 150 ms of a response, since a worker that restarts numbers its ends anew. If the scheduler runs less often than that, each response is too old by then; the workers' lists fill up, and such a worker gets no task.

Change: the first pass after a response may acknowledge, however late it comes. Nothing is sent to the worker between the two. What remains is that a worker restarts in that time: its new life has run nothing that this leader started after the response. The age was counted from when the response was handled before, too, so a suspended instance had the same exposure.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -102,6 +102,7 @@
   Instant m_clockReadAt;
   Instant m_leaseExpiresAt; ///< All leases have expired by then, unless they are extended.
 
+  bool m_responseUnused = false; ///< No pass over the due polls has run since its last response.
   bool m_pollInFlight = false;
   uint64_t m_pollNumber = 0; ///< Of the poll in flight.
   Instant m_pollSentAt;
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -495,6 +495,7 @@
   worker->m_statusStale = false;
   worker->m_clockMs = aStatus.m_clockMs;
   worker->m_clockReadAt = aNow;
+  worker->m_responseUnused = true;
   worker->m_endsAcknowledged =
     std::max(worker->m_endsAcknowledged, worker->m_endsBeingAcknowledged);
   for (const EndedAttempt& reported : aStatus.m_ended) {
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -175,9 +175,11 @@
   poll.m_address = aWorker.m_report.m_address;
   // Ends are numbered anew in each incarnation, and a worker may restart under its name. So ends
   // are acknowledged only right after a response of the incarnation that reported them.
+  // The first pass after it may come late on a busy instance; nothing is sent there before.
   const bool responseRecent =
-    aWorker.m_failedPolls == 0 && aNow - aWorker.m_clockReadAt < kMaxResponseAge;
-  if (responseRecent && aWorker.m_endsDurable > aWorker.m_endsAcknowledged) {
+    aWorker.m_responseUnused || aNow - aWorker.m_clockReadAt < kMaxResponseAge;
+  if (responseRecent && aWorker.m_failedPolls == 0 &&
+      aWorker.m_endsDurable > aWorker.m_endsAcknowledged) {
     poll.m_acknowledged = aWorker.m_endsDurable;
   }
   aWorker.m_endsBeingAcknowledged = poll.m_acknowledged;
@@ -220,6 +222,7 @@
     if (!worker->m_pollInFlight && worker->m_nextPollAt <= aNow && NeedsPoll(*worker)) {
       SendPoll(*worker, aNow);
     }
+    worker->m_responseUnused = false;
   }
 }
 
--- a/unittests/Scheduler/UnlistedEndsTest.cpp
+++ b/unittests/Scheduler/UnlistedEndsTest.cpp
@@ -91,3 +91,19 @@
   CHECK(world.StateOf(7) == JobState::Done);
   CheckViolations(world, 1);
 }
+
+// Guards against workers that accept no work on a busy instance: each response was too old to
+// acknowledge its ends by the time the scheduler ran, so the lists stayed full.
+TEST_CASE("ends are acknowledged also if the scheduler runs rarely")
+{
+  for (const int64_t intervalMs : { 60, 200, 400 }) {
+    SchedulerWorld world(1, 4);
+    FillLists(world);
+    world.m_faults.m_storeDown = false;
+    world.KeepBusy(milliseconds(intervalMs), seconds(300));
+    world.Advance(seconds(299));
+    CAPTURE(intervalMs);
+    CHECK(world.StateOf(7) == JobState::Done);
+    CheckViolations(world, 1);
+  }
+}
