--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -12,6 +12,8 @@
 using std::chrono::seconds;
 
 static constexpr uint64_t kSeeds = 60;
+static constexpr uint64_t kCalmSeeds = 60;
+static constexpr uint64_t kFirstCalmSeed = 3001;
 
 // Guards against a task that runs twice: a superseded leader goes on calling workers that only it
 // can reach while two epochs begin one after the other.
@@ -65,3 +67,15 @@
   }
   StopLogging();
 }
+
+// Guards against tasks that could run and don't, once workers that flapped and other faults are
+// gone, also on a busy instance.
+TEST_CASE("what can run runs in the calm between random faults")
+{
+  for (uint64_t seed : ListSeeds(kCalmSeeds, kFirstCalmSeed)) {
+    SchedulerWorld world(seed, 8);
+    PlayCalmSpells(world);
+    CheckViolations(world, seed);
+  }
+  StopLogging();
+}
