--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -57,6 +57,17 @@
   }
 }
 
+void
+SchedulerWorld::CheckRecords()
+{
+  if (m_leaders.empty() || m_leaders.back()->m_stopped) {
+    return;
+  }
+  for (const std::string& inconsistency : m_leaders.back()->m_scheduler->ListInconsistencies()) {
+    m_oracle.ReportViolation(inconsistency);
+  }
+}
+
 void
 SchedulerWorld::CheckPolls()
 {
@@ -70,7 +81,7 @@
                               obstacle == Obstacle::EndsUnlisted || !worker->m_attempts.empty();
     // A poll that was due is in flight by now, because this runs after a tick of the scheduler.
     const bool dueSoon =
-      worker->m_nextPollAt > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
+      worker->m_nextPollAt + MaxDelay() > m_now && worker->m_nextPollAt <= m_now + kMaxPollDelay;
     const bool inTime =
       worker->m_pollInFlight ? m_now - worker->m_pollSentAt <= MaxPollTime() : dueSoon;
     if (pollExpected && !inTime) {
