Write progress and other records within the store's limits of a record and of an append

Cause: the progress of a job was one record, whose size grows with the checkpoints. All runs end "lapsed" at once, each with its checkpoint: 314,922 bytes, and the store refuses an append with a record above 262,144 (record_bytes, which was not read from the settings). The leader and each successor make the same record again. The same was open for the records of workers and the deletions of keys, which did not count towards an append, and for what was learned of images and routes.

Change: progress above the limit of a record goes into parts (progress-part/TASK) of as many tasks as fit with the longest checkpoints. Parts come first, progress/ID last, without checkpoints, and without done tasks too if need be; so what it leaves out is in the store by then. Parts name facts that stay true (done, failed, a checkpoint), so an outdated part, or one whose progress/ID was not written any more, is merged without harm. They carry the job's time of acceptance, by which parts of an earlier job with the same id are told apart. Only changed parts are written again, and after a job that did not fit into a batch the next batch goes on with the others. All records of a batch are counted. What was learned is cut to the best known. The limit is read from the settings.

Mixed fleet (by the code): an earlier version reads progress/ID as before, with all done tasks and failures as long as those fit into a record (some 80,000 tasks), and skips parts with a line (record_unreadable); tasks whose checkpoints are in parts begin anew there. Beyond that it would run done tasks again. Its own single record is read, and counts before the checkpoints of parts that it has left behind. While it leads it still stops at a record that is too large.

Conclusion: no record and no append above the limits is made any more, as far as the tests reach. Not bounded: the total of all progress.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -9,11 +9,20 @@
 
 namespace egretturn {
 
+/// A part of the progress of a job, and its key.
+struct RecoveredProgressPart
+{
+  std::string m_key;
+  GraphId m_job = 0;
+  StoredProgressPart m_part;
+};
+
 /// State that a new leader recovers from the store.
 struct RecoveredState
 {
   std::vector<StoredJob> m_jobs;
   std::vector<std::pair<GraphId, StoredProgress>> m_progress;
+  std::vector<RecoveredProgressPart> m_progressParts;
   std::vector<WorkerReport> m_workers;
   StoredModels m_models;
   LogOffset m_end = 0;   ///< End of the topic of jobs, after the claim.
--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -65,6 +65,8 @@
   ServingLoad m_servingLoad; ///< Of its serving tasks.
   Instant m_lastActiveAt;    ///< When one of its attempts last started or ended.
   std::vector<OccurrenceRecord> m_occurrences;
+  /// By key, the hash of each part of the progress that is in the store or in a batch.
+  std::map<std::string, size_t> m_progressParts;
   std::vector<RequestToken> m_submitRequests;
   std::vector<RequestToken> m_cancelRequests;
 
@@ -101,6 +103,9 @@
   static TaskRecord* FindTask(Job& aJob, const TaskRef& aTask);
   static OccurrenceRecord* FindOccurrence(Job& aJob, uint32_t aNumber);
 
+  /// Returns whether all tasks of an occurrence are done that is not marked as complete yet.
+  static bool IsDone(const OccurrenceRecord& aOccurrence);
+
   /// Returns whether all steps that \p aStep depends on are done.
   static bool IsReady(const Job& aJob, const OccurrenceRecord& aOccurrence, size_t aStep);
 
@@ -120,10 +125,28 @@
 /// Estimates the work that \p aOccurrence still needs. Thread-compatible.
 RemainingWork EstimateRemainingWork(const Job& aJob, const OccurrenceRecord& aOccurrence);
 
+/// How much of the progress the record of the whole job's progress holds. Parts hold the rest.
+enum class ProgressDetail
+{
+  Full,
+  WithoutCheckpoints,
+  Outline, ///< Which occurrences there are, and which are complete.
+};
+
 /// Returns the progress record of \p aJob. Thread-compatible.
-StoredProgress DescribeProgress(const Job& aJob);
+StoredProgress DescribeProgress(const Job& aJob, ProgressDetail aDetail);
+
+/// Returns the progress of all open occurrences of \p aJob in parts of \p aTasks consecutive
+/// tasks at most, by the first task. Parts of which nothing is known are left out.
+/// Thread-compatible. \pre \p aTasks is not 0.
+std::vector<std::pair<TaskRef, StoredProgressPart>> DescribeProgressParts(const Job& aJob,
+                                                                          size_t aTasks);
 
 /// Applies the stored \p aProgress to a job that was just added.
 void ApplyProgress(Job& aJob, const StoredProgress& aProgress);
 
+/// Adds the facts of \p aStored to those known of \p aOccurrence, which has their number. A
+/// checkpoint that is known already is kept.
+void MergeProgress(OccurrenceRecord& aOccurrence, const StoredOccurrence& aStored);
+
 } // namespace egretturn
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -1,5 +1,5 @@
-// Defines the records that the scheduler keeps in the store: one for each accepted job, one for its
-// progress, and the claim of the leader.
+// Defines the records that the scheduler keeps in the store: one for each accepted job, one or more
+// for its progress, and the claim of the leader.
 #pragma once
 
 #include "egretturn/JobGraph/Graph.h"
@@ -88,6 +88,22 @@
   }
 };
 
+/// Progress of consecutive tasks of one step, kept in a record of its own when the progress of the
+/// whole job does not fit into one record. It names only facts that stay true, so an outdated part
+/// does no harm.
+struct StoredProgressPart
+{
+  int64_t m_acceptedMs = 0; ///< Of the job; tells it from an earlier job with the same id.
+  StoredOccurrence m_occurrence;
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("accepted_ms", aSelf.m_acceptedMs);
+    aVisit("occurrence", aSelf.m_occurrence);
+  }
+};
+
 /// The state of a job. Done, Failed and Cancelled are final.
 enum class JobState : uint8_t
 {
@@ -186,6 +202,7 @@
 };
 
 constexpr size_t kMaxKeyBytes = 255; ///< Of a keyed record; the length is stored in one byte.
+constexpr size_t kMaxCheckpointBytes = 4096; ///< Longer ones are not kept.
 
 /// One record. The newest value of a key wins; an empty value deletes the key.
 struct KeyedRecord
@@ -196,10 +213,23 @@
   bool operator==(const KeyedRecord&) const = default;
 };
 
+/// Returns the bytes of \p aRecord that count towards the store's limit of a record. Thread-safe.
+size_t RecordBytes(const KeyedRecord& aRecord);
+
+/// Returns the bytes that \p aRecord takes in an append, with the lengths before it. Thread-safe.
+size_t AppendedBytes(const KeyedRecord& aRecord);
+
+/// Returns the record of \p aJob. Thread-safe.
+KeyedRecord MakeJobRecord(const StoredJob& aJob);
+
 /// Returns the key of a record. Thread-safe.
 std::string JobKey(GraphId aId);
 std::string ProgressKey(GraphId aId);
 std::string WorkerKey(std::string_view aWorker);
+
+/// Returns the key of the part of a job's progress that begins at the task \p aFirst. Thread-safe.
+std::string ProgressPartKey(const TaskRef& aFirst);
+
 constexpr std::string_view kClaimKey = "claim";
 constexpr std::string_view kLearnedKey = "learned";
 
@@ -209,6 +239,7 @@
   Claim,
   Job,
   Progress,
+  ProgressPart,
   Worker,
   Learned,
   Unknown,
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -21,7 +21,8 @@
   size_t m_maxJobs = 20000;                                 ///< Maximum number of jobs in memory.
   Duration m_endedJobRetention = std::chrono::seconds(120); ///< How long its state can be queried.
   Duration m_gangTimeout = std::chrono::seconds(3);
-  size_t m_maxBatchBytes = 1024 * 1024; ///< Of one append.
+  size_t m_maxBatchBytes = 1024 * 1024; ///< Of the records of one append, with their lengths.
+  size_t m_maxRecordBytes = 256 * 1024; ///< Of one record, see RecordBytes().
 };
 
 /// A job as a caller submits it.
@@ -87,6 +88,13 @@
   /// LeaseLimits::m_noticeTime.
   void ExpectEarlierLeaders() { m_earlierLeadersActive = true; }
 
+  /// Adds a part of the progress of a job, kept under \p aKey. A part of no job that has not ended,
+  /// or of an earlier job with the same id, is deleted. Call after RestoreProgress() of the job.
+  void RestoreProgressPart(const std::string& aKey,
+                           GraphId aId,
+                           const StoredProgressPart& aPart,
+                           Instant aNow);
+
   /// Adds a worker on which an earlier epoch may have started tasks.
   void RestoreWorker(const WorkerReport& aReport, Instant aNow);
 
@@ -253,6 +261,9 @@
                          const TaskRef& aTask,
                          AttemptNumber aAttempt,
                          std::string_view aCause);
+  /// Marks an occurrence of which all tasks are done as complete, and ends the job with the last
+  /// one.
+  void CompleteOccurrence(Job& aJob, OccurrenceRecord& aOccurrence, Instant aNow);
   void EndJob(Job& aJob, JobState aState, Instant aNow);
   /// Counts a failure. The worker may have been healthy from its last failure until
   /// \p aHealthyUntil.
@@ -313,14 +324,35 @@
 
   // Batches.cpp
   void MarkDirty(const Job& aJob) { m_dirtyJobs.insert(aJob.m_stored.m_id); }
+  /// The batch that is being put together.
+  struct BatchDraft
+  {
+    AppendRecords m_append;
+    size_t m_bytes = 0;
+  };
+
   bool HasUnwrittenChanges() const;
+  /// Returns whether \p aBytes more fit into the batch. Anything fits into an empty one.
+  bool HasRoom(const BatchDraft& aDraft, size_t aBytes) const;
+  /// Adds a record, or logs an error if it is larger than the store's limit. Returns false then.
+  bool AddRecord(BatchDraft& aDraft, KeyedRecord aRecord);
+  /// Returns false if a deletion has to wait for the next batch.
+  bool AppendDeletions(BatchDraft& aDraft);
+  void AppendJobs(BatchDraft& aDraft);
+  void AppendModels(BatchDraft& aDraft, Instant aNow);
   Instant BatchDueAt() const;
   void WriteBatch(Instant aNow);
-  void AppendWorkerRecords(AppendRecords& aBatch);
+  void AppendWorkerRecords(BatchDraft& aDraft);
   /// Writes the record of \p aWorker again if it has responded at another address. No task is
   /// started there before that is durable.
   void RecordAddress(Worker& aWorker);
-  bool AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes);
+  /// Returns false if records of the job have to wait for the next batch.
+  bool AppendJobRecords(Job& aJob, BatchDraft& aDraft);
+  bool AppendProgress(Job& aJob, BatchDraft& aDraft);
+  /// Returns the parts of the progress by key, each below the store's limit of a record.
+  std::map<std::string, KeyedRecord> PackProgressParts(const Job& aJob) const;
+  bool FitsRecord(const KeyedRecord& aRecord) const;
+  KeyedRecord PackModels() const;
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
   // Recovery.cpp
@@ -372,6 +404,7 @@
   std::unordered_set<GraphId> m_waitingJobs; ///< Jobs that may have tasks to place.
   std::unordered_set<GraphId> m_jobsWithFutureOccurrences;
   std::set<GraphId> m_dirtyJobs;           ///< Jobs changed since the last batch.
+  GraphId m_nextDirtyJob = 0;              ///< The next batch begins with this one or a later one.
   std::vector<std::string> m_keysToDelete; ///< Of removed jobs and workers.
   std::vector<BatchedJob> m_batchJobs;     ///< Jobs in the batch in flight.
   uint64_t m_batch = 0;
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -58,6 +58,9 @@
     const StoredProgress& progress = progressEntry.second;
     m_scheduler.RestoreProgress(id, progress);
   }
+  for (const RecoveredProgressPart& part : aState.m_progressParts) {
+    m_scheduler.RestoreProgressPart(part.m_key, part.m_job, part.m_part, now);
+  }
   if (aState.m_earlierLeadersActive) {
     m_scheduler.ExpectEarlierLeaders();
   }
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -118,16 +118,18 @@
   ++step.m_done;
   m_placementNeeded = true;
   MarkDirty(aJob);
-  const bool complete =
-    std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(), [](const StepRecord& aStep) {
-      return aStep.m_done == aStep.m_tasks.size();
-    });
-  if (!complete) {
-    return;
+  if (JobRegistry::IsDone(occurrence)) {
+    CompleteOccurrence(aJob, occurrence, aNow);
   }
-  occurrence.m_complete = true;
-  occurrence.m_steps.clear();
+}
+
+void
+Scheduler::CompleteOccurrence(Job& aJob, OccurrenceRecord& aOccurrence, Instant aNow)
+{
+  aOccurrence.m_complete = true;
+  aOccurrence.m_steps.clear();
   m_urgent = true;
+  MarkDirty(aJob);
   if (!aJob.HasOpenOccurrences()) {
     EndJob(aJob, JobState::Done, aNow);
   }
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -13,51 +13,172 @@
 static constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
 static constexpr Duration kModelsWriteInterval = std::chrono::seconds(3);
 
+// Failed attempts of a task and the numbers of a task, at their usual size.
+static constexpr size_t kTaskOverheadBytes = 128;
+
 bool
-Scheduler::AppendJobRecords(Job& aJob, AppendRecords& aBatch, size_t& aBytes)
+Scheduler::FitsRecord(const KeyedRecord& aRecord) const
 {
-  const GraphId id = aJob.m_stored.m_id;
-  if (IsEnded(aJob.m_state) && !IsEnded(aJob.m_durableState)) {
-    aJob.m_endedReadingMs = m_retentionClock.DurableByMs();
+  return RecordBytes(aRecord) <= m_limits.m_maxRecordBytes;
+}
+
+bool
+Scheduler::HasRoom(const BatchDraft& aDraft, size_t aBytes) const
+{
+  return aDraft.m_append.m_records.empty() || aDraft.m_bytes + aBytes <= m_limits.m_maxBatchBytes;
+}
+
+bool
+Scheduler::AddRecord(BatchDraft& aDraft, KeyedRecord aRecord)
+{
+  if (!FitsRecord(aRecord)) {
+    Log(LogLine(LogLevel::Error, "record_too_large")
+          .Add("key", aRecord.m_key)
+          .Add("bytes", uint64_t{ RecordBytes(aRecord) })
+          .Add("limit", uint64_t{ m_limits.m_maxRecordBytes })
+          .Add("remedy", "raise the store's limit of a record"));
+    return false;
   }
-  KeyedRecord progress{ ProgressKey(id), PackCompact(DescribeProgress(aJob)) };
-  KeyedRecord job;
-  if (!aJob.m_recordWritten) {
-    job = { JobKey(id), PackCompact(aJob.m_stored) };
+  aDraft.m_bytes += AppendedBytes(aRecord);
+  aDraft.m_append.m_records.push_back(std::move(aRecord));
+  return true;
+}
+
+/// Packs a part of the progress. If it has more than \p aMaxBytes, which takes very many failed
+/// attempts, checkpoints are left out, and then all but the last failed attempts of each task.
+static KeyedRecord
+PackProgressPart(const TaskRef& aFirst, StoredProgressPart aPart, size_t aMaxBytes)
+{
+  static constexpr size_t kMinFailedAttempts = 8;
+  KeyedRecord record{ ProgressPartKey(aFirst), PackCompact(aPart) };
+  if (RecordBytes(record) <= aMaxBytes) {
+    return record;
+  }
+  Log(LogLine(LogLevel::Error, "progress_cut")
+        .Add("key", record.m_key)
+        .Add("bytes", uint64_t{ RecordBytes(record) })
+        .Add("limit", uint64_t{ aMaxBytes }));
+  for (StoredTask& task : aPart.m_occurrence.m_tasks) {
+    task.m_checkpoint.clear();
+  }
+  record.m_value = PackCompact(aPart);
+  if (RecordBytes(record) <= aMaxBytes) {
+    return record;
+  }
+  for (StoredTask& task : aPart.m_occurrence.m_tasks) {
+    std::vector<AttemptNumber>& failed = task.m_failedAttempts;
+    const size_t kept = std::min(failed.size(), kMinFailedAttempts);
+    failed.erase(failed.begin(), failed.end() - static_cast<std::ptrdiff_t>(kept));
+  }
+  record.m_value = PackCompact(aPart);
+  return record;
+}
+
+std::map<std::string, KeyedRecord>
+Scheduler::PackProgressParts(const Job& aJob) const
+{
+  const size_t tasks =
+    std::max<size_t>(1, m_limits.m_maxRecordBytes / (kMaxCheckpointBytes + kTaskOverheadBytes));
+  std::map<std::string, KeyedRecord> records;
+  for (std::pair<TaskRef, StoredProgressPart>& partEntry : DescribeProgressParts(aJob, tasks)) {
+    KeyedRecord record =
+      PackProgressPart(partEntry.first, std::move(partEntry.second), m_limits.m_maxRecordBytes);
+    std::string key = record.m_key;
+    records.emplace(std::move(key), std::move(record));
+  }
+  return records;
+}
+
+bool
+Scheduler::AppendProgress(Job& aJob, BatchDraft& aDraft)
+{
+  const std::string key = ProgressKey(aJob.m_stored.m_id);
+  KeyedRecord whole{ key, PackCompact(DescribeProgress(aJob, ProgressDetail::Full)) };
+  std::map<std::string, KeyedRecord> parts;
+  if (!FitsRecord(whole)) {
+    parts = PackProgressParts(aJob);
+    whole.m_value = PackCompact(DescribeProgress(aJob, ProgressDetail::WithoutCheckpoints));
+  }
+  if (!FitsRecord(whole)) {
+    whole.m_value = PackCompact(DescribeProgress(aJob, ProgressDetail::Outline));
+  }
+  // The record of the whole comes last: what it leaves out is in the store by then.
+  for (std::pair<const std::string, KeyedRecord>& partEntry : parts) {
+    const size_t hash = std::hash<std::string>{}(partEntry.second.m_value);
+    const auto it = aJob.m_progressParts.find(partEntry.first);
+    if (it != aJob.m_progressParts.end() && it->second == hash) {
+      continue;
+    }
+    if (!HasRoom(aDraft, AppendedBytes(partEntry.second))) {
+      return false;
+    }
+    if (AddRecord(aDraft, std::move(partEntry.second))) {
+      aJob.m_progressParts[partEntry.first] = hash;
+    }
   }
-  const size_t bytes =
-    progress.m_key.size() + progress.m_value.size() + job.m_key.size() + job.m_value.size();
-  if (aBytes + bytes > m_limits.m_maxBatchBytes && aBytes > 0) {
+  if (!HasRoom(aDraft, AppendedBytes(whole))) {
     return false;
   }
-  aBytes += bytes;
+  AddRecord(aDraft, std::move(whole));
+  for (auto it = aJob.m_progressParts.begin(); it != aJob.m_progressParts.end();) {
+    if (parts.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    KeyedRecord deletion{ it->first, "" };
+    if (HasRoom(aDraft, AppendedBytes(deletion))) {
+      AddRecord(aDraft, std::move(deletion));
+    } else {
+      m_keysToDelete.push_back(it->first); // with the next batch
+    }
+    it = aJob.m_progressParts.erase(it);
+  }
+  return true;
+}
+
+bool
+Scheduler::AppendJobRecords(Job& aJob, BatchDraft& aDraft)
+{
+  if (IsEnded(aJob.m_state) && !IsEnded(aJob.m_durableState)) {
+    aJob.m_endedReadingMs = m_retentionClock.DurableByMs();
+  }
   if (!aJob.m_recordWritten) {
+    KeyedRecord job = MakeJobRecord(aJob.m_stored);
+    if (!HasRoom(aDraft, AppendedBytes(job))) {
+      return false;
+    }
+    AddRecord(aDraft, std::move(job));
     aJob.m_recordWritten = true;
-    aBatch.m_records.push_back(std::move(job));
     if (aJob.m_state == JobState::Queued) {
       return true; // the job has no progress yet
     }
   }
-  aBatch.m_records.push_back(std::move(progress));
-  return true;
+  return AppendProgress(aJob, aDraft);
 }
 
 void
-Scheduler::AppendWorkerRecords(AppendRecords& aBatch)
+Scheduler::AppendWorkerRecords(BatchDraft& aDraft)
 {
   if (!m_hasUnrecordedWorkers) {
     return;
   }
   m_hasUnrecordedWorkers = false;
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (worker->m_record == RecordState::Missing) {
-      WorkerReport report = worker->m_report;
-      if (!worker->m_lastAddress.empty()) {
-        report.m_address = worker->m_lastAddress; // the directory's entry may be wrong
-      }
+    if (worker->m_record != RecordState::Missing) {
+      continue;
+    }
+    WorkerReport report = worker->m_report;
+    if (!worker->m_lastAddress.empty()) {
+      report.m_address = worker->m_lastAddress; // the directory's entry may be wrong
+    }
+    KeyedRecord record{ WorkerKey(report.m_id), PackCompact(report) };
+    if (!HasRoom(aDraft, AppendedBytes(record))) {
+      m_hasUnrecordedWorkers = true;
+      return;
+    }
+    if (AddRecord(aDraft, std::move(record))) {
       worker->m_record = RecordState::InBatch;
       worker->m_recordedAddress = report.m_address;
-      aBatch.m_records.push_back({ WorkerKey(report.m_id), PackCompact(report) });
     }
   }
 }
@@ -85,6 +206,91 @@
   return m_urgent ? m_nextBatchAt : m_nextBatchAt + (kBatchInterval - kUrgentBatchInterval);
 }
 
+bool
+Scheduler::AppendDeletions(BatchDraft& aDraft)
+{
+  size_t added = 0;
+  while (added < m_keysToDelete.size()) {
+    KeyedRecord deletion{ m_keysToDelete[added], "" };
+    if (!HasRoom(aDraft, AppendedBytes(deletion))) {
+      break;
+    }
+    AddRecord(aDraft, std::move(deletion));
+    ++added;
+  }
+  m_keysToDelete.erase(m_keysToDelete.begin(),
+                       m_keysToDelete.begin() + static_cast<std::ptrdiff_t>(added));
+  return m_keysToDelete.empty();
+}
+
+void
+Scheduler::AppendJobs(BatchDraft& aDraft)
+{
+  while (!m_dirtyJobs.empty()) {
+    auto it = m_dirtyJobs.lower_bound(m_nextDirtyJob);
+    it = it == m_dirtyJobs.end() ? m_dirtyJobs.begin() : it;
+    m_nextDirtyJob = *it;
+    Job* job = m_jobs.Find(*it);
+    if (job && !AppendJobRecords(*job, aDraft)) {
+      // The progress of a large job takes several batches, of which others need a share.
+      m_nextDirtyJob += job->m_progressParts.empty() ? 0 : 1;
+      return;
+    }
+    if (job) {
+      m_batchJobs.push_back({ job->m_stored.m_id, job->m_state });
+    }
+    m_dirtyJobs.erase(it);
+  }
+  m_nextDirtyJob = 0;
+}
+
+void
+Scheduler::AppendModels(BatchDraft& aDraft, Instant aNow)
+{
+  // Only with a batch that is written anyway.
+  if (aDraft.m_append.m_records.empty() || aNow - m_modelsWrittenAt < kModelsWriteInterval) {
+    return;
+  }
+  KeyedRecord learned = PackModels();
+  if (HasRoom(aDraft, AppendedBytes(learned))) {
+    m_modelsWrittenAt = aNow;
+    AddRecord(aDraft, std::move(learned));
+  }
+}
+
+KeyedRecord
+Scheduler::PackModels() const
+{
+  StoredModels models{ m_interference.Describe(), m_durations.Describe() };
+  std::vector<StoredImagePair>& pairs = models.m_interference.m_pairs;
+  std::vector<StoredDurations>& durations = models.m_durations;
+  KeyedRecord learned{ std::string(kLearnedKey), PackCompact(models) };
+  if (FitsRecord(learned)) {
+    return learned;
+  }
+  Log(LogLine(LogLevel::Warning, "models_cut")
+        .Add("bytes", uint64_t{ RecordBytes(learned) })
+        .Add("limit", uint64_t{ m_limits.m_maxRecordBytes })
+        .Add("pairs", uint64_t{ pairs.size() })
+        .Add("routes", uint64_t{ durations.size() }));
+  // The best known are kept.
+  std::sort(
+    pairs.begin(), pairs.end(), [](const StoredImagePair& aOne, const StoredImagePair& aTwo) {
+      return aOne.m_variance < aTwo.m_variance;
+    });
+  std::sort(durations.begin(),
+            durations.end(),
+            [](const StoredDurations& aOne, const StoredDurations& aTwo) {
+              return aOne.m_count > aTwo.m_count;
+            });
+  while (!FitsRecord(learned) && !(pairs.empty() && durations.empty())) {
+    pairs.resize(pairs.size() / 2);
+    durations.resize(durations.size() / 2);
+    learned.m_value = PackCompact(models);
+  }
+  return learned;
+}
+
 void
 Scheduler::WriteBatch(Instant aNow)
 {
@@ -94,32 +300,16 @@
   if (aNow < BatchDueAt()) {
     return;
   }
-  AppendRecords batch;
-  batch.m_batch = ++m_batch;
+  BatchDraft draft;
+  draft.m_append.m_batch = ++m_batch;
   // Before the others, because a worker or a job may have been added again under a deleted key.
-  for (std::string& key : m_keysToDelete) {
-    batch.m_records.push_back({ std::move(key), "" });
-  }
-  m_keysToDelete.clear();
-  AppendWorkerRecords(batch);
-  size_t bytes = 0;
-  while (!m_dirtyJobs.empty()) {
-    Job* job = m_jobs.Find(*m_dirtyJobs.begin());
-    if (job && !AppendJobRecords(*job, batch, bytes)) {
-      break;
-    }
-    if (job) {
-      m_batchJobs.push_back({ job->m_stored.m_id, job->m_state });
-    }
-    m_dirtyJobs.erase(m_dirtyJobs.begin());
-  }
-  if (aNow - m_modelsWrittenAt >= kModelsWriteInterval) {
-    m_modelsWrittenAt = aNow; // only with a batch that is written anyway
-    const StoredModels learned{ m_interference.Describe(), m_durations.Describe() };
-    batch.m_records.push_back({ std::string(kLearnedKey), PackCompact(learned) });
+  if (AppendDeletions(draft)) {
+    AppendWorkerRecords(draft);
+    AppendJobs(draft);
+    AppendModels(draft, aNow);
   }
-  m_urgent = !m_dirtyJobs.empty();
-  if (batch.m_records.empty()) {
+  m_urgent = HasUnwrittenChanges();
+  if (draft.m_append.m_records.empty()) {
     m_batchJobs.clear();
     return;
   }
@@ -130,7 +320,7 @@
   m_batchInFlight = true;
   m_batchSentAt = aNow;
   ++m_counters.m_batches;
-  Emit(std::move(batch));
+  Emit(std::move(draft.m_append));
 }
 
 void
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -158,6 +158,15 @@
   return aTask.m_index < step.m_tasks.size() ? &step.m_tasks[aTask.m_index] : nullptr;
 }
 
+bool
+JobRegistry::IsDone(const OccurrenceRecord& aOccurrence)
+{
+  const std::vector<StepRecord>& steps = aOccurrence.m_steps;
+  return std::all_of(steps.begin(), steps.end(), [](const StepRecord& aStep) {
+    return aStep.m_done == aStep.m_tasks.size();
+  });
+}
+
 bool
 JobRegistry::IsReady(const Job& aJob, const OccurrenceRecord& aOccurrence, size_t aStep)
 {
@@ -189,34 +198,75 @@
   return remaining;
 }
 
+/// Adds the progress of the tasks from \p aFirst to \p aEnd of the step \p aStep to \p aStored.
+static void
+DescribeTasks(const std::vector<TaskRecord>& aTasks,
+              size_t aStep,
+              size_t aFirst,
+              size_t aEnd,
+              bool aWithCheckpoints,
+              StoredOccurrence& aStored)
+{
+  aStored.m_done.resize(aStep + 1);
+  for (size_t i = aFirst; i < aEnd; ++i) {
+    const TaskRecord& task = aTasks[i];
+    const std::string checkpoint = aWithCheckpoints ? task.m_checkpoint : std::string();
+    if (task.m_done) {
+      aStored.m_done[aStep].push_back(static_cast<uint16_t>(i));
+    } else if (!task.m_failedAttempts.empty() || !checkpoint.empty()) {
+      aStored.m_tasks.push_back({ static_cast<uint16_t>(aStep),
+                                  static_cast<uint16_t>(i),
+                                  task.m_failedAttempts,
+                                  checkpoint });
+    }
+  }
+}
+
 static StoredOccurrence
-DescribeOccurrence(const OccurrenceRecord& aOccurrence)
+DescribeOccurrence(const OccurrenceRecord& aOccurrence, ProgressDetail aDetail)
 {
   StoredOccurrence stored;
   stored.m_number = aOccurrence.m_number;
   stored.m_complete = aOccurrence.m_complete;
-  if (aOccurrence.m_complete) {
+  if (aOccurrence.m_complete || aDetail == ProgressDetail::Outline) {
     return stored;
   }
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const std::vector<TaskRecord>& tasks = aOccurrence.m_steps[s].m_tasks;
-    std::vector<uint16_t>& done = stored.m_done.emplace_back();
-    for (size_t i = 0; i < tasks.size(); ++i) {
-      if (tasks[i].m_done) {
-        done.push_back(static_cast<uint16_t>(i));
-      } else if (!tasks[i].m_failedAttempts.empty() || !tasks[i].m_checkpoint.empty()) {
-        stored.m_tasks.push_back({ static_cast<uint16_t>(s),
-                                   static_cast<uint16_t>(i),
-                                   tasks[i].m_failedAttempts,
-                                   tasks[i].m_checkpoint });
+    DescribeTasks(tasks, s, 0, tasks.size(), aDetail == ProgressDetail::Full, stored);
+  }
+  return stored;
+}
+
+std::vector<std::pair<TaskRef, StoredProgressPart>>
+DescribeProgressParts(const Job& aJob, size_t aTasks)
+{
+  assert(aTasks > 0 && "a part has tasks");
+  std::vector<std::pair<TaskRef, StoredProgressPart>> parts;
+  TaskRef first{ aJob.m_stored.m_id, 0, 0, 0 };
+  for (const OccurrenceRecord& occurrence : aJob.m_occurrences) {
+    first.m_occurrence = occurrence.m_number;
+    for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const std::vector<TaskRecord>& tasks = occurrence.m_steps[s].m_tasks;
+      first.m_step = static_cast<uint16_t>(s);
+      for (size_t i = 0; i < tasks.size(); i += aTasks) {
+        first.m_index = static_cast<uint16_t>(i);
+        StoredProgressPart part;
+        part.m_acceptedMs = aJob.m_stored.m_acceptedMs;
+        part.m_occurrence.m_number = occurrence.m_number;
+        const size_t end = std::min(tasks.size(), i + aTasks);
+        DescribeTasks(tasks, s, i, end, true, part.m_occurrence);
+        if (!part.m_occurrence.m_done[s].empty() || !part.m_occurrence.m_tasks.empty()) {
+          parts.emplace_back(first, std::move(part));
+        }
       }
     }
   }
-  return stored;
+  return parts;
 }
 
 StoredProgress
-DescribeProgress(const Job& aJob)
+DescribeProgress(const Job& aJob, ProgressDetail aDetail)
 {
   StoredProgress progress;
   progress.m_state = aJob.m_state;
@@ -226,40 +276,62 @@
     return progress;
   }
   for (const OccurrenceRecord& occurrence : aJob.m_occurrences) {
-    progress.m_occurrences.push_back(DescribeOccurrence(occurrence));
+    progress.m_occurrences.push_back(DescribeOccurrence(occurrence, aDetail));
   }
   return progress;
 }
 
+/// Adds the facts of \p aStored to those known of \p aTask.
 static void
-ApplyOccurrence(Job& aJob, const StoredOccurrence& aStored)
+MergeTask(TaskRecord& aTask, const StoredTask& aStored)
 {
-  OccurrenceRecord& occurrence = OpenOccurrence(aJob, aStored.m_number);
-  aJob.m_nextOccurrence = std::max(aJob.m_nextOccurrence, aStored.m_number + 1);
-  occurrence.m_complete = aStored.m_complete;
-  if (aStored.m_complete) {
-    occurrence.m_steps.clear();
-    return;
+  std::vector<AttemptNumber>& failed = aTask.m_failedAttempts;
+  for (const AttemptNumber attempt : aStored.m_failedAttempts) {
+    if (std::find(failed.begin(), failed.end(), attempt) == failed.end()) {
+      failed.push_back(attempt);
+    }
+  }
+  if (aTask.m_checkpoint.empty() && !aTask.m_done) {
+    aTask.m_checkpoint = aStored.m_checkpoint;
   }
-  for (size_t s = 0; s < aStored.m_done.size() && s < occurrence.m_steps.size(); ++s) {
-    StepRecord& step = occurrence.m_steps[s];
+}
+
+void
+MergeProgress(OccurrenceRecord& aOccurrence, const StoredOccurrence& aStored)
+{
+  for (size_t s = 0; s < aStored.m_done.size() && s < aOccurrence.m_steps.size(); ++s) {
+    StepRecord& step = aOccurrence.m_steps[s];
     for (uint16_t index : aStored.m_done[s]) {
       if (index < step.m_tasks.size() && !step.m_tasks[index].m_done) {
         step.m_tasks[index].m_done = true;
+        step.m_tasks[index].m_checkpoint.clear();
         ++step.m_done;
         --step.m_waiting;
       }
     }
   }
   for (const StoredTask& stored : aStored.m_tasks) {
-    const TaskRef ref{ aJob.m_stored.m_id, aStored.m_number, stored.m_step, stored.m_index };
-    if (TaskRecord* task = JobRegistry::FindTask(aJob, ref)) {
-      task->m_failedAttempts = stored.m_failedAttempts;
-      task->m_checkpoint = stored.m_checkpoint;
+    const bool known = stored.m_step < aOccurrence.m_steps.size() &&
+                       stored.m_index < aOccurrence.m_steps[stored.m_step].m_tasks.size();
+    if (known) {
+      MergeTask(aOccurrence.m_steps[stored.m_step].m_tasks[stored.m_index], stored);
     }
   }
 }
 
+static void
+ApplyOccurrence(Job& aJob, const StoredOccurrence& aStored)
+{
+  OccurrenceRecord& occurrence = OpenOccurrence(aJob, aStored.m_number);
+  aJob.m_nextOccurrence = std::max(aJob.m_nextOccurrence, aStored.m_number + 1);
+  occurrence.m_complete = aStored.m_complete;
+  if (aStored.m_complete) {
+    occurrence.m_steps.clear();
+    return;
+  }
+  MergeProgress(occurrence, aStored);
+}
+
 void
 ApplyProgress(Job& aJob, const StoredProgress& aProgress)
 {
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -1,5 +1,6 @@
 #include "egretturn/Scheduler/Records.h"
 
+#include "egretturn/Journal/Codec.h"
 #include "egretturn/Support/EnumTable.h"
 
 namespace egretturn {
@@ -14,7 +15,10 @@
 
 static constexpr std::string_view kJobPrefix = "job/";
 static constexpr std::string_view kProgressPrefix = "progress/";
+static constexpr std::string_view kProgressPartPrefix = "progress-part/";
 static constexpr std::string_view kWorkerPrefix = "worker/";
+static constexpr size_t kKeyLengthBytes = 1;
+static constexpr size_t kRecordLengthBytes = 4;
 
 std::string_view
 NameOf(JobState aState)
@@ -40,6 +44,30 @@
   return std::string(kWorkerPrefix).append(aWorker);
 }
 
+std::string
+ProgressPartKey(const TaskRef& aFirst)
+{
+  return std::string(kProgressPartPrefix) + FormatTaskRef(aFirst);
+}
+
+size_t
+RecordBytes(const KeyedRecord& aRecord)
+{
+  return kKeyLengthBytes + aRecord.m_key.size() + aRecord.m_value.size();
+}
+
+size_t
+AppendedBytes(const KeyedRecord& aRecord)
+{
+  return kRecordLengthBytes + RecordBytes(aRecord);
+}
+
+KeyedRecord
+MakeJobRecord(const StoredJob& aJob)
+{
+  return { JobKey(aJob.m_id), PackCompact(aJob) };
+}
+
 /// Parses \p aPrefix followed by an id. Returns false if \p aKey has another form.
 static bool
 ReadKey(std::string_view aKey, std::string_view aPrefix, GraphId& aId)
@@ -64,6 +92,11 @@
   if (aKey.starts_with(kWorkerPrefix)) {
     return RecordKind::Worker;
   }
+  if (aKey.starts_with(kProgressPartPrefix)) {
+    const Expected<TaskRef> first = ParseTaskRef(aKey.substr(kProgressPartPrefix.size()));
+    aId = first ? first->m_job : 0;
+    return first ? RecordKind::ProgressPart : RecordKind::Unknown;
+  }
   if (ReadKey(aKey, kJobPrefix, aId)) {
     return RecordKind::Job;
   }
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -21,6 +21,7 @@
   if (m_jobs.Find(aJob.m_id)) {
     return;
   }
+  m_wallMs = aWallMs;
   const int64_t ageMs = std::max<int64_t>(0, aWallMs - aJob.m_acceptedMs);
   Job& job = m_jobs.Add(std::move(aJob), m_durations, aNow - std::chrono::milliseconds(ageMs));
   job.m_durable = true;
@@ -47,6 +48,36 @@
   job->m_endedReadingMs = known ? std::min(job->m_endedReadingMs, nowMs) : nowMs;
 }
 
+void
+Scheduler::RestoreProgressPart(const std::string& aKey,
+                               GraphId aId,
+                               const StoredProgressPart& aPart,
+                               Instant aNow)
+{
+  Job* job = m_jobs.Find(aId);
+  const bool valid =
+    job && !IsEnded(job->m_state) && job->m_stored.m_acceptedMs == aPart.m_acceptedMs;
+  if (!valid) {
+    m_keysToDelete.push_back(aKey);
+    return;
+  }
+  job->m_progressParts[aKey] = 0; // written again with the next change
+  m_jobs.OpenThrough(*job, aPart.m_occurrence.m_number);
+  OccurrenceRecord* occurrence = JobRegistry::FindOccurrence(*job, aPart.m_occurrence.m_number);
+  if (!occurrence || occurrence->m_complete) {
+    return;
+  }
+  if (job->m_state == JobState::Queued) {
+    job->m_state = JobState::Running;
+    job->m_durableState = JobState::Running;
+  }
+  MergeProgress(*occurrence, aPart.m_occurrence);
+  // An earlier version knows nothing of parts, and may have run the tasks that it took for undone.
+  if (JobRegistry::IsDone(*occurrence)) {
+    CompleteOccurrence(*job, *occurrence, aNow);
+  }
+}
+
 void
 Scheduler::RestoreModels(const StoredModels& aStored)
 {
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -320,6 +320,9 @@
           .Add("kept_ms", nowMs - job.m_endedReadingMs));
     m_keysToDelete.push_back(JobKey(it->first));
     m_keysToDelete.push_back(ProgressKey(it->first));
+    for (const std::pair<const std::string, size_t>& partEntry : job.m_progressParts) {
+      m_keysToDelete.push_back(partEntry.first);
+    }
     it = m_jobs.All().erase(it);
   }
 }
--- a/unittests/Node/LeadershipClaimerTest.cpp
+++ b/unittests/Node/LeadershipClaimerTest.cpp
@@ -87,6 +87,23 @@
   CHECK(fixture.m_store.m_appends == 0);
 }
 
+// Guards against tasks that run again, since their progress is in records that a new leader skips.
+TEST_CASE("a claim reads the parts of a job's progress")
+{
+  ClaimFixture fixture;
+  const StoredProgressPart part{ 5, { 0, { { 3 } }, {}, false } };
+  const std::string key = ProgressPartKey({ 7, 0, 0, 3 });
+  fixture.m_store.m_records = { { key, PackCompact(part) } };
+  fixture.m_store.m_read();
+  REQUIRE(fixture.m_outcome);
+  const std::vector<RecoveredProgressPart>& parts = fixture.m_outcome->m_state.m_progressParts;
+  REQUIRE(parts.size() == 1);
+  CHECK(parts[0].m_key == key);
+  CHECK(parts[0].m_job == 7);
+  CHECK(parts[0].m_part.m_acceptedMs == 5);
+  CHECK(parts[0].m_part.m_occurrence.m_done == std::vector<std::vector<uint16_t>>{ { 3 } });
+}
+
 // Guards against ended jobs that are kept for a whole retention more under each leader.
 TEST_CASE("a claim carries the retention clock of the leader before on")
 {
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -36,6 +36,26 @@
   CHECK(node.m_limits.m_lease.m_maxDuration == std::chrono::milliseconds(7000));
 }
 
+// Guards against records and appends that the store refuses, since its limits were not read.
+TEST_CASE("the store's limits of a record and of an append are read from the settings")
+{
+  const std::string text = kSettings; // ends with the table of the store
+  const tl::expected<PlatformSettings, Errors> usual = ParsePlatformSettings(text);
+  REQUIRE(usual);
+  CHECK(MakeNodeSettings(*usual).m_limits.m_maxRecordBytes == 262144);
+  const tl::expected<PlatformSettings, Errors> settings =
+    ParsePlatformSettings(text + "record_bytes = 5000\ncall_bytes = 20000\n");
+  REQUIRE(settings);
+  const SchedulerLimits limits = MakeNodeSettings(*settings).m_limits;
+  CHECK(limits.m_maxRecordBytes == 5000);
+  CHECK(limits.m_maxBatchBytes == 10000); // with room for the claim
+  const tl::expected<PlatformSettings, Errors> narrow =
+    ParsePlatformSettings(text + "record_bytes = 50000\ncall_bytes = 20000\n");
+  REQUIRE(narrow);
+  CHECK(MakeNodeSettings(*narrow).m_limits.m_maxRecordBytes == 10000);
+  CHECK_FALSE(ParsePlatformSettings(text + "record_bytes = 3\n"));
+}
+
 TEST_CASE("all missing settings are reported at once")
 {
   const tl::expected<PlatformSettings, Errors> settings = ParsePlatformSettings("zone = 3\n");
--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -265,7 +265,8 @@
   const std::string key = FormatTaskRef(aTask);
   const AttemptNumber attempt = m_attempts.at(key).second.m_attempt;
   m_highestEnded[key] = std::max(m_highestEnded[key], attempt);
-  m_ended.push_back({ { ++m_lastEnd, aTask, attempt, aEnd, "" } });
+  const std::string checkpoint(aEnd == AttemptEnd::Done ? 0 : m_checkpointBytes, 'c');
+  m_ended.push_back({ { ++m_lastEnd, aTask, attempt, aEnd, checkpoint } });
   m_attempts.erase(key);
   m_oracle.OnEnded(aTask, attempt, m_report.m_id, aEnd);
 }
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -86,6 +86,7 @@
   bool m_failsAll = false;
   int64_t m_firstClockMs = 1000; ///< What its clock shows when it starts.
   size_t m_maxListedEnds = 500;  ///< Ends in one response; the first ones if there are more.
+  size_t m_checkpointBytes = 0;  ///< Of each checkpoint; 0 for no checkpoints.
 
 private:
   struct Attempt
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -56,6 +56,23 @@
   StopLogging();
 }
 
+// Guards against tasks that run again, or jobs that stand still, since a leader has written or read
+// only a part of the progress.
+TEST_CASE("the scheduler keeps its guarantees while progress takes several records")
+{
+  static constexpr size_t kMaxRecordBytes = 320; // of a job's own record: fewer
+  uint64_t parts = 0;
+  for (uint64_t seed : ListSeeds(kSeeds)) {
+    SchedulerWorld world(seed, 8);
+    world.LimitRecords(kMaxRecordBytes);
+    PlayRandomSteps(world);
+    CheckViolations(world, seed);
+    parts += world.CountParts();
+  }
+  StopLogging();
+  CHECK(parts > 0);
+}
+
 TEST_CASE("the scheduler keeps its guarantees under random faults")
 {
   for (uint64_t seed : ListSeeds(kSeeds)) {
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -134,10 +134,19 @@
     m_random.Below(2) == 0 ? 0 : static_cast<int64_t>(m_random.Below(kMaxClockLagMs));
   SchedulerLimits limits;
   limits.m_endedJobRetention = std::chrono::hours(1); // states are queried at the end
+  limits.m_maxRecordBytes = m_maxRecordBytes;
   leader->m_scheduler = std::make_unique<Scheduler>(limits, leader->m_epoch, m_now);
   leader->m_workerPort = MakeWorkerPort(leader);
   leader->m_end = ++m_storeEnd; // the claim
+  RestoreRecords(*leader);
+  return leader;
+}
+
+void
+SchedulerWorld::RestoreRecords(Leader& aLeader)
+{
   std::vector<std::pair<GraphId, StoredProgress>> progress;
+  std::vector<std::pair<std::string, StoredProgressPart>> parts;
   for (const std::pair<const std::string, std::string>& valueEntry : m_store) {
     const std::string& key = valueEntry.first;
     const std::string& value = valueEntry.second;
@@ -145,22 +154,37 @@
     const RecordKind kind = ClassifyKey(key, id);
     StoredJob job;
     StoredProgress one;
+    StoredProgressPart part;
     WorkerReport report;
     if (kind == RecordKind::Job && UnpackCompact(value, job)) {
-      leader->m_scheduler->RestoreJob(std::move(job), m_now, WallMs(*leader));
+      aLeader.m_scheduler->RestoreJob(std::move(job), m_now, WallMs(aLeader));
     } else if (kind == RecordKind::Progress && UnpackCompact(value, one)) {
       progress.emplace_back(id, std::move(one));
+    } else if (kind == RecordKind::ProgressPart && UnpackCompact(value, part)) {
+      parts.emplace_back(key, std::move(part));
     } else if (kind == RecordKind::Worker && UnpackCompact(value, report)) {
-      leader->m_workerPort->SetWorkerZone(report.m_id, report.m_zone);
-      leader->m_scheduler->RestoreWorker(report, m_now);
+      aLeader.m_workerPort->SetWorkerZone(report.m_id, report.m_zone);
+      aLeader.m_scheduler->RestoreWorker(report, m_now);
     }
   }
   for (const std::pair<GraphId, StoredProgress>& oneEntry : progress) {
-    const GraphId id = oneEntry.first;
-    const StoredProgress& one = oneEntry.second;
-    leader->m_scheduler->RestoreProgress(id, one);
+    aLeader.m_scheduler->RestoreProgress(oneEntry.first, oneEntry.second);
+  }
+  for (const std::pair<std::string, StoredProgressPart>& partEntry : parts) {
+    GraphId id = 0;
+    ClassifyKey(partEntry.first, id);
+    aLeader.m_scheduler->RestoreProgressPart(partEntry.first, id, partEntry.second, m_now);
+  }
+}
+
+void
+SchedulerWorld::LimitRecords(size_t aMaxRecordBytes)
+{
+  static constexpr size_t kCheckpointBytes = 120;
+  m_maxRecordBytes = aMaxRecordBytes;
+  for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    worker->m_checkpointBytes = kCheckpointBytes;
   }
-  return leader;
 }
 
 void
@@ -459,6 +483,11 @@
       return;
     }
     for (const KeyedRecord& record : aAppend.m_records) {
+      if (RecordBytes(record) > m_maxRecordBytes) {
+        m_oracle.ReportViolation("larger than the store's limit: " + record.m_key);
+      }
+      GraphId id = 0;
+      m_parts += ClassifyKey(record.m_key, id) == RecordKind::ProgressPart ? 1 : 0;
       if (record.m_value.empty()) {
         m_store.erase(record.m_key);
       } else {
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -71,11 +71,17 @@
   /// Checks that every accepted job has ended, or is long-running with all its tasks running.
   void CheckJobs();
 
+  /// Lets the store refuse records of more than \p aMaxRecordBytes, and workers save checkpoints.
+  /// Call before the first leader.
+  void LimitRecords(size_t aMaxRecordBytes);
+
   Faults m_faults;
   Oracle m_oracle;
   Random m_random;
   std::vector<std::unique_ptr<FakeWorker>> m_workers;
   Instant Now() const { return m_now; }
+  /// Returns the number of parts of progress that leaders have written.
+  uint64_t CountParts() const { return m_parts; }
   std::optional<JobState> StateOf(GraphId aId);
   /// Returns the number of starts that the current leader has sent. \pre There is a leader.
   uint64_t CountStarts() const { return m_leaders.back()->m_scheduler->Counters().m_starts; }
@@ -137,6 +143,7 @@
   void CheckPolls();
   /// Checks that the recovery of the leader takes no longer than its predecessors' leases allow.
   void CheckRecoveryTime();
+  void RestoreRecords(Leader& aLeader);
   /// Restores a new leader from the store.
   std::shared_ptr<Leader> MakeLeader();
   /// Lets a superseded leader stop after \p aNoticeTime, as CallAuthority does.
@@ -158,6 +165,8 @@
   std::priority_queue<Event> m_events;
   uint64_t m_sequence = 0;
   std::map<std::string, std::string> m_store;
+  size_t m_maxRecordBytes = SchedulerLimits().m_maxRecordBytes;
+  uint64_t m_parts = 0;
   size_t m_storeEnd = 0;
   std::map<WorkerName, Instant> m_goneWorkers; ///< Until when the directory lists each of them.
   uint64_t m_epoch = 0;
