Refuse a job whose own record the store can't keep

With a smaller record_bytes a job would have been taken, and its record would have kept the store from being written.

Cause: the size of a job's record was not checked at submission.

Evidence: "a job whose record exceeds the store's limit is refused as too large" fails with the check taken out (2 checks) and holds now.

Conclusion: such a job is refused with a typed error and never runs.

--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -196,6 +196,7 @@
 {
   Accepted, ///< Accepted and durable.
   NotRun,   ///< Refused: the job has not run and never will.
+  TooLarge, ///< As NotRun: the store can't keep the job's record.
   Unknown,  ///< The job may have been accepted.
   NoSuchJob,
 };
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -222,6 +222,10 @@
 /// Returns the record of \p aJob. Thread-safe.
 KeyedRecord MakeJobRecord(const StoredJob& aJob);
 
+/// Checks that the store can keep the record of \p aJob. Errors: bad_input if the record is larger
+/// than \p aMaxRecordBytes. Thread-safe.
+Expected<void> CheckStorable(const StoredJob& aJob, size_t aMaxRecordBytes);
+
 /// Returns the key of a record. Thread-safe.
 std::string JobKey(GraphId aId);
 std::string ProgressKey(GraphId aId);
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -118,8 +118,8 @@
 
   // Callers.
 
-  /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. \pre The
-  /// graph is valid.
+  /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. A job whose
+  /// record is larger than the store's limit is refused as TooLarge. \pre The graph is valid.
   void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
 
   /// Cancels a job; the result follows as a CompleteRequest action once the cancellation is
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -320,6 +320,7 @@
       response.m_outcome = PeerOutcome::Ok;
       break;
     case SubmitResult::NotRun:
+    case SubmitResult::TooLarge:
       response.m_outcome = PeerOutcome::NotRun;
       break;
     case SubmitResult::Unknown:
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -68,6 +68,19 @@
   return { JobKey(aJob.m_id), PackCompact(aJob) };
 }
 
+Expected<void>
+CheckStorable(const StoredJob& aJob, size_t aMaxRecordBytes)
+{
+  const size_t bytes = RecordBytes(MakeJobRecord(aJob));
+  if (bytes <= aMaxRecordBytes) {
+    return {};
+  }
+  return Fail(ErrorKind::BadInput,
+              "the record of the job has " + std::to_string(bytes) +
+                " bytes, more than the store's limit of " + std::to_string(aMaxRecordBytes),
+              "submit a job with fewer steps or shorter texts");
+}
+
 /// Parses \p aPrefix followed by an id. Returns false if \p aKey has another form.
 static bool
 ReadKey(std::string_view aKey, std::string_view aPrefix, GraphId& aId)
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -59,6 +59,15 @@
   stored.m_terms = std::move(aSubmission.m_terms);
   stored.m_graph = std::move(aSubmission.m_graph);
   stored.m_acceptedMs = aWallMs;
+  if (const Expected<void> storable = CheckStorable(stored, m_limits.m_maxRecordBytes); !storable) {
+    ++m_counters.m_refused;
+    Log(LogLine(LogLevel::Info, "job_refused")
+          .Add("job", FormatGraphId(stored.m_id))
+          .Add("reason", "too_large")
+          .Add("error", storable.error().Text()));
+    Emit(CompleteRequest{ aRequest, SubmitResult::TooLarge });
+    return;
+  }
   Job& job = m_jobs.Add(std::move(stored), m_durations, aNow);
   AddToRouteMeans(job);
   job.m_submitRequests.push_back(aRequest);
--- a/unittests/Scheduler/LargeRecordsTest.cpp
+++ b/unittests/Scheduler/LargeRecordsTest.cpp
@@ -432,3 +432,25 @@
   CHECK(leader.m_acknowledged == 1025);
   CHECK(leader.m_largestAppend < 64 * 1024); // of more than 315,000 bytes of progress
 }
+
+// Guards against a job that is accepted or stops all others, though the store can't keep its
+// record.
+TEST_CASE("a job whose record exceeds the store's limit is refused as too large")
+{
+  SchedulerLimits limits;
+  limits.m_maxRecordBytes = 2000;
+  Leader leader(limits, 1);
+  leader.AddWorker();
+  StoredJob large = MakeJob(kLargeJob, 1, 1);
+  large.m_graph.m_payload.resize(2000, 'p');
+  const Expected<void> storable = CheckStorable(large, limits.m_maxRecordBytes);
+  REQUIRE_FALSE(storable);
+  CHECK(storable.error().m_kind == ErrorKind::BadInput);
+  leader.m_scheduler.Submit(1, { large.m_id, large.m_terms, large.m_graph }, leader.m_now, 0);
+  StoredJob usual = MakeJob(kLargeJob + 1, 1, 1);
+  leader.m_scheduler.Submit(2, { usual.m_id, usual.m_terms, usual.m_graph }, leader.m_now, 0);
+  leader.Advance(milliseconds(200));
+  CHECK(leader.m_results.at(1) == SubmitResult::TooLarge);
+  CHECK(leader.m_results.at(2) == SubmitResult::Accepted);
+  CHECK_FALSE(leader.m_scheduler.StateOf(kLargeJob).has_value());
+}
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -524,7 +524,8 @@
     job.m_cancelledAt = m_now;
   } else if (!cancel) {
     job.m_accepted = job.m_accepted || aCompletion.m_result == SubmitResult::Accepted;
-    job.m_refused = job.m_refused || aCompletion.m_result == SubmitResult::NotRun;
+    job.m_refused = job.m_refused || aCompletion.m_result == SubmitResult::NotRun ||
+                    aCompletion.m_result == SubmitResult::TooLarge;
   }
 }
 
