Leave a record out that the store refuses, and store all others

Cause: a refusal of the bytes (400, 413) counted like a store that is busy, so the leader tried the same append each 100 ms, for ever. One append is in flight at a time, and after 0.8 s new jobs were refused as without a store.

Change: AppendResult::Kind::Refused. The leader writes a line (append_refused, with the largest record and its size), divides the append in halves, and leaves out a record that is refused alone three times (record_left_out). A new job is refused then, a worker gets no tasks, anything else is written again with its next change. A refused claim makes the leader step down. Progress that is left out is acknowledged to workers all the same, since they would wait for ever otherwise; it takes a store that refuses what its settings allow.

Conclusion: one record that is refused no longer stops the others.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -118,6 +118,9 @@
   /// Has the authority ask for the witnesses of both records that a successor may have read.
   void UpdateAuthority();
   void OnAppend(const AppendResult& aResult);
+  /// Divides the append in flight, or leaves out its only record, which the store refuses.
+  void DivideAppend();
+  void LeaveOutRecord();
   void ResolveConflict();
   /// Reads the next records after the end that was known before the append.
   void ReadBack();
@@ -139,6 +142,8 @@
   std::shared_ptr<TopicFollower> m_directory;
   std::vector<KeyedRecord> m_appending; ///< The append in flight; empty if there is none.
   uint64_t m_appendingBatch = 0;        ///< 0 if the append renews the claim.
+  std::vector<KeyedRecord> m_postponed; ///< Of the same batch, after a request was refused.
+  uint32_t m_refusals = 0;              ///< Of an append of one record.
   std::vector<KeyedRecord> m_queued;    ///< The batch that waits for the append in flight.
   uint64_t m_queuedBatch = 0;
   bool m_mayHaveAppended = false;      ///< An earlier try of m_appending got no response.
--- a/include/egretturn/Node/Ports.h
+++ b/include/egretturn/Node/Ports.h
@@ -36,6 +36,7 @@
     Appended,
     Conflict,    ///< The topic does not end at the given offset.
     NotAppended, ///< Nothing was appended, and nothing will be.
+    Refused,     ///< As NotAppended; so will be each append of the same records, as too large.
     Unknown,     ///< The records may have been appended, or may still be.
   };
   Kind m_kind = Kind::NotAppended;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -175,6 +175,10 @@
   /// Handles the confirmation that the batch numbered \p aBatch is durable.
   void OnAppended(uint64_t aBatch, Instant aNow);
 
+  /// Handles that the store refuses the record \p aKey of the batch in flight for good. A new job
+  /// is refused, and a worker gets no task; anything else is written again with its next change.
+  void OnRecordRefused(const std::string& aKey);
+
   /// Records that no other instance had claimed the leadership at \p aSince. Confirmed batches say
   /// so, too.
   void OnConfirmed(Instant aSince, Instant aNow);
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -10,6 +10,7 @@
 
 static constexpr Duration kDirectoryPollInterval = std::chrono::milliseconds(400);
 static constexpr Duration kAppendRetryDelay = std::chrono::milliseconds(100);
+static constexpr uint32_t kMaxRefusals = 3; // of one record, before it is left out
 static constexpr Duration kStoreUnavailableAfter = std::chrono::milliseconds(800);
 // Events within this time share one run of the scheduler, which looks at each worker.
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
@@ -390,7 +391,56 @@
     case AppendResult::Kind::NotAppended:
       RetryAppend();
       return;
+    case AppendResult::Kind::Refused:
+      DivideAppend();
+      return;
+  }
+}
+
+void
+LeaderSession::DivideAppend()
+{
+  const auto largest = std::max_element(
+    m_appending.begin(), m_appending.end(), [](const KeyedRecord& aOne, const KeyedRecord& aTwo) {
+      return RecordBytes(aOne) < RecordBytes(aTwo);
+    });
+  Log(LogLine(LogLevel::Error, "append_refused")
+        .Add("epoch", m_claim.m_epoch)
+        .Add("records", uint64_t{ m_appending.size() })
+        .Add("largest", largest->m_key)
+        .Add("bytes", uint64_t{ RecordBytes(*largest) })
+        .Add("remedy", "compare the store's limits with the settings"));
+  if (m_appending.size() == 1) {
+    LeaveOutRecord();
+    return;
+  }
+  const auto middle = m_appending.begin() + static_cast<std::ptrdiff_t>(m_appending.size() / 2);
+  m_postponed.insert(m_postponed.begin(), middle, m_appending.end());
+  m_appending.erase(middle, m_appending.end());
+  m_refusals = 0;
+  SendAppend();
+}
+
+void
+LeaderSession::LeaveOutRecord()
+{
+  const std::string key = m_appending.front().m_key;
+  if (++m_refusals < kMaxRefusals) {
+    RetryAppend();
+    return;
   }
+  if (key == kClaimKey) {
+    StepDownNow("the store refuses the claim");
+    return;
+  }
+  Log(LogLine(LogLevel::Error, "record_left_out").Add("epoch", m_claim.m_epoch).Add("key", key));
+  m_refusals = 0;
+  m_scheduler.OnRecordRefused(key);
+  m_appending = std::exchange(m_postponed, {});
+  if (m_appending.empty()) {
+    m_appending.push_back(MakeClaimRecord()); // only an append confirms the claim
+  }
+  SendAppend();
 }
 
 void
@@ -464,10 +514,16 @@
 LeaderSession::FinishAppend(LogOffset aEnd)
 {
   m_end = aEnd;
-  m_appending.clear();
+  m_appending = std::exchange(m_postponed, {});
+  m_refusals = 0;
+  m_mayHaveAppended = false;
   m_readBack.clear();
   m_confirmedAt = m_requestSentAt;
   m_authority.OnConfirmed(m_confirmedAt);
+  if (!m_appending.empty()) {
+    SendAppend();
+    return;
+  }
   m_storedWitnesses =
     m_appendedWitnesses; // the append may not have held them, but earlier ones did
   UpdateAuthority();
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -137,6 +137,12 @@
     case AppendResult::Kind::Unknown:
       RetryLater();
       return;
+    case AppendResult::Kind::Refused:
+      Log(LogLine(LogLevel::Error, "claim_refused")
+            .Add("bytes", uint64_t{ PackCompact(m_identity).size() })
+            .Add("remedy", "compare the store's limits with the settings"));
+      Fail();
+      return;
     case AppendResult::Kind::NotAppended:
       Fail();
       return;
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -376,6 +376,34 @@
   }
 }
 
+void
+Scheduler::OnRecordRefused(const std::string& aKey)
+{
+  GraphId id = 0;
+  const RecordKind kind = ClassifyKey(aKey, id);
+  Job* job = m_jobs.Find(id);
+  if (kind == RecordKind::Worker) {
+    for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
+      if (WorkerKey(worker->m_report.m_id) == aKey && worker->m_record == RecordState::InBatch) {
+        worker->m_record = RecordState::Missing;
+      }
+    }
+  } else if (kind == RecordKind::ProgressPart && job) {
+    job->m_progressParts.erase(aKey);
+  } else if (kind == RecordKind::Job && job && !job->m_durable) {
+    ++m_counters.m_refused;
+    for (RequestToken request : job->m_submitRequests) {
+      Emit(CompleteRequest{ request, SubmitResult::TooLarge });
+    }
+    for (RequestToken request : job->m_cancelRequests) {
+      Emit(CompleteRequest{ request, SubmitResult::NoSuchJob });
+    }
+    m_waitingJobs.erase(id);
+    m_dirtyJobs.erase(id);
+    m_jobs.Erase(id);
+  }
+}
+
 void
 Scheduler::OnConfirmed(Instant aSince, Instant aNow)
 {
--- a/unittests/Node/LeaderSessionTest.cpp
+++ b/unittests/Node/LeaderSessionTest.cpp
@@ -4,7 +4,9 @@
 #include "egretturn/Journal/Codec.h"
 #include "egretturn/Node/LeaderSession.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <thread>
 
 using namespace egretturn;
@@ -125,6 +127,33 @@
   bool m_available = true;
 };
 
+/// A store that refuses appends with a record of more than \c m_maxValueBytes, or with too many
+/// records.
+class StrictStore : public OneWorkerStore
+{
+public:
+  void AppendAt(Topic aTopic,
+                LogOffset aAt,
+                const std::vector<KeyedRecord>& aRecords,
+                std::function<void(AppendResult)> aDone) override
+  {
+    const bool tooLarge =
+      std::any_of(aRecords.begin(), aRecords.end(), [this](const KeyedRecord& aRecord) {
+        return aRecord.m_value.size() > m_maxValueBytes;
+      });
+    if (tooLarge || aRecords.size() > m_maxRecords) {
+      ++m_refused;
+      aDone({ AppendResult::Kind::Refused, 0 });
+    } else {
+      OneWorkerStore::AppendAt(aTopic, aAt, aRecords, std::move(aDone));
+    }
+  }
+
+  size_t m_maxValueBytes = 1000;
+  size_t m_maxRecords = 3;
+  int m_refused = 0;
+};
+
 /// Workers that don't respond to any call. Counts the polls.
 class CountingWorkers : public SilentWorkers
 {
@@ -292,6 +321,78 @@
   session->Stop();
 }
 
+// Guards against a leader that tries the same append for ever, and stores nothing any more, since
+// the store refuses one of its records.
+TEST_CASE("a record that the store refuses is left out, and all others are stored")
+{
+  boost::asio::io_context io;
+  StrictStore store;
+  SilentWorkers workers;
+  std::map<RequestToken, SubmitResult> results;
+  bool steppedDown = false;
+  StoredClaim claim;
+  claim.m_epoch = 1;
+  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    io,
+    store,
+    workers,
+    RejectEntry,
+    SchedulerLimits(),
+    claim,
+    LeaderSession::Callbacks{
+      [&](RequestToken aRequest, SubmitResult aResult) { results[aRequest] = aResult; },
+      [&](const std::string&) { steppedDown = true; } });
+  session->Start({});
+  static constexpr GraphId kLarge = 3;
+  for (GraphId id = 1; id <= 8; ++id) {
+    Submission submission;
+    submission.m_id = id;
+    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
+    submission.m_graph.m_payload.resize(id == kLarge ? 2000 : 10, 'p');
+    submission.m_graph.m_steps.emplace_back();
+    session->Submit(id, std::move(submission));
+  }
+  io.run_for(milliseconds(1200));
+  CHECK(results.size() == 8);
+  for (const std::pair<const RequestToken, SubmitResult>& resultEntry : results) {
+    CHECK(resultEntry.second ==
+          (resultEntry.first == kLarge ? SubmitResult::TooLarge : SubmitResult::Accepted));
+  }
+  const int refused = store.m_refused;
+  CHECK(refused < 12);
+  io.run_for(milliseconds(600));
+  CHECK(store.m_refused == refused);
+  CHECK(session->IsStoreAvailable());
+  CHECK_FALSE(steppedDown);
+  session->Stop();
+}
+
+// Guards against a leader that goes on without a claim that its successors can read.
+TEST_CASE("a leader steps down if the store refuses its claim")
+{
+  boost::asio::io_context io;
+  StrictStore store;
+  store.m_maxValueBytes = 1;
+  SilentWorkers workers;
+  bool steppedDown = false;
+  StoredClaim claim;
+  claim.m_epoch = 1;
+  const std::shared_ptr<LeaderSession> session = std::make_shared<LeaderSession>(
+    io,
+    store,
+    workers,
+    RejectEntry,
+    SchedulerLimits(),
+    claim,
+    LeaderSession::Callbacks{ [](RequestToken, SubmitResult) {},
+                              [&](const std::string&) { steppedDown = true; } });
+  session->Start({});
+  session->RenewClaim();
+  io.run_for(milliseconds(700));
+  CHECK(steppedDown);
+  session->Stop();
+}
+
 // Guards against a retention clock that stands still over changes of leader: a busy leader never
 // renews its claim, since each batch confirms it.
 TEST_CASE("a leader that writes batches all the time stores its retention clock each second")
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -56,6 +56,21 @@
   CHECK_FALSE(ParsePlatformSettings(text + "record_bytes = 3\n"));
 }
 
+// Guards against an append that is tried again for ever, though the store refuses its bytes.
+TEST_CASE("an append that the store refuses is told from one that it can't carry out now")
+{
+  ClientResponse response;
+  response.m_result = ClientResult::Completed;
+  for (const unsigned status : { 400u, 413u }) {
+    response.m_response.result(status);
+    CHECK(ToAppendResult(response).m_kind == AppendResult::Kind::Refused);
+  }
+  for (const unsigned status : { 429u, 503u, 507u }) {
+    response.m_response.result(status);
+    CHECK(ToAppendResult(response).m_kind == AppendResult::Kind::NotAppended);
+  }
+}
+
 TEST_CASE("all missing settings are reported at once")
 {
   const tl::expected<PlatformSettings, Errors> settings = ParsePlatformSettings("zone = 3\n");
--- a/unittests/Scheduler/LargeRecordsTest.cpp
+++ b/unittests/Scheduler/LargeRecordsTest.cpp
@@ -454,3 +454,20 @@
   CHECK(leader.m_results.at(2) == SubmitResult::Accepted);
   CHECK_FALSE(leader.m_scheduler.StateOf(kLargeJob).has_value());
 }
+
+// Guards against a caller that waits for a job whose record the store refuses all the same.
+TEST_CASE("a new job is refused when the store refuses its record")
+{
+  Leader leader(SchedulerLimits(), 1);
+  leader.AddWorker();
+  leader.Advance(milliseconds(200));
+  leader.m_confirms = false;
+  StoredJob job = MakeJob(kLargeJob, 1, 1);
+  leader.m_scheduler.Submit(1, { job.m_id, job.m_terms, job.m_graph }, leader.m_now, 0);
+  leader.Advance(milliseconds(200));
+  leader.m_scheduler.OnRecordRefused(JobKey(kLargeJob));
+  leader.Advance(milliseconds(200));
+  CHECK(leader.m_results.at(1) == SubmitResult::TooLarge);
+  CHECK_FALSE(leader.m_scheduler.StateOf(kLargeJob).has_value());
+  CHECK(leader.m_starts.empty());
+}
