--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -168,15 +168,17 @@
   ++step.m_done;
   m_placementNeeded = true;
   MarkDirty(aJob);
-  const bool complete =
-    std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(), [](const StepRecord& aStep) {
-      return aStep.m_done == aStep.m_tasks.size();
-    });
-  if (!complete) {
-    return;
+  if (JobRegistry::IsDone(occurrence)) {
+    CompleteOccurrence(aJob, occurrence, aNow);
   }
-  CloseOccurrence(aJob, occurrence);
+}
+
+void
+Scheduler::CompleteOccurrence(Job& aJob, OccurrenceRecord& aOccurrence, Instant aNow)
+{
+  CloseOccurrence(aJob, aOccurrence);
   m_urgent = true;
+  MarkDirty(aJob);
   if (!aJob.HasOpenOccurrences()) {
     EndJob(aJob, JobState::Done, aNow);
   }
--- a/unittests/Scheduler/PendingTest.cpp
+++ b/unittests/Scheduler/PendingTest.cpp
@@ -90,6 +90,7 @@
   std::vector<EndedAttempt> m_ended;
   size_t m_starts = 0;
   StartTask m_lastStart;
+  Instant m_acceptedAt; ///< When the last start was accepted.
 
 private:
   void Execute(const Action& aAction)
@@ -100,7 +101,8 @@
       ++m_starts;
       m_lastStart = *start;
       if (m_startResult == WorkerCallResult::Accepted) {
-        m_running.push_back({ start->m_task, start->m_attempt, "", 10, 0 });
+        m_running.push_back({ start->m_task, start->m_attempt, "", 0, 0 });
+        m_acceptedAt = m_now;
       }
       if (m_startResult) {
         AnswerLast(*m_startResult);
@@ -119,6 +121,9 @@
       m_scheduler.OnPollFailed("w", aPoll.m_number, WorkerCallResult::NoResponse, m_now);
       return;
     }
+    for (RunningAttempt& reported : m_running) { // it gets ahead, so nothing moves it
+      reported.m_percent = static_cast<int>((m_now - m_acceptedAt) / milliseconds(600));
+    }
     WorkerStatus status;
     status.m_clockMs = WallMs();
     status.m_running = m_running;
