Start a task on an avoided or slow worker once it has waited for long

Cause: a worker that failed or was slow is left out for up to 8 s, renewed by each failure, whether or not another one has room. A preference was used as a prohibition.

Change: a task that has waited for 1.5 s and finds no other worker starts on such a worker. Tasks with a limited number of attempts only if nothing of their job runs, little is reserved, and the worker has not failed for 1.5 s; a task tries that again after 1.5 s.

Replaced: "a task starts when the avoidance of a worker ends, without any other event" waited for 3 s; the avoidance lasts 1 s now, and the start is asked for within 0.4 s, before the new rule applies.

Dropped: the same without the time after a failure: "a worker that fails every attempt is avoided, however long its attempts take to fail" failed.

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -25,7 +25,7 @@
   std::vector<AttemptNumber> m_failedAttempts;
   std::string m_checkpoint;
   const Worker* m_avoidedWorker = nullptr; ///< Where it failed or was lost; never dereferenced.
-  Instant m_notBefore;
+  Instant m_nextLastResortAt;              ///< It starts on an avoided or slow worker no earlier.
   Instant m_lastRanAt; ///< When an attempt that has left, or is to leave, was last known to run.
 };
 
--- a/include/egretturn/Scheduler/Packing.h
+++ b/include/egretturn/Scheduler/Packing.h
@@ -64,6 +64,16 @@
 /// Returns the workers that accept new work at \p aNow.
 std::vector<Worker*> ListAvailableWorkers(Fleet& aFleet, Instant aNow);
 
+/// Workers that accept no new work only because their attempts have failed or are slow.
+struct PenalizedWorkers
+{
+  std::vector<Worker*> m_all;
+  std::vector<Worker*> m_withoutRecentFailure;
+};
+
+/// Returns the workers that are avoided or slow at \p aNow.
+PenalizedWorkers ListPenalizedWorkers(Fleet& aFleet, Instant aNow);
+
 /// Returns the share of full speed, from 0 to 1, to which all tasks of \p aImage on \p aWorker must
 /// be throttled so that the serving tasks there stay below their targets, once tasks that demand
 /// \p aAdded thousandths of a core are added.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -345,6 +345,13 @@
   double ReservedShareOf(const std::string& aService);
   /// Returns the request for the tasks of the step, without their siblings.
   PlacementRequest MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow);
+  /// Returns the avoided or slow workers on which a task of \p aStep may start.
+  const std::vector<Worker*>& LastResortOf(const GraphStep& aStep) const;
+  /// Returns whether a task has waited for so long that an avoided or slow worker is better than
+  /// none.
+  bool MayUseLastResort(const WaitingStep& aWaiting, size_t aTask, Instant aNow);
+  /// The same for any task of the step.
+  bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
   /// Starts the tasks of the step that fit. Returns false if a task does not fit on any worker.
   bool PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
@@ -543,6 +550,7 @@
   bool m_placementNeeded = false;
   std::unordered_map<std::string, double> m_reservedShares; ///< By service, for one pass.
   std::vector<Worker*> m_availableWorkers;                  ///< For one pass.
+  PenalizedWorkers m_penalizedWorkers;                      ///< For one pass.
   std::vector<HeldPlace> m_heldPlaces;                      ///< For one pass.
   Instant m_nextPlacementAt;
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -49,6 +49,9 @@
 // A task with a large demand may start throttled, but to no less than this share.
 static constexpr double kMinThrottleShare = 0.5;
 
+// An avoided worker gets no task with a limited number of attempts for this long.
+static constexpr Duration kMinTimeAfterFailure = std::chrono::milliseconds(1500);
+
 static constexpr double kMinWeight = 0.001; // smaller weights are not distinguished
 
 // Weights of the score, in thousandths of a core.
@@ -401,4 +404,21 @@
   return available;
 }
 
+PenalizedWorkers
+ListPenalizedWorkers(Fleet& aFleet, Instant aNow)
+{
+  PenalizedWorkers penalized;
+  for (const std::unique_ptr<Worker>& worker : aFleet.All()) {
+    const Obstacle obstacle = FindUnavailability(*worker, aNow);
+    if (obstacle != Obstacle::Avoided && obstacle != Obstacle::Slow) {
+      continue;
+    }
+    penalized.m_all.push_back(worker.get());
+    if (obstacle == Obstacle::Slow || aNow - worker->m_lastFailureAt >= kMinTimeAfterFailure) {
+      penalized.m_withoutRecentFailure.push_back(worker.get());
+    }
+  }
+  return penalized;
+}
+
 } // namespace egretturn
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -153,6 +153,7 @@
   m_reservedShares.clear();
   UpdateUnreadLeases(aNow);
   m_availableWorkers = ListAvailableWorkers(m_fleet, aNow);
+  m_penalizedWorkers = ListPenalizedWorkers(m_fleet, aNow);
   if (aNow >= m_nextWaitingReportAt) {
     m_waitingReport.emplace();
   }
@@ -168,7 +169,7 @@
       std::any_of(failedSteps.begin(), failedSteps.end(), [&](const FailedStep& aFailed) {
         return RulesOut(aFailed.m_request, request);
       });
-    if (ruledOut) {
+    if (ruledOut && !MayUseLastResort(waiting, aNow)) {
       ReportSkippedStep(waiting, aNow);
     } else if (!PlaceStep(waiting, request, aNow)) {
       // Made anew: a job that is no longer idle failed with a task that must not interfere.
@@ -233,6 +234,45 @@
   m_heldPlaces.clear();
 }
 
+const std::vector<Worker*>&
+Scheduler::LastResortOf(const GraphStep& aStep) const
+{
+  // Failures cost a long-running task none of its attempts.
+  return aStep.m_longRunning ? m_penalizedWorkers.m_all : m_penalizedWorkers.m_withoutRecentFailure;
+}
+
+bool
+Scheduler::MayUseLastResort(const WaitingStep& aWaiting, size_t aTask, Instant aNow)
+{
+  const Job& job = *aWaiting.m_job;
+  const TaskRecord& task = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_tasks[aTask];
+  const bool longRunning = StepOf(aWaiting).m_longRunning; // each task of these counts by itself
+  if (LastResortOf(StepOf(aWaiting)).empty() || aNow < task.m_nextLastResortAt ||
+      (!longRunning && job.m_liveAttempts > 0)) {
+    return false;
+  }
+  if (!longRunning && ReservedShareOf(job.m_stored.m_terms.m_service) >= kLowReservation) {
+    return false; // it waits its turn
+  }
+  const Instant lastRanAt = longRunning ? task.m_lastRanAt : job.m_lastRanAt;
+  const Instant waitsSince =
+    std::max({ job.m_submittedAt, aWaiting.m_occurrence->m_openedAt, lastRanAt });
+  return aNow - waitsSince >= kMaxJobIdleTime;
+}
+
+bool
+Scheduler::MayUseLastResort(const WaitingStep& aWaiting, Instant aNow)
+{
+  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
+    const TaskRecord& task = record.m_tasks[i];
+    if (!task.m_done && task.m_attempts.empty() && MayUseLastResort(aWaiting, i, aNow)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 Scheduler::PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
@@ -262,20 +302,26 @@
       ranking.emplace(m_availableWorkers, aRequest);
     }
     Worker* worker = ranking->TakeBest(task.m_avoidedWorker);
+    const bool lastResort = !worker && MayUseLastResort(aWaiting, i, aNow);
+    if (lastResort) {
+      worker =
+        CandidateRanking(LastResortOf(*aRequest.m_step), aRequest).TakeBest(task.m_avoidedWorker);
+    }
     if (!worker) {
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
     if (MayStartTasksOf(*aWaiting.m_job, aNow)) {
       StartAttempt(aWaiting, i, *worker, aNow);
+      record.m_tasks[i].m_nextLastResortAt = aNow + kMaxJobIdleTime;
     } else {
       ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, 1, aNow);
       HoldPlace(*worker, aRequest.m_step->m_demand);
     }
     siblings.push_back(worker);
     // The job is no longer idle, and a first sibling sets the preferred rack.
-    const bool changesAll =
-      aRequest.m_mayInterfere || (aRequest.m_step->m_sameRack && siblings.size() == 1);
+    const bool changesAll = lastResort || aRequest.m_mayInterfere ||
+                            (aRequest.m_step->m_sameRack && siblings.size() == 1);
     aRequest.m_mayInterfere = false;
     if (changesAll) {
       ranking.reset();
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -232,11 +232,11 @@
   world.RegisterWorker("w");
   world.Advance(seconds(1));
   Worker& worker = *world.m_scheduler.Workers().Find("w");
-  worker.m_avoidUntil = world.m_now + seconds(3);
+  worker.m_avoidUntil = world.m_now + seconds(1);
   world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(2));
+  world.Advance(milliseconds(900));
   REQUIRE(world.m_running["w"].empty());
-  world.Advance(seconds(2));
+  world.Advance(milliseconds(500)); // before it would start on an avoided worker
   CHECK(world.m_running["w"].size() == 1);
 }
 
@@ -671,3 +671,21 @@
   }
   CHECK(freed <= 2);
 }
+
+// Guards against a task that waits although only avoided workers have room for it.
+TEST_CASE("a task that finds no other worker for a while starts on one that is avoided")
+{
+  ContactWorld world;
+  world.RegisterWorker("full");
+  world.SubmitLongRunning(1, 8000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["full"].size() == 1);
+  world.RegisterWorker("avoided");
+  world.Advance(seconds(1));
+  world.m_scheduler.Workers().Find("avoided")->m_avoidUntil = world.m_now + seconds(8);
+  world.SubmitLongRunning(2, 5000);
+  world.Advance(seconds(1));
+  CHECK(world.m_running["avoided"].empty());
+  world.Advance(seconds(2)); // 3 s in all
+  CHECK(world.m_running["avoided"].size() == 1);
+}
