--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -202,6 +202,7 @@
            static_cast<uint16_t>(aIndex) };
 }
 
+/// Counts \p aDemand against \p aWorker without an attempt, until Release().
 static void
 Reserve(Worker& aWorker, const Demand& aDemand)
 {
