--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -222,6 +222,15 @@
 
   static constexpr Duration kRecoveryReportInterval = std::chrono::seconds(1);
 
+  /// While little is reserved, one task of a job without attempts for this long starts even where
+  /// it causes interference, throttled to what its neighbors bear; and a task that has waited for
+  /// this long, on an avoided or slow worker.
+  static constexpr Duration kMaxJobIdleTime = std::chrono::milliseconds(1500);
+  /// Share of the service's processors below which that is so. What best-effort tasks demand does
+  /// not count: they reserve nothing, and what they take from other jobs does not justify that a
+  /// job has nothing running.
+  static constexpr double kLowReservation = 0.55;
+
   /// Capacity that a pass keeps for a task that may not start yet.
   struct HeldPlace
   {
@@ -317,11 +326,20 @@
   /// one.
   void CompleteOccurrence(Job& aJob, OccurrenceRecord& aOccurrence, Instant aNow);
   void EndJob(Job& aJob, JobState aState, Instant aNow);
+
+  // Avoidance.cpp
   /// Counts a failure. The worker may have been healthy from its last failure until
   /// \p aHealthyUntil.
   void RecordFailure(Worker& aWorker, Instant aHealthyUntil, Instant aNow);
   /// Returns whether \p aWorker may be avoided beside the workers of its service that are already.
   bool MayAvoid(const Worker& aWorker, Instant aNow) const;
+  /// Returns the avoided or slow workers on which a task of \p aStep may start.
+  const std::vector<Worker*>& LastResortOf(const GraphStep& aStep) const;
+  /// Returns whether a task has waited for so long that an avoided or slow worker is better than
+  /// none.
+  bool MayUseLastResort(const WaitingStep& aWaiting, size_t aTask, Instant aNow);
+  /// The same for any task of the step.
+  bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
 
   // WorkerCalls.cpp
   bool StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult);
@@ -345,13 +363,8 @@
   double ReservedShareOf(const std::string& aService);
   /// Returns the request for the tasks of the step, without their siblings.
   PlacementRequest MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow);
-  /// Returns the avoided or slow workers on which a task of \p aStep may start.
-  const std::vector<Worker*>& LastResortOf(const GraphStep& aStep) const;
-  /// Returns whether a task has waited for so long that an avoided or slow worker is better than
-  /// none.
-  bool MayUseLastResort(const WaitingStep& aWaiting, size_t aTask, Instant aNow);
-  /// The same for any task of the step.
-  bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
+  /// Returns whether \p aJob has had no attempts for a while.
+  static bool IsIdle(const Job& aJob, Instant aNow);
   /// Starts the tasks of the step that fit. Returns false if a task does not fit on any worker.
   bool PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow);
   void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -14,13 +14,6 @@
 static constexpr Duration kNonDurableEndsPollDelay = std::chrono::milliseconds(400);
 static constexpr int kMinUnthrottledUsePercent =
   60; // minimum share of its demand that an unthrottled task uses
-static constexpr uint32_t kFailuresBeforeAvoidance = 3; // consecutive failures
-static constexpr Duration kFailureResetTime =
-  std::chrono::seconds(10); // time without a failure after which they no longer count
-static constexpr Duration kInitialAvoidance = std::chrono::seconds(1);
-static constexpr uint32_t kMaxAvoidanceDoublings = 3; // doublings of kInitialAvoidance
-// Failures on more workers have a cause that all of them share, such as a job that can't be done.
-static constexpr double kMaxAvoidedShare = 0.5; // of the workers of a service
 
 void
 Scheduler::LogAttempt(const char* aEvent,
@@ -39,43 +32,6 @@
   }
 }
 
-bool
-Scheduler::MayAvoid(const Worker& aWorker, Instant aNow) const
-{
-  size_t total = 0;
-  size_t avoided = 1; // with this one
-  for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
-    if (!worker->m_registered || worker->m_report.m_service != aWorker.m_report.m_service) {
-      continue;
-    }
-    ++total;
-    avoided += worker.get() != &aWorker && worker->m_avoidUntil > aNow ? 1 : 0;
-  }
-  const double maxAvoided = kMaxAvoidedShare * static_cast<double>(total);
-  return static_cast<double>(avoided) <= std::max(1.0, maxAvoided);
-}
-
-void
-Scheduler::RecordFailure(Worker& aWorker, Instant aHealthyUntil, Instant aNow)
-{
-  if (aHealthyUntil >=
-      std::max(aWorker.m_lastFailureAt, aWorker.m_avoidUntil) + kFailureResetTime) {
-    aWorker.m_consecutiveFailures = 0;
-  }
-  aWorker.m_lastFailureAt = aNow;
-  ++aWorker.m_consecutiveFailures;
-  if (aWorker.m_consecutiveFailures < kFailuresBeforeAvoidance || !MayAvoid(aWorker, aNow)) {
-    return;
-  }
-  const uint32_t doublings =
-    std::min(aWorker.m_consecutiveFailures - kFailuresBeforeAvoidance, kMaxAvoidanceDoublings);
-  aWorker.m_avoidUntil = aNow + kInitialAvoidance * (1 << doublings);
-  Log(LogLine(LogLevel::Warning, "worker_avoided")
-        .Add("worker", aWorker.m_report.m_id)
-        .Add("failures", aWorker.m_consecutiveFailures)
-        .Add("for_ms", ToMillis(aWorker.m_avoidUntil - aNow)));
-}
-
 /// Removes the attempt from the task. The task waits again if it is not done and has no other
 /// attempt.
 static void
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -18,12 +18,6 @@
 // and the idle time of a job.
 static constexpr Duration kMaxPlacementPause = std::chrono::milliseconds(300);
 static constexpr AttemptNumber kAttemptsPerEpoch = 1 << 20; // starts of one task under one epoch
-// While little is reserved, one task of a job without attempts for this long starts even where it
-// causes interference, throttled to what its neighbors bear.
-static constexpr Duration kMaxJobIdleTime = std::chrono::milliseconds(1500);
-// Share of the service's processors. What best-effort tasks demand does not count: they reserve
-// nothing, and what they take from other jobs does not justify that a job has nothing running.
-static constexpr double kLowReservation = 0.55;
 
 // An idle worker is polled this long after a start, or earlier, once it has responded to the start.
 static constexpr Duration kPollDelayAfterStart = std::chrono::milliseconds(1000);
@@ -99,9 +93,8 @@
   return waiting;
 }
 
-/// Returns whether \p aJob has had no attempts for a while.
-static bool
-IsIdle(const Job& aJob, Instant aNow)
+bool
+Scheduler::IsIdle(const Job& aJob, Instant aNow)
 {
   return aJob.m_liveAttempts == 0 && aNow - aJob.m_lastActiveAt >= kMaxJobIdleTime;
 }
@@ -235,45 +228,6 @@
   m_heldPlaces.clear();
 }
 
-const std::vector<Worker*>&
-Scheduler::LastResortOf(const GraphStep& aStep) const
-{
-  // Failures cost a long-running task none of its attempts.
-  return aStep.m_longRunning ? m_penalizedWorkers.m_all : m_penalizedWorkers.m_withoutRecentFailure;
-}
-
-bool
-Scheduler::MayUseLastResort(const WaitingStep& aWaiting, size_t aTask, Instant aNow)
-{
-  const Job& job = *aWaiting.m_job;
-  const TaskRecord& task = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_tasks[aTask];
-  const bool longRunning = StepOf(aWaiting).m_longRunning; // each task of these counts by itself
-  if (LastResortOf(StepOf(aWaiting)).empty() || aNow < task.m_nextLastResortAt ||
-      (!longRunning && job.m_liveAttempts > 0)) {
-    return false;
-  }
-  if (!longRunning && ReservedShareOf(job.m_stored.m_terms.m_service) >= kLowReservation) {
-    return false; // it waits its turn
-  }
-  const Instant lastRanAt = longRunning ? task.m_lastRanAt : job.m_lastRanAt;
-  const Instant waitsSince =
-    std::max({ job.m_submittedAt, aWaiting.m_occurrence->m_openedAt, lastRanAt });
-  return aNow - waitsSince >= kMaxJobIdleTime;
-}
-
-bool
-Scheduler::MayUseLastResort(const WaitingStep& aWaiting, Instant aNow)
-{
-  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
-    const TaskRecord& task = record.m_tasks[i];
-    if (!task.m_done && task.m_attempts.empty() && MayUseLastResort(aWaiting, i, aNow)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool
 Scheduler::PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
--- a/unittests/Scheduler/LargeRecordsTest.cpp
+++ b/unittests/Scheduler/LargeRecordsTest.cpp
@@ -255,8 +255,8 @@
   const StoredJob job = MakeJob(kLargeJob, 1, aTasks);
   leader.m_store[JobKey(kLargeJob)] = PackCompact(job);
   leader.m_scheduler.RestoreJob(job, leader.m_now, 0);
-  for (uint16_t i = 0; i < aTasks; ++i) {
-    EndedAttempt ended = ExpiredEnd(i + 1u, { kLargeJob, 0, 0, i });
+  for (uint32_t i = 0; i < aTasks; ++i) {
+    EndedAttempt ended = ExpiredEnd(i + 1, { kLargeJob, 0, 0, static_cast<uint16_t>(i) });
     ended.m_end = i % 3 == 0   ? AttemptEnd::Done
                   : i % 3 == 1 ? AttemptEnd::Failed
                                : AttemptEnd::LeaseExpired;
