--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -54,6 +54,7 @@
 
   /// Ends the session: no worker call is sent and no callback runs afterwards.
   void Stop();
+  /// Returns whether the session has ended, by Stop() or by stepping down.
   bool IsStopped() const { return m_stopped; }
 
   /// Submits or cancels a job; m_onRequestComplete is called with \p aRequest.
--- a/lib/Scheduler/Consistency.cpp
+++ b/lib/Scheduler/Consistency.cpp
@@ -32,10 +32,10 @@
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const StepRecord& step = aOccurrence.m_steps[s];
     TaskRef ref{ aJob.m_stored.m_id, aOccurrence.m_number, static_cast<uint16_t>(s), 0 };
-    const auto waiting = std::count_if(step.m_tasks.begin(), step.m_tasks.end(), IsWaiting);
-    const auto done = std::count_if(step.m_tasks.begin(),
-                                    step.m_tasks.end(),
-                                    [](const TaskRecord& aTask) { return aTask.m_done; });
+    const ptrdiff_t waiting = std::count_if(step.m_tasks.begin(), step.m_tasks.end(), IsWaiting);
+    const ptrdiff_t done = std::count_if(step.m_tasks.begin(),
+                                         step.m_tasks.end(),
+                                         [](const TaskRecord& aTask) { return aTask.m_done; });
     if (waiting != step.m_waiting) {
       aFound.push_back("a step counts other tasks as waiting: " + FormatTaskRef(ref));
     }
