Acknowledge ends through a busy link shard

On a large site ends that are never acknowledged (Acks), and workers whose full lists take no more tasks.

Cause: a shard acknowledges ends only within 150 ms of a response of the worker, since a worker that restarts numbers its ends anew, and refused a later order. If gathering, the way and the turns of leader and shard take longer than that each time, no acknowledgement gets through.

Change: the order names the incarnation that listed the ends. A late one makes the shard poll the worker first, and acknowledge in the turn of the response if it is the same process and the leader is still confirmed. Otherwise the leader gets a result that it does not take for an acknowledgement.

Before and after: "ends are acknowledged late to the process that has listed them" fails with the old refusal (0 polls) and holds now, with a restarted worker and a lost confirmation beside it.

--- a/include/egretturn/Node/LinkProtocol.h
+++ b/include/egretturn/Node/LinkProtocol.h
@@ -88,6 +88,7 @@
   int64_t m_leaseEndMs = 0;
   uint64_t m_acknowledged = 0;
   int64_t m_waitMs = 0;
+  int64_t m_incarnation = 0;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -98,6 +99,7 @@
     aVisit("lease_end_ms", aSelf.m_leaseEndMs);
     aVisit("acknowledged", aSelf.m_acknowledged);
     aVisit("wait_ms", aSelf.m_waitMs);
+    aVisit("incarnation", aSelf.m_incarnation);
   }
 };
 
--- a/include/egretturn/Node/LinkShard.h
+++ b/include/egretturn/Node/LinkShard.h
@@ -62,6 +62,13 @@
   static bool IsValid(const LinkOrders& aOrders);
   void Execute(const LinkOrders& aOrders);
   void ExecutePoll(const LinkPoll& aPoll);
+  /// Polls the worker once to learn whether the process still runs that listed the ends, and if so
+  /// acknowledges them.
+  void PollBeforeAcknowledging(const LinkPoll& aPoll);
+  void SendPoll(const LinkPoll& aPoll, PollCallback aDone);
+  PollCallback ReportPoll(const std::shared_ptr<Session>& aSession, LinkCallId aCall);
+  /// Returns whether the leader has confirmed lately that it leads. \pre There is a session.
+  bool IsConfirmed() const;
   /// Returns whether \p aSession is the current one.
   bool IsCurrent(const std::shared_ptr<Session>& aSession) const { return aSession == m_session; }
   WorkerCallCallback ReportCall(LinkCallId aCall);
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -181,6 +181,7 @@
   std::string m_address;
   int64_t m_leaseEndMs = 0;    ///< End of the lease on the worker's clock; 0 to leave it unchanged.
   uint64_t m_acknowledged = 0; ///< Ends up to this number are durable.
+  int64_t m_incarnation = 0;   ///< Of the process that listed these ends; 0 if it is unknown.
   Duration m_wait{}; ///< Maximum time that the worker may wait for an end before it responds.
 };
 
--- a/lib/Node/LinkShard.cpp
+++ b/lib/Node/LinkShard.cpp
@@ -39,6 +39,12 @@
          aOrders.m_epoch > 0 && !aOrders.m_leader.empty();
 }
 
+bool
+LinkShard::IsConfirmed() const
+{
+  return m_session->m_confirmed && m_port.Now() - m_session->m_confirmedAt <= kMaxConfirmationAge;
+}
+
 LinkOrdersReply
 LinkShard::OnOrders(const LinkOrders& aOrders)
 {
@@ -53,8 +59,7 @@
     outcome = LinkOrdersOutcome::Superseded;
   } else if (!current && aOrders.CountCalls() == 0) {
     Open(aOrders);
-  } else if (!current || !m_session->m_confirmed ||
-             m_port.Now() - m_session->m_confirmedAt > kMaxConfirmationAge) {
+  } else if (!current || !IsConfirmed()) {
     outcome = LinkOrdersOutcome::Unconfirmed;
   } else {
     m_session->m_flushInterval = std::chrono::milliseconds(aOrders.m_flushMs);
@@ -166,12 +171,45 @@
   const auto responded = m_session->m_respondedAt.find(aPoll.m_worker);
   const bool recent = responded != m_session->m_respondedAt.end() &&
                       m_port.Now() - responded->second < kMaxResponseAge;
-  if (aPoll.m_acknowledged > 0 && !recent) {
-    // The worker may have restarted since; the leader polls it first without an acknowledgement.
-    m_session->m_draft.m_polls.push_back({ aPoll.m_call, WorkerCallResult::LinkLost, {} });
-    ScheduleFlush(m_session, kGatherTime);
+  if (aPoll.m_acknowledged == 0 || recent) {
+    SendPoll(aPoll, ReportPoll(m_session, aPoll.m_call));
+    return;
+  }
+  if (aPoll.m_incarnation != 0) {
+    PollBeforeAcknowledging(aPoll);
     return;
   }
+  // The worker may have restarted since; the leader polls it first without an acknowledgement.
+  m_session->m_draft.m_polls.push_back({ aPoll.m_call, WorkerCallResult::LinkLost, {} });
+  ScheduleFlush(m_session, kGatherTime);
+}
+
+void
+LinkShard::PollBeforeAcknowledging(const LinkPoll& aPoll)
+{
+  LinkPoll first = aPoll;
+  first.m_acknowledged = 0;
+  first.m_waitMs = 0;
+  SendPoll(first,
+           [self = shared_from_this(), session = m_session, aPoll](WorkerCallResult aResult,
+                                                                   const WorkerStatus& aStatus) {
+             const bool same = aResult == WorkerCallResult::Accepted &&
+                               aStatus.m_incarnation == aPoll.m_incarnation;
+             if (!same) {
+               self->ReportPoll(session, aPoll.m_call)(aResult,
+                                                       aStatus); // it tells the leader of a restart
+             } else if (self->IsCurrent(session) && self->IsConfirmed()) {
+               self->SendPoll(aPoll, self->ReportPoll(session, aPoll.m_call));
+             } else {
+               // Any other result would tell the leader that the ends were acknowledged.
+               self->ReportPoll(session, aPoll.m_call)(WorkerCallResult::LinkLost, {});
+             }
+           });
+}
+
+void
+LinkShard::SendPoll(const LinkPoll& aPoll, PollCallback aDone)
+{
   PollWorker poll;
   poll.m_worker = aPoll.m_worker;
   poll.m_address = aPoll.m_address;
@@ -182,17 +220,26 @@
   m_workers.Poll(
     poll,
     m_session->m_epoch,
-    [self = shared_from_this(), session = m_session, call = aPoll.m_call, worker = aPoll.m_worker](
+    [port = &m_port, session = m_session, worker = aPoll.m_worker, done = std::move(aDone)](
       WorkerCallResult aResult, const WorkerStatus& aStatus) {
       --session->m_callsInFlight;
       if (aResult == WorkerCallResult::Accepted) {
-        session->m_respondedAt[worker] = self->m_port.Now();
+        session->m_respondedAt[worker] = port->Now();
       }
-      session->m_draft.m_polls.push_back({ call, aResult, aStatus });
-      self->ScheduleFlush(session, kGatherTime);
+      done(aResult, aStatus);
     });
 }
 
+PollCallback
+LinkShard::ReportPoll(const std::shared_ptr<Session>& aSession, LinkCallId aCall)
+{
+  return [self = shared_from_this(), session = aSession, aCall](WorkerCallResult aResult,
+                                                                const WorkerStatus& aStatus) {
+    session->m_draft.m_polls.push_back({ aCall, aResult, aStatus });
+    self->ScheduleFlush(session, kGatherTime);
+  };
+}
+
 void
 LinkShard::ScheduleFlush(const std::shared_ptr<Session>& aSession, Duration aDelay)
 {
--- a/lib/Node/WorkerLinks.cpp
+++ b/lib/Node/WorkerLinks.cpp
@@ -323,7 +323,8 @@
                                               aPoll.m_address,
                                               aPoll.m_leaseEndMs,
                                               aPoll.m_acknowledged,
-                                              ToMillis(aPoll.m_wait) });
+                                              ToMillis(aPoll.m_wait),
+                                              aPoll.m_incarnation });
   ScheduleFlush(*link);
 }
 
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -202,6 +202,7 @@
     aWorker.m_failedPolls == 0 && aNow - aWorker.m_clockReadAt < kMaxResponseAge;
   if (responseRecent && aWorker.m_endsDurable > aWorker.m_endsAcknowledged) {
     poll.m_acknowledged = aWorker.m_endsDurable;
+    poll.m_incarnation = aWorker.m_incarnation;
   }
   aWorker.m_endsBeingAcknowledged = poll.m_acknowledged;
   if (aWorker.m_failedPolls == 0 && NeedsLease(aWorker)) {
--- a/unittests/Node/LinkShardTest.cpp
+++ b/unittests/Node/LinkShardTest.cpp
@@ -233,6 +233,53 @@
   CHECK(results[0].m_polls[0].m_result == WorkerCallResult::LinkLost);
 }
 
+// Guards against ends that are never acknowledged while the leader or the shard is busy: each
+// acknowledgement reached the shard too late after the response.
+TEST_CASE("ends are acknowledged late to the process that has listed them")
+{
+  static constexpr int64_t kIncarnation = 7;
+  ShardFixture fixture;
+  fixture.Open(1, 1);
+  LinkOrders orders = ShardFixture::PollOrder(1, 5);
+  orders.m_polls[0].m_incarnation = kIncarnation;
+  REQUIRE(fixture.Send(orders) == LinkOrdersOutcome::Taken);
+  REQUIRE(fixture.m_workers.m_polls.size() == 1);
+  CHECK(fixture.m_workers.m_polls[0].m_poll.m_acknowledged == 0);
+  WorkerStatus status;
+  WorkerCallResult expected = WorkerCallResult::Accepted;
+  SECTION("if it still runs")
+  {
+    status.m_incarnation = kIncarnation;
+    fixture.m_workers.m_polls[0].m_done(WorkerCallResult::Accepted, status);
+    REQUIRE(fixture.m_workers.m_polls.size() == 2);
+    CHECK(fixture.m_workers.m_polls[1].m_poll.m_acknowledged == 5);
+    fixture.m_workers.m_polls[1].m_done(WorkerCallResult::Accepted, status);
+  }
+  SECTION("but not if the worker has restarted")
+  {
+    status.m_incarnation = kIncarnation + 1;
+    fixture.m_workers.m_polls[0].m_done(WorkerCallResult::Accepted, status);
+    CHECK(fixture.m_workers.m_polls.size() == 1);
+  }
+  SECTION("but not once the leader no longer confirms that it leads")
+  {
+    status.m_incarnation = kIncarnation;
+    fixture.m_port.Suspend(seconds(1));
+    fixture.m_workers.m_polls[0].m_done(WorkerCallResult::Accepted, status);
+    CHECK(fixture.m_workers.m_polls.size() == 1);
+    expected = WorkerCallResult::LinkLost; // so the leader does not take them for acknowledged
+    status.m_incarnation = 0;
+  }
+  CHECK(fixture.m_shard->CallsInFlight() == 0);
+  fixture.m_port.Advance(milliseconds(20));
+  const std::vector<LinkResults> results = fixture.Reply(LinkResultsOutcome::Confirmed);
+  REQUIRE(results.size() == 1);
+  REQUIRE(results[0].m_polls.size() == 1);
+  CHECK(results[0].m_polls[0].m_call == 1);
+  CHECK(results[0].m_polls[0].m_result == expected);
+  CHECK(results[0].m_polls[0].m_status.m_incarnation == status.m_incarnation);
+}
+
 TEST_CASE("results that arrive close together share a message")
 {
   ShardFixture fixture;
