Split the tests of contact with workers by what they test

ContactWorld has a header and a source of its own; its one long function for actions is one function for each kind of action. The tests are in WorkerContactTest (polls and the loss of contact), WorkerIncarnationTest (restarts and wrong entries), LeaseExpiryTest, AvoidedWorkersTest and AcknowledgementTest.

--- /dev/null
+++ b/unittests/Scheduler/LeaseExpiryTest.cpp
@@ -0,0 +1,133 @@
+// Tests when a task starts elsewhere whose worker is out of contact: after the end of the lease,
+// and with a confirmation of the leadership.
+#include "ContactWorld.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace egretturn;
+using namespace egretturn::schedtest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against tasks that never start again on an instance that is busy or slow: the confirmation
+// that they need was too old whenever there was time to place them.
+TEST_CASE("a task whose lease has expired starts elsewhere also if the scheduler runs rarely")
+{
+  for (const int64_t intervalMs : { 20, 60, 300 }) {
+    ContactWorld world;
+    world.m_tickInterval = milliseconds(intervalMs);
+    world.RegisterWorker("a");
+    world.SubmitLongRunning(1, 5000);
+    world.Advance(seconds(2));
+    REQUIRE(world.m_running["a"].size() == 1);
+    world.RegisterWorker("b");
+    world.Advance(seconds(2));
+
+    world.m_unreachable.insert("a");
+    world.Advance(seconds(10));
+    CHECK(world.m_running["b"].size() == 1);
+  }
+}
+
+// Guards against a task that runs twice: an instance that was superseded before the lease expired
+// learns nothing of it while the store does not confirm its claim.
+TEST_CASE("a task whose lease has expired starts only once the leadership was confirmed after that")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(seconds(1));
+  world.RegisterWorker("b");
+  world.Advance(seconds(2));
+  REQUIRE(world.m_running["a"].size() == 1);
+
+  world.m_confirmationsHeld = true;
+  world.m_unreachable.insert("a");
+  const Instant cutAt = world.m_now;
+  world.Advance(seconds(10));
+  REQUIRE(world.WorkerOf("a").m_attempts.empty());
+  CHECK(world.m_running["b"].empty());
+  SECTION("by the store, by a request from before the end of the lease")
+  {
+    world.m_scheduler.OnConfirmed(cutAt + seconds(5), world.m_now);
+    world.Advance(seconds(1));
+    CHECK(world.m_running["b"].empty());
+  }
+  SECTION("by a later request")
+  {
+    world.m_scheduler.OnConfirmed(world.m_now, world.m_now);
+    world.Advance(seconds(1));
+    CHECK(world.m_running["b"].size() == 1);
+  }
+}
+
+// Guards against a task that waits for as long as a worker responds to polls, but to no order: each
+// poll extended the lease that bounds how long an unanswered start counts.
+TEST_CASE("a start that was never answered counts no longer than its own lease")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.m_ordersLost.insert("a");
+  world.Advance(seconds(1));
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(milliseconds(500));
+  REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
+  world.m_scheduler.DeregisterWorker("a", world.m_now); // nothing else starts there
+  world.RegisterWorker("b");
+  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
+  world.Advance(lease + seconds(1));
+  CHECK(world.m_running["b"].size() == 1);
+}
+
+// Guards against a task that waits for one lease after the other: once it had been given up on a
+// worker that answers no orders, that worker had most room again.
+TEST_CASE("a task that was lost on a worker starts on another one if there is one")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.m_ordersLost.insert("a");
+  world.Advance(seconds(1));
+  world.SubmitLongRunning(1, 5000);
+  world.Advance(milliseconds(500));
+  REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
+  world.RegisterWorker("b");
+  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
+  world.Advance(lease + seconds(1));
+  CHECK(world.m_running["b"].size() == 1);
+}
+
+// Guards against a task that waits for a confirmation while tasks that rank after it take each
+// place that becomes free: nothing is kept for it until the store has answered.
+TEST_CASE("a task that needs a confirmation gets the next place, before tasks that rank after it")
+{
+  ContactWorld world;
+  world.RegisterWorker("a");
+  world.SubmitLongRunning(1, 4000);
+  world.Advance(seconds(1));
+  REQUIRE(world.m_running["a"].size() == 1);
+  world.RegisterWorker("b");
+  world.Advance(seconds(1));
+  world.m_unreachable.insert("a");
+  for (GraphId id = 2; id <= 60; ++id) {
+    world.SubmitOneMinute(id, 4000);
+  }
+  world.Advance(seconds(10));
+  REQUIRE(world.WorkerOf("a").m_attempts.empty());
+  const auto isRunning = [&] {
+    const std::vector<RunningAttempt>& running = world.m_running["b"];
+    return std::any_of(running.begin(), running.end(), [](const RunningAttempt& aAttempt) {
+      return aAttempt.m_task.m_job == 1;
+    });
+  };
+  REQUIRE_FALSE(isRunning()); // there was no room
+  REQUIRE(world.m_running["b"].size() == 2);
+
+  int freed = 0;
+  for (; freed < 20 && !isRunning(); ++freed) {
+    world.Advance(milliseconds(140));
+    world.End("b", AttemptEnd::Done);
+    world.Advance(milliseconds(160));
+  }
+  CHECK(freed <= 2);
+}
