Give the set-up that stood twice in the scheduler's tests one copy with a name

Since several tests had the same lines. Moved: - ContactWorld: RegisterWithTask (10 tests), RegisterWithLostStart and AdvancePastLeases (2 each), Restart (4). The REQUIREs after them stay in the tests, at the same moments. - JobWaitTest: AwaitReport (8 tests), with the REQUIRE that there is a report; SubmitToSilentWorker (2). - PendingTest: SubmitUnanswered (3), with the REQUIRE that one start was sent. - LargeRecordsTest: RestoreExpiredTasks (3), LimitRecords (4). - SingleScheduler.h, new: the usual worker's report, a submitted and a stored job of one step, kJob, kFirstTask, and the loop of ticks, for JobWaitTest, LargeRecordsTest, PendingTest, RecoveryTest and UnwantedAttemptsTest. Left, since only the shape is alike and each value belongs to its test: the jobs of JobRecordsTest and UnlistedEndsTest, set-ups with other times or kinds of task, loops with something of their own after each tick.

--- a/unittests/Scheduler/AcknowledgementTest.cpp
+++ b/unittests/Scheduler/AcknowledgementTest.cpp
@@ -12,9 +12,7 @@
 TEST_CASE("an end that is reported during a batch is acknowledged once the batch is durable")
 {
   ContactWorld world;
-  world.RegisterWorker("w");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000);
   REQUIRE(world.m_running["w"].size() == 1);
 
   world.m_confirmationsHeld = true;
--- a/unittests/Scheduler/AvoidedWorkersTest.cpp
+++ b/unittests/Scheduler/AvoidedWorkersTest.cpp
@@ -107,9 +107,7 @@
 TEST_CASE("a task that finds no other worker for a while starts on one that is avoided")
 {
   ContactWorld world;
-  world.RegisterWorker("full");
-  world.SubmitLongRunning(1, 8000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("full", 8000);
   REQUIRE(world.m_running["full"].size() == 1);
   world.RegisterWorker("avoided");
   world.Advance(seconds(1));
--- a/unittests/Scheduler/ContactWorld.cpp
+++ b/unittests/Scheduler/ContactWorld.cpp
@@ -6,6 +6,7 @@
 namespace egretturn::schedtest {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 void
 ContactWorld::RegisterWorker(const WorkerName& aName,
@@ -23,6 +24,32 @@
   m_scheduler.UpdateWorker(report, m_now);
 }
 
+void
+ContactWorld::RegisterWithTask(const WorkerName& aName, int64_t aCpuMilli, int64_t aIncarnation)
+{
+  m_incarnations[aName] = aIncarnation;
+  RegisterWorker(aName, aIncarnation);
+  SubmitLongRunning(1, aCpuMilli);
+  Advance(seconds(1));
+}
+
+void
+ContactWorld::RegisterWithLostStart(const WorkerName& aName)
+{
+  RegisterWorker(aName);
+  m_ordersLost.insert(aName);
+  Advance(seconds(1));
+  SubmitLongRunning(1, 5000);
+  Advance(milliseconds(500));
+}
+
+void
+ContactWorld::Restart(const WorkerName& aName, int64_t aIncarnation)
+{
+  m_running[aName].clear();
+  m_incarnations[aName] = aIncarnation;
+}
+
 void
 ContactWorld::End(const WorkerName& aWorker, AttemptEnd aEnd)
 {
@@ -45,6 +72,13 @@
   }
 }
 
+void
+ContactWorld::AdvancePastLeases()
+{
+  const Duration lease = m_scheduler.Workers().LatestLeaseExpiry(m_now) - m_now;
+  Advance(lease + seconds(1));
+}
+
 void
 ContactWorld::Submit(GraphId aId, int64_t aCpuMilli, bool aLongRunning)
 {
--- a/unittests/Scheduler/ContactWorld.h
+++ b/unittests/Scheduler/ContactWorld.h
@@ -25,6 +25,17 @@
   /// Submits a long-running task that reserves \p aCpuMilli.
   void SubmitLongRunning(GraphId aId, int64_t aCpuMilli) { Submit(aId, aCpuMilli, true); }
 
+  /// Registers a worker of \p aIncarnation, submits job 1, a long-running task that reserves
+  /// \p aCpuMilli, and leaves it a second to start.
+  void RegisterWithTask(const WorkerName& aName, int64_t aCpuMilli, int64_t aIncarnation = 0);
+
+  /// Registers a worker that responds to polls, but to no orders, and submits job 1, whose start is
+  /// lost there if there is no other worker.
+  void RegisterWithLostStart(const WorkerName& aName);
+
+  /// Restarts the process of a worker with \p aIncarnation. It loses what it runs.
+  void Restart(const WorkerName& aName, int64_t aIncarnation);
+
   /// Submits a task that takes a minute and reserves \p aCpuMilli.
   void SubmitOneMinute(GraphId aId, int64_t aCpuMilli) { Submit(aId, aCpuMilli, false); }
 
@@ -35,6 +46,9 @@
 
   void Advance(Duration aTime);
 
+  /// Advances until a second after the end of the last lease.
+  void AdvancePastLeases();
+
   const Worker& WorkerOf(const WorkerName& aName) { return *m_scheduler.Workers().Find(aName); }
 
   Duration m_tickInterval = std::chrono::milliseconds(20);
--- a/unittests/Scheduler/JobWaitTest.cpp
+++ b/unittests/Scheduler/JobWaitTest.cpp
@@ -1,19 +1,22 @@
 // Tests that for a job with nothing running, one value says what holds it.
-#include "egretturn/Scheduler/Scheduler.h"
+#include "SingleScheduler.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-constexpr GraphId kJob = 7;
-constexpr TaskRef kFirstTask{ kJob, 0, 0, 0 };
 constexpr int64_t kWorkerCpu = 16000; ///< Thousandths of a core.
+constexpr Demand kCapacity{ kWorkerCpu, 64000, 0 };
+
+/// Longer than a job waits before it is reported, with the interval of the reports.
+constexpr Duration kReportTime = milliseconds(3500);
 
 /// How a worker behaves.
 struct Behavior
@@ -24,17 +27,6 @@
   std::vector<EndedAttempt> m_ended;
 };
 
-WorkerReport
-MakeReport(const WorkerName& aName)
-{
-  WorkerReport report;
-  report.m_id = aName;
-  report.m_service = "desk";
-  report.m_address = "10.0.0.1:80";
-  report.m_capacity = { kWorkerCpu, 64000, 0 };
-  return report;
-}
-
 GraphStep
 MakeStep(uint32_t aCount, int64_t aCpuMilli)
 {
@@ -57,38 +49,36 @@
   /// Adds a worker with a record in the store.
   Behavior& AddWorker(const WorkerName& aName)
   {
-    m_scheduler.RestoreWorker(MakeReport(aName), m_now);
-    m_scheduler.UpdateWorker(MakeReport(aName), m_now);
+    m_scheduler.RestoreWorker(MakeReport(aName, kCapacity), m_now);
+    m_scheduler.UpdateWorker(MakeReport(aName, kCapacity), m_now);
     m_scheduler.OnDirectoryRead();
     return m_workers[aName];
   }
 
   void Submit(GraphId aId, const GraphStep& aStep)
   {
-    Submission submission;
-    submission.m_id = aId;
-    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    submission.m_graph.m_steps.push_back(aStep);
-    m_scheduler.Submit(aId, std::move(submission), m_now, WallMs());
+    m_scheduler.Submit(aId, MakeSubmission(aId, aStep), m_now, WallMs());
   }
 
   void RestoreJob(GraphId aId, const GraphStep& aStep)
   {
-    StoredJob stored;
-    stored.m_id = aId;
-    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    stored.m_graph.m_steps.push_back(aStep);
-    m_scheduler.RestoreJob(stored, m_now, WallMs());
+    m_scheduler.RestoreJob(MakeStoredJob(aId, aStep), m_now, WallMs());
+  }
+
+  /// Adds a worker that falls silent, and submits kJob, whose only task goes there unanswered.
+  /// Returns the worker.
+  Behavior& SubmitToSilentWorker(const WorkerName& aName)
+  {
+    Behavior& worker = AddWorker(aName);
+    Advance(milliseconds(500));
+    worker.m_silent = true;
+    Submit(kJob, MakeStep(1, 2000));
+    return worker;
   }
 
   void Advance(Duration aTime)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, WallMs());
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
-    }
+    RunScheduler(m_scheduler, m_now, aTime, [this](const Action& aAction) { Execute(aAction); });
   }
 
   /// Returns the report on the job, or nothing if it was not reported in the last second.
@@ -102,6 +92,15 @@
     return std::nullopt;
   }
 
+  /// Advances until kJob is reported if nothing of it runs, and returns the report.
+  JobWait AwaitReport()
+  {
+    Advance(kReportTime);
+    const std::optional<JobWait> wait = WaitOf(kJob);
+    REQUIRE(wait);
+    return *wait;
+  }
+
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler;
   std::map<WorkerName, Behavior> m_workers;
@@ -173,9 +172,6 @@
   const Instant m_createdAt = m_now;
 };
 
-/// Longer than a job waits before it is reported, with the interval of the reports.
-constexpr Duration kReportTime = milliseconds(3500);
-
 } // namespace
 
 // Guards against a job that waits for room and whose workers' obstacles nobody can see.
@@ -184,15 +180,13 @@
   WaitWorld world;
   world.AddWorker("w");
   world.Submit(kJob, MakeStep(2, kWorkerCpu + 1));
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::NoWorker);
-  CHECK(wait->m_task == kFirstTask);
-  CHECK(wait->m_tasks == 2);
-  CHECK(wait->m_waited >= seconds(2));
-  CHECK(wait->m_waited <= kReportTime);
-  CHECK(wait->m_obstacles[static_cast<size_t>(Obstacle::Processors)] == 1);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::NoWorker);
+  CHECK(wait.m_task == kFirstTask);
+  CHECK(wait.m_tasks == 2);
+  CHECK(wait.m_waited >= seconds(2));
+  CHECK(wait.m_waited <= kReportTime);
+  CHECK(wait.m_obstacles[static_cast<size_t>(Obstacle::Processors)] == 1);
 }
 
 // Guards against reports on jobs that are at work, which would hide the others.
@@ -215,12 +209,10 @@
   GraphStep step = MakeStep(2, kWorkerCpu);
   step.m_longRunning = true;
   world.Submit(kJob, step);
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::NoWorker);
-  CHECK(wait->m_task == TaskRef{ kJob, 0, 0, 1 });
-  CHECK(wait->m_tasks == 1);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::NoWorker);
+  CHECK(wait.m_task == TaskRef{ kJob, 0, 0, 1 });
+  CHECK(wait.m_tasks == 1);
 }
 
 // Guards against a job that was not tried, and for which no line says why.
@@ -248,19 +240,14 @@
 TEST_CASE("a job whose start got no response is reported with the worker and its lease")
 {
   WaitWorld world;
-  Behavior& worker = world.AddWorker("w");
-  world.Advance(milliseconds(500));
-  worker.m_silent = true;
-  world.Submit(kJob, MakeStep(1, 2000));
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
-  CHECK(wait->m_worker.m_name == "w");
-  CHECK(wait->m_worker.m_phase == AttemptPhase::Unconfirmed);
-  CHECK(wait->m_worker.m_inPhase >= seconds(2));
-  CHECK(wait->m_worker.m_leaseRemaining > Duration::zero());
-  CHECK(wait->m_worker.m_unheard > Duration::zero());
+  world.SubmitToSilentWorker("w");
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait.m_worker.m_name == "w");
+  CHECK(wait.m_worker.m_phase == AttemptPhase::Unconfirmed);
+  CHECK(wait.m_worker.m_inPhase >= seconds(2));
+  CHECK(wait.m_worker.m_leaseRemaining > Duration::zero());
+  CHECK(wait.m_worker.m_unheard > Duration::zero());
 }
 
 // Guards against a run that counts until its lease ends although nobody hears of it.
@@ -272,13 +259,11 @@
   world.Advance(seconds(2));
   REQUIRE(worker.m_running.size() == 1);
   worker.m_silent = true;
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
-  CHECK(wait->m_worker.m_name == "w");
-  CHECK(wait->m_worker.m_phase == AttemptPhase::Running);
-  CHECK(wait->m_waited <= kReportTime);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait.m_worker.m_name == "w");
+  CHECK(wait.m_worker.m_phase == AttemptPhase::Running);
+  CHECK(wait.m_waited <= kReportTime);
 }
 
 // Guards against an end that a worker has no room to list, and that holds its task unseen.
@@ -291,11 +276,9 @@
   REQUIRE(worker.m_running.size() == 1);
   worker.m_running.clear();
   worker.m_endsComplete = false;
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::AttemptNotRunning);
-  CHECK(wait->m_worker.m_phase == AttemptPhase::EndUnlisted);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::AttemptNotRunning);
+  CHECK(wait.m_worker.m_phase == AttemptPhase::EndUnlisted);
 }
 
 // Guards against a task that waits unseen for the stop of an attempt that nobody wanted.
@@ -307,12 +290,10 @@
   busy.m_running.push_back({ kFirstTask, 1, "", 10, 0 });
   world.Advance(seconds(1));
   world.Submit(kJob, MakeStep(1, 2000));
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::StoppingElsewhere);
-  CHECK(wait->m_worker.m_name == "busy");
-  CHECK(wait->m_worker.m_phase == AttemptPhase::Stopping);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::StoppingElsewhere);
+  CHECK(wait.m_worker.m_name == "busy");
+  CHECK(wait.m_worker.m_phase == AttemptPhase::Stopping);
 }
 
 // Guards against a gang that waits in silence for a member that can't be stopped.
@@ -332,15 +313,13 @@
   worker.m_running.clear();
   worker.m_ended.push_back({ 1, ended.m_task, ended.m_attempt, AttemptEnd::Failed, "" });
   world.m_workers["b"].m_silent = true;
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::GangIncomplete);
-  CHECK(wait->m_task == ended.m_task);
-  CHECK(wait->m_worker.m_name == "b");
-  CHECK(wait->m_worker.m_phase == AttemptPhase::Running);
-  REQUIRE(wait->m_behind);
-  CHECK(wait->m_behind->m_index == 1 - ended.m_task.m_index);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::GangIncomplete);
+  CHECK(wait.m_task == ended.m_task);
+  CHECK(wait.m_worker.m_name == "b");
+  CHECK(wait.m_worker.m_phase == AttemptPhase::Running);
+  REQUIRE(wait.m_behind);
+  CHECK(wait.m_behind->m_index == 1 - ended.m_task.m_index);
   CHECK(world.m_scheduler.Counters().m_tasksWaiting == 1);
 }
 
@@ -352,11 +331,9 @@
   GraphStep step = MakeStep(2, kWorkerCpu);
   step.m_gang = true;
   world.Submit(kJob, step);
-  world.Advance(kReportTime);
-  const std::optional<JobWait> wait = world.WaitOf(kJob);
-  REQUIRE(wait);
-  CHECK(wait->m_cause == WaitCause::NoWorker);
-  CHECK(wait->m_obstacles[static_cast<size_t>(Obstacle::None)] == 1);
+  const JobWait wait = world.AwaitReport();
+  CHECK(wait.m_cause == WaitCause::NoWorker);
+  CHECK(wait.m_obstacles[static_cast<size_t>(Obstacle::None)] == 1);
   CHECK(world.m_scheduler.Counters().m_tasksWaiting == 2);
 }
 
@@ -412,10 +389,7 @@
 TEST_CASE("a job is no longer reported once it runs")
 {
   WaitWorld world;
-  Behavior& worker = world.AddWorker("w");
-  world.Advance(milliseconds(500));
-  worker.m_silent = true;
-  world.Submit(kJob, MakeStep(1, 2000));
+  Behavior& worker = world.SubmitToSilentWorker("w");
   world.Advance(kReportTime);
   REQUIRE(world.WaitOf(kJob));
   worker.m_silent = false;
--- a/unittests/Scheduler/LargeRecordsTest.cpp
+++ b/unittests/Scheduler/LargeRecordsTest.cpp
@@ -1,43 +1,33 @@
 // Tests that nothing is written that the store's limits of a record and of an append refuse, and
 // that progress in several records is read back whole.
+#include "SingleScheduler.h"
+
 #include "egretturn/Journal/Codec.h"
-#include "egretturn/Scheduler/Scheduler.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 using std::chrono::milliseconds;
 
 static constexpr size_t kStoreRecordBytes = 262144;
 static constexpr GraphId kLargeJob = 7;
 static constexpr int64_t kAcceptedMs = 5;
-
-static WorkerReport
-MakeReport(const WorkerName& aName)
-{
-  WorkerReport report;
-  report.m_id = aName;
-  report.m_service = "desk";
-  report.m_address = "10.0.0.1:80";
-  report.m_capacity = { 16000000, 64000000, 0 };
-  return report;
-}
+static constexpr Demand kCapacity{ 16000000, 64000000, 0 };
 
 /// Returns a job of \p aSteps steps of \p aTasks tasks each, which an earlier epoch has accepted.
 static StoredJob
 MakeJob(GraphId aId, size_t aSteps, uint32_t aTasks)
 {
-  StoredJob stored;
-  stored.m_id = aId;
-  stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-  stored.m_acceptedMs = kAcceptedMs;
   GraphStep step;
   step.m_count = aTasks;
   step.m_demand = { 100, 100, 0 };
   step.m_estimateMs = 60000;
   step.m_checkpoints = true;
+  StoredJob stored = MakeStoredJob(aId, step);
+  stored.m_acceptedMs = kAcceptedMs;
   stored.m_graph.m_steps.assign(aSteps, step);
   return stored;
 }
@@ -57,6 +47,14 @@
   return { aNumber, aTask, 1, AttemptEnd::LeaseExpired, CheckpointOf(aTask) };
 }
 
+static SchedulerLimits
+LimitRecords(size_t aRecordBytes)
+{
+  SchedulerLimits limits;
+  limits.m_maxRecordBytes = aRecordBytes;
+  return limits;
+}
+
 static SchedulerLimits
 MakeLimits(size_t aBatchBytes)
 {
@@ -78,19 +76,25 @@
 
   void AddWorker()
   {
-    m_scheduler.RestoreWorker(MakeReport("w"), m_now);
-    m_scheduler.UpdateWorker(MakeReport("w"), m_now);
+    m_scheduler.RestoreWorker(MakeReport("w", kCapacity), m_now);
+    m_scheduler.UpdateWorker(MakeReport("w", kCapacity), m_now);
     m_scheduler.OnDirectoryRead();
   }
 
-  void Advance(Duration aTime)
+  /// Restores kLargeJob, and adds a worker that lists each of its tasks as expired.
+  void RestoreExpiredTasks(uint32_t aSteps, uint32_t aTasks)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
+    m_scheduler.RestoreJob(MakeJob(kLargeJob, aSteps, aTasks), m_now, 0);
+    for (uint32_t i = 0; i < aSteps * aTasks; ++i) {
+      const TaskRef task{ kLargeJob, 0, uint16_t(i / aTasks), uint16_t(i % aTasks) };
+      m_status.m_ended.push_back(ExpiredEnd(i + 1, task));
     }
+    AddWorker();
+  }
+
+  void Advance(Duration aTime)
+  {
+    RunScheduler(m_scheduler, m_now, aTime, [this](const Action& aAction) { Execute(aAction); });
   }
 
   void Execute(const Action& aAction)
@@ -147,12 +151,7 @@
 TEST_CASE("no record exceeds the store's limit when many tasks of a job have checkpoints")
 {
   Leader leader(SchedulerLimits(), 2);
-  leader.m_scheduler.RestoreJob(MakeJob(kLargeJob, 4, 256), leader.m_now, 0);
-  for (uint16_t i = 0; i < 1024; ++i) {
-    const TaskRef task{ kLargeJob, 0, uint16_t(i / 256), uint16_t(i % 256) };
-    leader.m_status.m_ended.push_back(ExpiredEnd(i + 1u, task));
-  }
-  leader.AddWorker();
+  leader.RestoreExpiredTasks(4, 256);
   leader.Advance(milliseconds(1000));
   CHECK(leader.m_largestRecord <= kStoreRecordBytes);
   CHECK(leader.m_largestAppend <= SchedulerLimits().m_maxBatchBytes);
@@ -167,7 +166,7 @@
 {
   Leader leader(MakeLimits(64 * 1024), 1);
   leader.m_scheduler.OnDirectoryRead();
-  WorkerReport report = MakeReport("w");
+  WorkerReport report = MakeReport("w", kCapacity);
   report.m_labels.assign(32, std::string(250, 'l'));
   for (int i = 0; i < 50; ++i) {
     report.m_id = "w" + std::to_string(i);
@@ -306,8 +305,7 @@
 // Guards against failed attempts that are forgotten with the leader, so that a task fails for ever.
 TEST_CASE("failed attempts in parts of the progress count under a new leader")
 {
-  SchedulerLimits limits;
-  limits.m_maxRecordBytes = 400;
+  const SchedulerLimits limits = LimitRecords(400);
   Leader successor(limits, 3);
   Restore(successor, WriteProgress(limits, 150));
   // Each task may fail three times, so two more failures of one task end the job.
@@ -322,8 +320,7 @@
 // Guards against records that stay in the store for ever.
 TEST_CASE("the parts of a job's progress are deleted when it ends")
 {
-  SchedulerLimits limits;
-  limits.m_maxRecordBytes = 400;
+  const SchedulerLimits limits = LimitRecords(400);
   Leader successor(limits, 3);
   Restore(successor, WriteProgress(limits, 150));
   CHECK(CountParts(successor.m_store) > 0);
@@ -337,8 +334,7 @@
 // Guards against a new job that takes tasks for done which an earlier job with its id has done.
 TEST_CASE("parts of the progress of an earlier job with the same id are deleted")
 {
-  SchedulerLimits limits;
-  limits.m_maxRecordBytes = 400;
+  const SchedulerLimits limits = LimitRecords(400);
   std::map<std::string, std::string> store = WriteProgress(limits, 150);
   StoredJob later = MakeJob(kLargeJob, 1, 150);
   later.m_acceptedMs = kAcceptedMs + 1;
@@ -396,12 +392,7 @@
 TEST_CASE("a job is accepted while the progress of a large one takes many appends")
 {
   Leader leader(MakeLimits(8192), 2);
-  leader.m_scheduler.RestoreJob(MakeJob(kLargeJob, 4, 1000), leader.m_now, 0);
-  for (uint16_t i = 0; i < 4000; ++i) {
-    const TaskRef task{ kLargeJob, 0, uint16_t(i / 1000), uint16_t(i % 1000) };
-    leader.m_status.m_ended.push_back(ExpiredEnd(i + 1u, task));
-  }
-  leader.AddWorker();
+  leader.RestoreExpiredTasks(4, 1000);
   leader.Advance(milliseconds(100));
   CHECK(leader.m_acknowledged == 0); // not all is written
   StoredJob other = MakeJob(kLargeJob + 1, 1, 1);
@@ -418,12 +409,7 @@
 TEST_CASE("only the parts that have changed are written again")
 {
   Leader leader(SchedulerLimits(), 2);
-  leader.m_scheduler.RestoreJob(MakeJob(kLargeJob, 4, 256), leader.m_now, 0);
-  for (uint16_t i = 0; i < 1024; ++i) {
-    const TaskRef task{ kLargeJob, 0, uint16_t(i / 256), uint16_t(i % 256) };
-    leader.m_status.m_ended.push_back(ExpiredEnd(i + 1u, task));
-  }
-  leader.AddWorker();
+  leader.RestoreExpiredTasks(4, 256);
   leader.Advance(milliseconds(1000));
   CHECK(leader.m_acknowledged == 1024);
   leader.m_largestAppend = 0;
@@ -437,8 +423,7 @@
 // record.
 TEST_CASE("a job whose record exceeds the store's limit is refused as too large")
 {
-  SchedulerLimits limits;
-  limits.m_maxRecordBytes = 2000;
+  const SchedulerLimits limits = LimitRecords(2000);
   Leader leader(limits, 1);
   leader.AddWorker();
   StoredJob large = MakeJob(kLargeJob, 1, 1);
--- a/unittests/Scheduler/LeaseExpiryTest.cpp
+++ b/unittests/Scheduler/LeaseExpiryTest.cpp
@@ -35,9 +35,7 @@
 TEST_CASE("a task whose lease has expired starts only once the leadership was confirmed after that")
 {
   ContactWorld world;
-  world.RegisterWorker("a");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("a", 5000);
   world.RegisterWorker("b");
   world.Advance(seconds(2));
   REQUIRE(world.m_running["a"].size() == 1);
@@ -67,16 +65,11 @@
 TEST_CASE("a start that was never answered counts no longer than its own lease")
 {
   ContactWorld world;
-  world.RegisterWorker("a");
-  world.m_ordersLost.insert("a");
-  world.Advance(seconds(1));
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(milliseconds(500));
+  world.RegisterWithLostStart("a");
   REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
   world.m_scheduler.DeregisterWorker("a", world.m_now); // nothing else starts there
   world.RegisterWorker("b");
-  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
-  world.Advance(lease + seconds(1));
+  world.AdvancePastLeases();
   CHECK(world.m_running["b"].size() == 1);
 }
 
@@ -85,15 +78,10 @@
 TEST_CASE("a task that was lost on a worker starts on another one if there is one")
 {
   ContactWorld world;
-  world.RegisterWorker("a");
-  world.m_ordersLost.insert("a");
-  world.Advance(seconds(1));
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(milliseconds(500));
+  world.RegisterWithLostStart("a");
   REQUIRE(world.WorkerOf("a").m_attempts.size() == 1);
   world.RegisterWorker("b");
-  const Duration lease = world.m_scheduler.Workers().LatestLeaseExpiry(world.m_now) - world.m_now;
-  world.Advance(lease + seconds(1));
+  world.AdvancePastLeases();
   CHECK(world.m_running["b"].size() == 1);
 }
 
@@ -102,9 +90,7 @@
 TEST_CASE("a task that needs a confirmation gets the next place, before tasks that rank after it")
 {
   ContactWorld world;
-  world.RegisterWorker("a");
-  world.SubmitLongRunning(1, 4000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("a", 4000);
   REQUIRE(world.m_running["a"].size() == 1);
   world.RegisterWorker("b");
   world.Advance(seconds(1));
--- a/unittests/Scheduler/PendingTest.cpp
+++ b/unittests/Scheduler/PendingTest.cpp
@@ -1,17 +1,15 @@
 // Tests which jobs count as pending: those of which no start may have been executed.
-#include "egretturn/Scheduler/Scheduler.h"
+#include "SingleScheduler.h"
 
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-constexpr GraphId kJob = 7;
-constexpr TaskRef kFirstTask{ kJob, 0, 0, 0 };
-
 /// A leader with one worker, "w", that responds to starts as it is told.
 class PendingWorld
 {
@@ -19,59 +17,39 @@
   PendingWorld()
     : m_scheduler(SchedulerLimits(), 2, m_now)
   {
-    m_scheduler.RestoreWorker(Report(), m_now);
-    m_scheduler.UpdateWorker(Report(), m_now);
+    m_scheduler.RestoreWorker(MakeReport("w"), m_now);
+    m_scheduler.UpdateWorker(MakeReport("w"), m_now);
     m_scheduler.OnDirectoryRead();
   }
 
-  static WorkerReport Report()
-  {
-    WorkerReport report;
-    report.m_id = "w";
-    report.m_service = "desk";
-    report.m_address = "10.0.0.1:80";
-    report.m_capacity = { 16000, 64000, 0 };
-    return report;
-  }
-
-  static Graph MakeGraph(uint32_t aTasks)
+  static GraphStep MakeStep(uint32_t aTasks)
   {
     GraphStep step;
     step.m_count = aTasks;
     step.m_demand = { 1000, 500, 0 };
     step.m_estimateMs = 60000;
     step.m_checkpoints = true; // so that a draining worker is told to stop it
-    Graph graph;
-    graph.m_steps.push_back(step);
-    return graph;
+    return step;
   }
 
   void Submit(uint32_t aTasks = 1)
   {
-    Submission submission;
-    submission.m_id = kJob;
-    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    submission.m_graph = MakeGraph(aTasks);
-    m_scheduler.Submit(1, std::move(submission), m_now, WallMs());
+    m_scheduler.Submit(1, MakeSubmission(kJob, MakeStep(aTasks)), m_now, WallMs());
   }
 
-  void Restore()
+  /// Submits a job of one task, whose start is sent and not answered.
+  void SubmitUnanswered()
   {
-    StoredJob stored;
-    stored.m_id = kJob;
-    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    stored.m_graph = MakeGraph(1);
-    m_scheduler.RestoreJob(stored, m_now, WallMs());
+    Submit();
+    Advance(milliseconds(100));
+    REQUIRE(m_starts == 1);
   }
 
+  void Restore() { m_scheduler.RestoreJob(MakeStoredJob(kJob, MakeStep(1)), m_now, WallMs()); }
+
   void Advance(Duration aTime)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, WallMs());
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
-    }
+    RunScheduler(m_scheduler, m_now, aTime, [this](const Action& aAction) { Execute(aAction); });
   }
 
   /// Answers the last start with \p aResult.
@@ -201,9 +179,7 @@
 TEST_CASE("a job counts as begun once a worker lists its task, before the start is answered")
 {
   PendingWorld world;
-  world.Submit();
-  world.Advance(milliseconds(100));
-  REQUIRE(world.m_starts == 1);
+  world.SubmitUnanswered();
   world.m_running.push_back({ world.m_lastStart.m_task, world.m_lastStart.m_attempt, "", 10, 0 });
   world.Advance(seconds(2));
   CHECK(world.CountPending() == 0);
@@ -249,10 +225,8 @@
 TEST_CASE("a job whose start is refused after it was to be stopped counts as pending")
 {
   PendingWorld world;
-  world.Submit();
-  world.Advance(milliseconds(100));
-  REQUIRE(world.m_starts == 1);
-  WorkerReport draining = PendingWorld::Report();
+  world.SubmitUnanswered();
+  WorkerReport draining = MakeReport("w");
   draining.m_draining = true;
   world.m_scheduler.UpdateWorker(draining, world.m_now);
   world.AnswerLast(WorkerCallResult::Unhealthy);
@@ -264,9 +238,7 @@
 TEST_CASE("a job counts as begun if the lease of its start expires without an answer")
 {
   PendingWorld world;
-  world.Submit();
-  world.Advance(milliseconds(100));
-  REQUIRE(world.m_starts == 1);
+  world.SubmitUnanswered();
   world.m_silent = true;
   world.Advance(seconds(10));
   CHECK(world.CountPending() == 0);
--- a/unittests/Scheduler/RecoveryTest.cpp
+++ b/unittests/Scheduler/RecoveryTest.cpp
@@ -1,40 +1,27 @@
 // Tests what a new leader restores, and what it has to wait for.
-#include "egretturn/Scheduler/Scheduler.h"
+#include "SingleScheduler.h"
 
 #include <catch2/catch.hpp>
 #include <map>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 using std::chrono::milliseconds;
 
-static WorkerReport
-MakeReport(const WorkerName& aName)
-{
-  WorkerReport report;
-  report.m_id = aName;
-  report.m_service = "desk";
-  report.m_address = "10.0.0.1:80";
-  report.m_capacity = { 16000, 64000, 0 };
-  return report;
-}
-
 /// Advances time by \p aTime with workers that respond immediately and run nothing. Returns the
 /// written records.
 static std::vector<KeyedRecord>
 Advance(Scheduler& aScheduler, Instant& aNow, Duration aTime)
 {
   std::vector<KeyedRecord> written;
-  for (const Instant end = aNow + aTime; aNow < end; aNow += milliseconds(20)) {
-    aScheduler.Tick(aNow, ToMillis(aNow.time_since_epoch()));
-    for (const Action& action : aScheduler.TakeActions()) {
-      if (const AppendRecords* append = std::get_if<AppendRecords>(&action)) {
-        written.insert(written.end(), append->m_records.begin(), append->m_records.end());
-        aScheduler.OnAppended(append->m_batch, aNow);
-      } else if (const PollWorker* poll = std::get_if<PollWorker>(&action)) {
-        aScheduler.OnPollResponse(poll->m_worker, poll->m_number, WorkerStatus(), aNow);
-      }
+  RunScheduler(aScheduler, aNow, aTime, [&](const Action& aAction) {
+    if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
+      written.insert(written.end(), append->m_records.begin(), append->m_records.end());
+      aScheduler.OnAppended(append->m_batch, aNow);
+    } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
+      aScheduler.OnPollResponse(poll->m_worker, poll->m_number, WorkerStatus(), aNow);
     }
-  }
+  });
   return written;
 }
 
@@ -130,14 +117,10 @@
 static StoredJob
 MakeLongRunningJob(GraphId aId)
 {
-  StoredJob stored;
-  stored.m_id = aId;
-  stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
   GraphStep step;
   step.m_demand = { 2000, 1000, 0 };
   step.m_longRunning = true;
-  stored.m_graph.m_steps.push_back(step);
-  return stored;
+  return MakeStoredJob(aId, step);
 }
 
 namespace {
@@ -160,12 +143,7 @@
 
   void Advance(Duration aTime)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
-    }
+    RunScheduler(m_scheduler, m_now, aTime, [this](const Action& aAction) { Execute(aAction); });
   }
 
   void Execute(const Action& aAction)
@@ -308,12 +286,9 @@
 {
   void Advance(Duration aTime, bool aReachable)
   {
-    for (const Instant end = m_now + aTime; m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action, aReachable);
-      }
-    }
+    RunScheduler(m_scheduler, m_now, aTime, [this, aReachable](const Action& aAction) {
+      Execute(aAction, aReachable);
+    });
   }
 
   void Execute(const Action& aAction, bool aReachable)
@@ -475,16 +450,6 @@
 
 } // namespace
 
-static Submission
-MakeSubmission(GraphId aId)
-{
-  Submission submission;
-  submission.m_id = aId;
-  submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-  submission.m_graph.m_steps.emplace_back();
-  return submission;
-}
-
 // Guards against a live worker without a record, which a new leader would not poll.
 TEST_CASE("a worker that leaves and registers again while the store is slow keeps its record")
 {
@@ -494,7 +459,7 @@
   scheduler.UpdateWorker(MakeReport("w"), now);
   scheduler.OnDirectoryRead();
   store.Advance(now, milliseconds(500), false);
-  scheduler.Submit(1, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  scheduler.Submit(1, MakeSubmission(7, GraphStep()), now, ToMillis(now.time_since_epoch()));
   store.Advance(now, milliseconds(200), true);
   scheduler.DeregisterWorker("w", now);
   store.Advance(now, milliseconds(300), true);
@@ -512,14 +477,14 @@
   limits.m_endedJobRetention = std::chrono::seconds(1);
   Scheduler scheduler(limits, 1, now);
   SlowStore store(scheduler);
-  scheduler.Submit(1, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  scheduler.Submit(1, MakeSubmission(7, GraphStep()), now, ToMillis(now.time_since_epoch()));
   store.Advance(now, milliseconds(200), false);
   scheduler.Cancel(2, 7, now, ToMillis(now.time_since_epoch()));
   store.Advance(now, milliseconds(200), false);
-  scheduler.Submit(3, MakeSubmission(8), now, ToMillis(now.time_since_epoch()));
+  scheduler.Submit(3, MakeSubmission(8, GraphStep()), now, ToMillis(now.time_since_epoch()));
   store.Advance(now, milliseconds(1500), true);
   REQUIRE_FALSE(scheduler.StateOf(7));
-  scheduler.Submit(4, MakeSubmission(7), now, ToMillis(now.time_since_epoch()));
+  scheduler.Submit(4, MakeSubmission(7, GraphStep()), now, ToMillis(now.time_since_epoch()));
   store.Advance(now, milliseconds(500), false);
   CHECK(scheduler.StateOf(7));
   CHECK_FALSE(store.m_records[JobKey(7)].empty());
--- a/unittests/Scheduler/UnwantedAttemptsTest.cpp
+++ b/unittests/Scheduler/UnwantedAttemptsTest.cpp
@@ -1,5 +1,5 @@
 // Tests tasks that a worker runs, or has ended, although this leader has not started them there.
-#include "egretturn/Scheduler/Scheduler.h"
+#include "SingleScheduler.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -7,14 +7,12 @@
 #include <unordered_map>
 
 using namespace egretturn;
+using namespace egretturn::schedtest;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-constexpr GraphId kJob = 7;
-constexpr TaskRef kFirstTask{ kJob, 0, 0, 0 };
-
 /// A job that is submitted again after its old state was removed. Worker "busy" still runs its
 /// first task; the leader has told it to stop, which takes long.
 class ResubmissionWorld
@@ -27,11 +25,7 @@
     AddWorker("free", aFreeCpu);
     m_scheduler.OnDirectoryRead();
     Advance(seconds(1));
-    Submission submission;
-    submission.m_id = kJob;
-    submission.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    submission.m_graph.m_steps.push_back(aStep);
-    m_scheduler.Submit(1, std::move(submission), m_now, WallMs());
+    m_scheduler.Submit(1, MakeSubmission(kJob, aStep), m_now, WallMs());
   }
 
   void Advance(Duration aTime)
@@ -58,11 +52,7 @@
 private:
   void AddWorker(const WorkerName& aName, int64_t aCpuMilli)
   {
-    WorkerReport report;
-    report.m_id = aName;
-    report.m_service = "desk";
-    report.m_address = "10.0.0.1:80";
-    report.m_capacity = { aCpuMilli, 64000, 0 };
+    const WorkerReport report = MakeReport(aName, { aCpuMilli, 64000, 0 });
     m_scheduler.RestoreWorker(report, m_now);
     m_scheduler.UpdateWorker(report, m_now);
   }
@@ -165,27 +155,16 @@
     : m_scheduler(SchedulerLimits(), 2, m_now)
     , m_status(std::move(aStatus))
   {
-    StoredJob stored;
-    stored.m_id = kJob;
-    stored.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-    stored.m_graph.m_steps.push_back(MakeStep(2, false));
+    StoredJob stored = MakeStoredJob(kJob, MakeStep(2, false));
     stored.m_graph.m_occurrences = 1;
     stored.m_graph.m_firstDueMs = ToMillis((m_now + seconds(3)).time_since_epoch());
-    WorkerReport report;
-    report.m_id = "w";
-    report.m_service = "desk";
-    report.m_address = "10.0.0.1:80";
-    report.m_capacity = { 16000, 64000, 0 };
+    const WorkerReport report = MakeReport("w");
     m_scheduler.RestoreJob(stored, m_now, ToMillis(m_now.time_since_epoch()));
     m_scheduler.RestoreWorker(report, m_now);
     m_scheduler.UpdateWorker(report, m_now);
     m_scheduler.OnDirectoryRead();
-    for (const Instant end = m_now + seconds(5); m_now < end; m_now += milliseconds(20)) {
-      m_scheduler.Tick(m_now, ToMillis(m_now.time_since_epoch()));
-      for (const Action& action : m_scheduler.TakeActions()) {
-        Execute(action);
-      }
-    }
+    RunScheduler(
+      m_scheduler, m_now, seconds(5), [this](const Action& aAction) { Execute(aAction); });
   }
 
   void Execute(const Action& aAction)
--- a/unittests/Scheduler/WorkerContactTest.cpp
+++ b/unittests/Scheduler/WorkerContactTest.cpp
@@ -14,9 +14,7 @@
   "a worker that was unreachable for longer than its lease is polled again and accepts work")
 {
   ContactWorld world;
-  world.RegisterWorker("w");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000);
   REQUIRE(world.m_running["w"].size() == 1);
 
   world.m_unreachable.insert("w");
@@ -35,9 +33,7 @@
   "a worker that registers again after its entry expired while it was unreachable is polled again")
 {
   ContactWorld world;
-  world.RegisterWorker("w");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000);
 
   world.m_unreachable.insert("w");
   world.Advance(seconds(3));
--- a/unittests/Scheduler/WorkerIncarnationTest.cpp
+++ b/unittests/Scheduler/WorkerIncarnationTest.cpp
@@ -32,14 +32,10 @@
 TEST_CASE("a worker that restarts with an earlier wall clock is used again")
 {
   ContactWorld world;
-  world.m_incarnations["w"] = 5000;
-  world.RegisterWorker("w", 5000);
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000, 5000); // of incarnation 5000
   REQUIRE(world.m_running["w"].size() == 1);
 
-  world.m_running["w"].clear();
-  world.m_incarnations["w"] = 3000;
+  world.Restart("w", 3000);
   world.m_scheduler.DeregisterWorker("w", world.m_now);
   world.RegisterWorker("w", 3000);
   world.Advance(seconds(9));
@@ -54,7 +50,7 @@
   world.m_incarnations["w"] = 1000;
   world.RegisterWorker("w", 1000);
   world.Advance(seconds(1));
-  world.m_incarnations["w"] = 2000;
+  world.Restart("w", 2000);
   world.m_clockLeadsMs["w"] = 60000;
   SECTION("without an entry of the new incarnation") {}
   SECTION("immediately, because of its entry")
@@ -76,7 +72,7 @@
   world.m_incarnations["w"] = 5000;
   world.RegisterWorker("w", 5000, ContactWorld::kAddress, true);
   world.Advance(seconds(1));
-  world.m_incarnations["w"] = 3000;
+  world.Restart("w", 3000);
   for (int i = 0; i < 5; ++i) {
     world.RegisterWorker("w", 3000);
     world.Advance(seconds(1));
@@ -88,12 +84,8 @@
 TEST_CASE("a worker that restarts at another address with an earlier wall clock accepts work")
 {
   ContactWorld world;
-  world.m_incarnations["w"] = 5000;
-  world.RegisterWorker("w", 5000);
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
-  world.m_running["w"].clear();
-  world.m_incarnations["w"] = 3000;
+  world.RegisterWithTask("w", 5000, 5000); // of incarnation 5000
+  world.Restart("w", 3000);
   world.m_address = "10.0.0.2:80";
   for (int i = 0; i < 10; ++i) {
     world.RegisterWorker("w", 3000, world.m_address);
@@ -107,9 +99,7 @@
 TEST_CASE("tasks of a worker whose address another process has start elsewhere immediately")
 {
   ContactWorld world;
-  world.RegisterWorker("w");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000);
   REQUIRE(world.m_running["w"].size() == 1);
 
   world.m_replaced.insert("w");
@@ -123,9 +113,7 @@
 TEST_CASE("a worker is not taken as gone because its entry names the address of another process")
 {
   ContactWorld world;
-  world.RegisterWorker("w");
-  world.SubmitLongRunning(1, 5000);
-  world.Advance(seconds(1));
+  world.RegisterWithTask("w", 5000);
   REQUIRE(world.m_running["w"].size() == 1);
 
   world.RegisterWorker("w", 1, "10.0.0.2:80");
