--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of cases 6 to 10 start, into target/review-2.
+# Builds the stand-ins that the scripts of cases 6, 7, 9 and 10 start, into target/review-2.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/stand-ins-2/CaseList.cpp
+++ b/review/stand-ins-2/CaseList.cpp
@@ -107,6 +107,33 @@
   co_await aSite.StateOf(job.m_id);
 }
 
+// Members of a gang fail by turns.
+
+static Task<void>
+PlayGang(Site& aSite, bool aTrouble)
+{
+  static constexpr int kMembers = 4;
+  std::shared_ptr<std::map<int64_t, int>> generation = std::make_shared<std::map<int64_t, int>>();
+  aSite.m_planner = [generation, aTrouble](const RunName& aRun) {
+    const std::optional<TaskName> name = TaskName::Parse(aRun.m_task);
+    const int turn =
+      generation->emplace(aRun.m_run, static_cast<int>(generation->size())).first->second;
+    const bool fails = aTrouble && name->m_index == turn % kMembers;
+    return Plan{ fails ? End::Failed : End::Done, Millis(fails ? 400 : 1500) };
+  };
+  Step step;
+  step.m_count = kMembers;
+  step.m_gang = true;
+  step.m_work = Millis(1500);
+  const JobSpec job = MakeJob(aSite, { step });
+  if (!co_await aSite.SubmitUntilAccepted(job)) {
+    co_return;
+  }
+  aSite.m_mayJudge = true;
+  co_await Sleep(Millis(25000));
+  co_await aSite.StateOf(job.m_id);
+}
+
 // The queue is sent to another service, and the workers of the earlier one are taken away.
 
 static Task<void>
@@ -253,11 +280,14 @@
     AddWorkers(aSite, kSmallSite - 2);
     aSite.Publish("old");
   };
+  SiteSettings threeAttempts;
+  threeAttempts.m_attempts = 3;
   static const std::map<std::string, Case> cases{
     { "other-kind", { {}, smallSite, PlayOtherKind } },
     { "cancelled", { {}, smallSite, PlayCancelled } },
     { "cut-leader", { {}, smallSite, PlayCutLeader } },
     { "pending", { {}, smallSite, PlayPending } },
+    { "gang", { threeAttempts, smallSite, PlayGang } },
     { "other-service", { {}, twoServices, PlayOtherService } },
   };
   return cases;
