Count a job as pending until a worker says that a task of it began

Cause: OnStartResult and MarkAttemptLost took a start that may have been executed for a task that began (RecordBegun), and the state never goes back. It also reached the store with the next progress record, and so a successor.

Change: only what a worker has said counts: an accepted start (also if the answer comes after the order to stop it), a listed run in any phase, a listed end. The attempt's m_refused had no other reader and is removed.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -34,7 +34,6 @@
   bool m_bestEffort = false;
   bool m_longRunning = false;
   bool m_stopConfirmed = false; ///< The worker has confirmed the stop call.
-  bool m_refused = false;       ///< The start call was certainly not executed.
   int m_percent = 0;
   ImageId m_image = 0;
   int m_throttlePercent = 100;    ///< Last value sent, or an estimate for an adopted attempt.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -132,8 +132,8 @@
   /// Returns the state reported to callers, or nothing for an unknown job.
   std::optional<JobState> StateOf(GraphId aId);
 
-  /// Returns the number of accepted jobs of \p aRoute of which no start may have been executed, as
-  /// far as the results of calls tell. A start in flight does not count yet.
+  /// Returns the number of accepted jobs of \p aRoute of which no task is known to have begun. A
+  /// start without a response does not count until the worker accepts it or lists its task.
   uint64_t CountPending(const std::string& aRoute);
 
   // Workers.
@@ -281,7 +281,7 @@
   };
 
   // AttemptEnds.cpp
-  /// Records that a start of a task of \p aJob may have been executed: it is not pending any more.
+  /// Records that a task of \p aJob is known to have begun: it is not pending any more.
   static void RecordBegun(Job& aJob);
   /// Records that an attempt of \p aTask was known to run at \p aAt.
   void RecordRun(const TaskRef& aTask, Instant aAt);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -334,13 +334,15 @@
     return;
   }
   AttemptState& attempt = it->second;
+  if (attempt.m_phase != AttemptPhase::Running) {
+    if (Job* job = m_jobs.Find(aReported.m_task.m_job)) {
+      RecordBegun(*job);
+    }
+  }
   if (attempt.m_attempt != aReported.m_attempt) {
     return; // an older attempt of the task, whose end will be reported next
   }
   if (attempt.m_phase != AttemptPhase::Running && attempt.m_phase != AttemptPhase::Stopping) {
-    if (Job* job = m_jobs.Find(aReported.m_task.m_job)) {
-      RecordBegun(*job);
-    }
     attempt.m_phase = AttemptPhase::Running;
     attempt.m_phaseSince = aNow;
     attempt.m_progressedAt = aNow;
@@ -365,7 +367,6 @@
 {
   const AttemptState& lost = aWorker.m_attempts.at(aTask);
   const AttemptNumber attempt = lost.m_attempt;
-  const bool mayHaveRun = !lost.m_refused;
   if (lost.m_phase == AttemptPhase::Running) {
     RecordRun(aTask, LastSeenRunning(aWorker, lost));
   }
@@ -376,9 +377,6 @@
   if (!job || IsEnded(job->m_state)) {
     return;
   }
-  if (mayHaveRun) {
-    RecordBegun(*job);
-  }
   if (TaskRecord* task = JobRegistry::FindTask(*job, aTask)) {
     task->m_avoidedWorker = &aWorker;
     DetachAttempt(*job, aTask, *task, aWorker, attempt, aNow);
--- a/lib/Scheduler/WorkerCalls.cpp
+++ b/lib/Scheduler/WorkerCalls.cpp
@@ -28,14 +28,6 @@
                                                                              : nullptr;
 }
 
-/// Returns whether a start call with \p aResult was certainly not executed.
-static bool
-IsRefusal(WorkerCallResult aResult)
-{
-  return aResult != WorkerCallResult::Accepted && aResult != WorkerCallResult::NoResponse &&
-         aResult != WorkerCallResult::LinkLost;
-}
-
 void
 Scheduler::OnStartResult(const WorkerName& aId,
                          const TaskRef& aTask,
@@ -51,14 +43,13 @@
   if (!attempt) {
     return; // its end was reported before the response arrived
   }
-  attempt->m_refused = IsRefusal(aResult);
-  if (attempt->m_phase == AttemptPhase::Stopping) {
-    return;
-  }
   Job* job = m_jobs.Find(aTask.m_job);
-  if (job && !attempt->m_refused) {
+  if (job && aResult == WorkerCallResult::Accepted) {
     RecordBegun(*job);
   }
+  if (attempt->m_phase == AttemptPhase::Stopping) {
+    return;
+  }
   if (aResult == WorkerCallResult::Accepted) {
     attempt->m_phase = AttemptPhase::Running;
     attempt->m_phaseSince = aNow;
