Raise the fence of a worker's calls with each restart that the leader learns of

Callers saw: a task that must run once ran twice (TWICE, seen on real processes). Workers started again under their ids and were cut off soon after, while long tasks ran. A worker that is back under its id takes calls that were meant for its former process, and the random tests' workers dropped them.

Causes, of one class (what a former process was sent is taken for settled): - a start without a response is carried out by the new process; - a poll that arrives late acknowledges ends of the new process by number, unread; - such a call gives the new process a lease from its arrival, longer than the leader's account of it.

Change: the model first, whose calls now reach whichever process has the id. An epoch has 64 fences (Fence.h). The first response of a restarted worker decides nothing: the leader raises the fence of this worker's calls, polls again at once, and counts the lease anew from both responses. A start or stop that is refused because of the leader's own raised fence is followed by a poll, whose refusal alone says that there is a successor. A removed worker's fence is kept. Link shards get the fence with each call; without one (a leader of an earlier version) they use the epoch. A leader of an earlier version that follows has a higher epoch than all fences but those of workers that restarted meanwhile; there it is refused, and the next claims are above them.

Conclusion: what arrives after the first poll of a new process is refused by it.

--- a/include/egretturn/Node/LinkProtocol.h
+++ b/include/egretturn/Node/LinkProtocol.h
@@ -23,6 +23,7 @@
   std::string m_checkpoint;
   std::string m_ticket;
   int64_t m_leaseEndMs = 0;
+  uint64_t m_fence = 0; ///< 0 by an earlier version: the epoch is the fence.
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -36,6 +37,7 @@
     aVisit("checkpoint", aSelf.m_checkpoint);
     aVisit("ticket", aSelf.m_ticket);
     aVisit("lease_end_ms", aSelf.m_leaseEndMs);
+    aVisit("fence", aSelf.m_fence);
   }
 };
 
@@ -47,6 +49,7 @@
   std::string m_address;
   TaskRef m_task;
   AttemptNumber m_attempt = 0;
+  uint64_t m_fence = 0;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -56,6 +59,7 @@
     aVisit("address", aSelf.m_address);
     aVisit("task", aSelf.m_task);
     aVisit("attempt", aSelf.m_attempt);
+    aVisit("fence", aSelf.m_fence);
   }
 };
 
@@ -67,6 +71,7 @@
   TaskRef m_task;
   AttemptNumber m_attempt = 0;
   int m_percent = 100;
+  uint64_t m_fence = 0;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -76,6 +81,7 @@
     aVisit("task", aSelf.m_task);
     aVisit("attempt", aSelf.m_attempt);
     aVisit("percent", aSelf.m_percent);
+    aVisit("fence", aSelf.m_fence);
   }
 };
 
@@ -89,6 +95,7 @@
   uint64_t m_acknowledged = 0;
   int64_t m_waitMs = 0;
   int64_t m_incarnation = 0;
+  uint64_t m_fence = 0;
 
   template<typename Self, typename Visit>
   static void Fields(Self& aSelf, Visit&& aVisit)
@@ -100,13 +107,14 @@
     aVisit("acknowledged", aSelf.m_acknowledged);
     aVisit("wait_ms", aSelf.m_waitMs);
     aVisit("incarnation", aSelf.m_incarnation);
+    aVisit("fence", aSelf.m_fence);
   }
 };
 
 /// Calls that a leader asks a link shard to make. A message without calls opens a session.
 struct LinkOrders
 {
-  uint64_t m_epoch = 0;   ///< Of the leader; the fence of the calls.
+  uint64_t m_epoch = 0;   ///< Of the leader.
   std::string m_leader;   ///< The leader's address for calls between instances.
   uint64_t m_session = 0; ///< Rises each time the leader connects to a shard anew.
   int64_t m_flushMs = 0;  ///< Time for which the shard gathers results before it sends them.
--- a/include/egretturn/Node/LinkShard.h
+++ b/include/egretturn/Node/LinkShard.h
@@ -61,6 +61,8 @@
   void Open(const LinkOrders& aOrders);
   static bool IsValid(const LinkOrders& aOrders);
   void Execute(const LinkOrders& aOrders);
+  /// Returns the fence of a call, which a leader of an earlier version does not name.
+  uint64_t FenceOfCall(uint64_t aFence) const;
   void ExecutePoll(const LinkPoll& aPoll);
   /// Polls the worker once to learn whether the process still runs that listed the ends, and if so
   /// acknowledges them.
--- a/include/egretturn/Node/Ports.h
+++ b/include/egretturn/Node/Ports.h
@@ -76,7 +76,8 @@
 using WorkerCallCallback = std::function<void(WorkerCallResult)>;
 
 /// The workers. Calls don't block; callbacks run on the instance's thread. Each call carries the
-/// leader's epoch as \p aFence, so that a worker can reject calls of an earlier leader.
+/// \p aFence, so that a worker can reject calls of an earlier leader, and those that were meant for
+/// the process before a restart.
 class WorkerPort
 {
 public:
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -125,7 +125,7 @@
 enum class WorkerCallResult : uint8_t
 {
   Accepted,
-  Fenced,       ///< The worker has seen a higher epoch.
+  Fenced,       ///< The worker has seen a higher fence.
   Superseded,   ///< The attempt number is not higher than that of an attempt that ended there.
   LeaseExpired, ///< The lease that the call grants has already expired.
   NoCapacity,
@@ -152,6 +152,7 @@
   std::string m_checkpoint;
   std::string m_ticket;
   int64_t m_leaseEndMs = 0; ///< End of the lease, on the worker's clock.
+  uint64_t m_fence = 0;     ///< See Fence.h.
 };
 
 /// Stops an attempt.
@@ -161,6 +162,7 @@
   std::string m_address;
   TaskRef m_task;
   AttemptNumber m_attempt = 0;
+  uint64_t m_fence = 0;
 };
 
 /// Limits an attempt to a share of its processor demand; 0 percent halts it.
@@ -171,6 +173,7 @@
   TaskRef m_task;
   AttemptNumber m_attempt = 0;
   int m_percent = 100;
+  uint64_t m_fence = 0;
 };
 
 /// Extends the worker's lease, acknowledges ends and requests the attempts that run there.
@@ -183,6 +186,7 @@
   uint64_t m_acknowledged = 0; ///< Ends up to this number are durable.
   int64_t m_incarnation = 0;   ///< Of the process that listed these ends; 0 if it is unknown.
   Duration m_wait{}; ///< Maximum time that the worker may wait for an end before it responds.
+  uint64_t m_fence = 0;
 };
 
 /// Appends \c m_records to the store atomically.
--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -97,6 +97,8 @@
   bool m_statusStale = false;    ///< Its last response may be outdated by a restart.
   int64_t m_incarnation = 0;     ///< By its own responses; 0 before the first one.
   int64_t m_unconfirmedIncarnation = 0; ///< Of a response older than the directory's entry.
+  uint32_t m_restarts = 0;    ///< Restarts of it that this leader has learned of; raises its fence.
+  bool m_fenceRaised = false; ///< No poll with the raised fence has been answered yet.
   std::unordered_map<TaskRef, AttemptState, TaskRefHash> m_attempts;
   Demand m_used; ///< CPU of all attempts but best-effort ones; memory and accelerators of all.
   int64_t m_bestEffortCpu = 0;  ///< Processor demand of best-effort attempts.
@@ -206,6 +208,8 @@
   LeaseLimits m_limits;
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::unordered_map<WorkerName, Worker*> m_byId;
+  /// Of removed workers that have restarted: they know the fence that their restarts have raised.
+  std::unordered_map<WorkerName, uint32_t> m_restartsOfRemoved;
   std::unordered_map<TaskRef, uint32_t, TaskRefHash> m_attemptsByTask; ///< On all workers.
 };
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -315,6 +315,9 @@
   static bool IsCurrentIncarnation(Worker& aWorker, int64_t aIncarnation);
   /// Records the incarnation that has responded, and resets the counters of an earlier one.
   static void SetIncarnation(Worker& aWorker, int64_t aIncarnation);
+  /// Handles the first response of a process that was started in place of the one before: raises
+  /// the fence of its calls, and polls it again.
+  void OnWorkerRestarted(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
   /// Handles that another process has responded at the last address of \p aWorker.
   void OnWorkerGone(Worker& aWorker, Instant aNow);
   static void LogAttempt(const char* aEvent,
@@ -342,7 +345,10 @@
   bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
 
   // WorkerCalls.cpp
-  bool StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult);
+  uint64_t FenceFor(const Worker& aWorker) const;
+  void EmitStop(const Worker& aWorker, const TaskRef& aTask, AttemptNumber aAttempt);
+  /// Steps down if a start or stop with \p aResult tells of a higher epoch. Returns true then.
+  bool StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult, Instant aNow);
   static AttemptState* FindAttempt(Worker* aWorker, const TaskRef& aTask, AttemptNumber aAttempt);
 
   // Stragglers.cpp
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -288,14 +288,13 @@
 void
 LeaderSession::Execute(const Action& aAction)
 {
-  const uint64_t fence = m_claim.m_epoch;
   const std::shared_ptr<LeaderSession> self = shared_from_this();
   std::visit(
     Overloaded{
       [&](const StartTask& aStart) {
         m_workers.Start(
           aStart,
-          fence,
+          aStart.m_fence,
           [self, worker = aStart.m_worker, task = aStart.m_task, attempt = aStart.m_attempt](
             WorkerCallResult aResult) {
             if (!self->m_stopped) {
@@ -310,7 +309,7 @@
         }
         m_workers.Stop(
           aStop,
-          fence,
+          aStop.m_fence,
           [self, worker = aStop.m_worker, task = aStop.m_task, attempt = aStop.m_attempt](
             WorkerCallResult aResult) {
             if (!self->m_stopped) {
@@ -320,12 +319,12 @@
           });
       },
       [&](const ThrottleTask& aThrottle) {
-        m_workers.Throttle(aThrottle, fence, [](WorkerCallResult) {});
+        m_workers.Throttle(aThrottle, aThrottle.m_fence, [](WorkerCallResult) {});
       },
       [&](const PollWorker& aPoll) {
         m_workers.Poll(
           aPoll,
-          fence,
+          aPoll.m_fence,
           [self, worker = aPoll.m_worker, number = aPoll.m_number](WorkerCallResult aResult,
                                                                    const WorkerStatus& aStatus) {
             if (self->m_stopped) {
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -1,6 +1,7 @@
 #include "egretturn/Node/LeadershipClaimer.h"
 
 #include "egretturn/Journal/Codec.h"
+#include "egretturn/Scheduler/Fence.h"
 #include "egretturn/Support/Log.h"
 
 namespace egretturn {
@@ -112,7 +113,7 @@
     Fail();
     return;
   }
-  m_identity.m_epoch = m_newest.m_epoch + 1;
+  m_identity.m_epoch = NextEpoch(m_newest.m_epoch);
   m_identity.m_readingMs = m_newest.m_readingMs;
   m_identity.m_earlierLeaders = ListEarlierLeaders(m_newest);
   m_requestSentAt = BootClockNow();
--- a/lib/Node/LinkShard.cpp
+++ b/lib/Node/LinkShard.cpp
@@ -130,11 +130,16 @@
   };
 }
 
+uint64_t
+LinkShard::FenceOfCall(uint64_t aFence) const
+{
+  return aFence != 0 ? aFence : m_session->m_epoch;
+}
+
 void
 LinkShard::Execute(const LinkOrders& aOrders)
 {
   m_counters.m_calls += aOrders.CountCalls();
-  const uint64_t fence = aOrders.m_epoch;
   for (const LinkStart& start : aOrders.m_starts) {
     StartTask task{ start.m_worker,
                     start.m_address,
@@ -144,11 +149,11 @@
                     start.m_checkpoint,
                     start.m_ticket,
                     start.m_leaseEndMs };
-    m_workers.Start(task, fence, ReportCall(start.m_call));
+    m_workers.Start(task, FenceOfCall(start.m_fence), ReportCall(start.m_call));
   }
   for (const LinkStop& stop : aOrders.m_stops) {
     m_workers.Stop({ stop.m_worker, stop.m_address, stop.m_task, stop.m_attempt },
-                   fence,
+                   FenceOfCall(stop.m_fence),
                    ReportCall(stop.m_call));
   }
   for (const LinkThrottle& throttle : aOrders.m_throttles) {
@@ -157,7 +162,7 @@
                          throttle.m_task,
                          throttle.m_attempt,
                          throttle.m_percent },
-                       fence,
+                       FenceOfCall(throttle.m_fence),
                        [](WorkerCallResult) {});
   }
   for (const LinkPoll& poll : aOrders.m_polls) {
@@ -219,7 +224,7 @@
   ++m_session->m_callsInFlight;
   m_workers.Poll(
     poll,
-    m_session->m_epoch,
+    FenceOfCall(aPoll.m_fence),
     [port = &m_port, session = m_session, worker = aPoll.m_worker, done = std::move(aDone)](
       WorkerCallResult aResult, const WorkerStatus& aStatus) {
       --session->m_callsInFlight;
--- a/lib/Node/WorkerLinks.cpp
+++ b/lib/Node/WorkerLinks.cpp
@@ -324,7 +324,8 @@
                                               aPoll.m_leaseEndMs,
                                               aPoll.m_acknowledged,
                                               ToMillis(aPoll.m_wait),
-                                              aPoll.m_incarnation });
+                                              aPoll.m_incarnation,
+                                              aFence });
   ScheduleFlush(*link);
 }
 
@@ -352,7 +353,8 @@
                                       payload->second,
                                       aStart.m_checkpoint,
                                       aStart.m_ticket,
-                                      aStart.m_leaseEndMs });
+                                      aStart.m_leaseEndMs,
+                                      aFence });
   ScheduleFlush(*link);
 }
 
@@ -366,7 +368,7 @@
   }
   const LinkCallId call = AddPending(*link, { nullptr, std::move(aDone) });
   DraftOf(*link).m_orders.m_stops.push_back(
-    { call, aStop.m_worker, aStop.m_address, aStop.m_task, aStop.m_attempt });
+    { call, aStop.m_worker, aStop.m_address, aStop.m_task, aStop.m_attempt, aFence });
   ScheduleFlush(*link);
 }
 
@@ -382,7 +384,8 @@
                                                   aThrottle.m_address,
                                                   aThrottle.m_task,
                                                   aThrottle.m_attempt,
-                                                  aThrottle.m_percent });
+                                                  aThrottle.m_percent,
+                                                  aFence });
   ScheduleFlush(*link);
 }
 
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -434,6 +434,20 @@
   aWorker.m_endsComplete = true;
 }
 
+void
+Scheduler::OnWorkerRestarted(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow)
+{
+  // Calls that were meant for the process before may be executed at any time until a call with a
+  // higher fence has arrived, so this response decides nothing.
+  ++aWorker.m_restarts;
+  aWorker.m_fenceRaised = true;
+  aWorker.m_statusStale = true;
+  aWorker.m_clockMs = aStatus.m_clockMs;
+  aWorker.m_clockReadAt = aNow;
+  m_fleet.ExtendLease(aWorker, aNow);
+  SendPoll(aWorker, aNow);
+}
+
 void
 Scheduler::RemoveLostAttempts(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow)
 {
@@ -485,7 +499,16 @@
     return;
   }
   if (aStatus.m_incarnation != worker->m_incarnation && aStatus.m_incarnation != 0) {
+    const bool restarted = worker->m_incarnation != 0;
     SetIncarnation(*worker, aStatus.m_incarnation);
+    if (restarted) {
+      OnWorkerRestarted(*worker, aStatus, aNow);
+      return;
+    }
+  }
+  if (worker->m_fenceRaised) {
+    worker->m_fenceRaised = false;
+    m_fleet.ExtendLease(*worker, aNow); // a call to the process before may have arrived until now
   }
   if (worker->m_failedPolls > 0) {
     Log(LogLine(LogLevel::Info, "worker_regained_contact")
@@ -559,13 +582,14 @@
                         WorkerCallResult aResult,
                         Instant aNow)
 {
-  if (StepDownIfFenced(aId, aResult)) {
-    return;
-  }
   Worker* worker = m_fleet.Find(aId);
   if (!worker || worker->m_pollNumber != aNumber) {
     return;
   }
+  if (aResult == WorkerCallResult::Fenced) { // the fence has not risen since the poll was sent
+    Emit(StepDown{ "fenced by worker " + aId });
+    return;
+  }
   worker->m_pollInFlight = false;
   if (aResult == WorkerCallResult::LinkLost) {
     worker->m_nextPollAt =
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -79,6 +79,8 @@
   worker->m_report = aReport;
   worker->m_nextPollAt = aNow;
   worker->m_leaseExpiresAt = aNow;
+  const auto restarts = m_restartsOfRemoved.find(aReport.m_id);
+  worker->m_restarts = restarts == m_restartsOfRemoved.end() ? 0 : restarts->second;
   m_byId.emplace(aReport.m_id, worker.get());
   m_workers.push_back(std::move(worker));
   return true;
@@ -103,6 +105,9 @@
     return;
   }
   assert((*it)->m_attempts.empty() && "a worker with attempts must not be erased");
+  if ((*it)->m_restarts > 0) {
+    m_restartsOfRemoved[aId] = (*it)->m_restarts;
+  }
   m_byId.erase(aId);
   m_workers.erase(it);
 }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -196,6 +196,7 @@
   aWorker.m_pollNumber = poll.m_number;
   poll.m_worker = aWorker.m_report.m_id;
   poll.m_address = aWorker.m_report.m_address;
+  poll.m_fence = FenceFor(aWorker);
   // Ends are numbered anew in each incarnation, and a worker may restart under its name. So ends
   // are acknowledged only right after a response of the incarnation that reported them.
   const bool responseRecent =
@@ -256,8 +257,7 @@
                            aNow - attempt.m_phaseSince >= kStopRetryInterval;
       if (overdue && worker->m_failedPolls == 0) {
         attempt.m_phaseSince = aNow;
-        Emit(
-          StopTask{ worker->m_report.m_id, worker->m_report.m_address, task, attempt.m_attempt });
+        EmitStop(*worker, task, attempt.m_attempt);
       }
     }
   }
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -407,6 +407,7 @@
   start.m_payload = job.m_stored.m_graph.m_payload;
   start.m_checkpoint = task.m_checkpoint;
   start.m_leaseEndMs = m_fleet.LeaseEnd(aWorker, aNow);
+  start.m_fence = FenceFor(aWorker);
   m_fleet.ExtendLease(aWorker, aNow);
   ++m_counters.m_starts;
   if (LogEnabled(LogLevel::Info)) {
@@ -439,7 +440,7 @@
   it->second.m_phaseSince = aNow;
   it->second.m_stopConfirmed = false;
   ++m_counters.m_stops;
-  Emit(StopTask{ aWorker.m_report.m_id, aWorker.m_report.m_address, aTask, it->second.m_attempt });
+  EmitStop(aWorker, aTask, it->second.m_attempt);
 }
 
 void
--- a/lib/Scheduler/Throttling.cpp
+++ b/lib/Scheduler/Throttling.cpp
@@ -195,8 +195,12 @@
   aAttempt.m_hasValidDuration = false;
   aAttempt.m_progressedAt = aNow;
   ++m_counters.m_throttles;
-  Emit(ThrottleTask{
-    aWorker.m_report.m_id, aWorker.m_report.m_address, aTask, aAttempt.m_attempt, aPercent });
+  Emit(ThrottleTask{ aWorker.m_report.m_id,
+                     aWorker.m_report.m_address,
+                     aTask,
+                     aAttempt.m_attempt,
+                     aPercent,
+                     FenceFor(aWorker) });
 }
 
 void
--- a/lib/Scheduler/WorkerCalls.cpp
+++ b/lib/Scheduler/WorkerCalls.cpp
@@ -1,4 +1,5 @@
 // Handles the results of start and stop calls.
+#include "egretturn/Scheduler/Fence.h"
 #include "egretturn/Scheduler/Scheduler.h"
 
 #include <algorithm>
@@ -7,12 +8,32 @@
 
 static constexpr Duration kRejectionAvoidance = std::chrono::milliseconds(300);
 
+uint64_t
+Scheduler::FenceFor(const Worker& aWorker) const
+{
+  return FenceOf(m_epoch, aWorker.m_restarts);
+}
+
+void
+Scheduler::EmitStop(const Worker& aWorker, const TaskRef& aTask, AttemptNumber aAttempt)
+{
+  Emit(StopTask{
+    aWorker.m_report.m_id, aWorker.m_report.m_address, aTask, aAttempt, FenceFor(aWorker) });
+}
+
 bool
-Scheduler::StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult)
+Scheduler::StepDownIfFenced(const WorkerName& aId, WorkerCallResult aResult, Instant aNow)
 {
   if (aResult != WorkerCallResult::Fenced) {
     return false;
   }
+  Worker* worker = m_fleet.Find(aId);
+  if (worker && worker->m_restarts > 0) {
+    // The call may have been sent before this leader raised the fence. A poll will tell.
+    worker->m_statusStale = true;
+    worker->m_nextPollAt = std::min(worker->m_nextPollAt, aNow);
+    return false;
+  }
   Emit(StepDown{ "fenced by worker " + aId });
   return true;
 }
@@ -35,7 +56,7 @@
                          WorkerCallResult aResult,
                          Instant aNow)
 {
-  if (StepDownIfFenced(aId, aResult)) {
+  if (StepDownIfFenced(aId, aResult, aNow)) {
     return;
   }
   Worker* worker = m_fleet.Find(aId);
@@ -76,9 +97,9 @@
   if (aResult != WorkerCallResult::Superseded) {
     worker->m_avoidUntil = std::max(worker->m_avoidUntil, aNow + kRejectionAvoidance);
   }
-  const bool causedByScheduler = aResult == WorkerCallResult::NoCapacity ||
-                                 aResult == WorkerCallResult::LeaseExpired ||
-                                 aResult == WorkerCallResult::Superseded;
+  const bool causedByScheduler =
+    aResult == WorkerCallResult::Fenced || aResult == WorkerCallResult::NoCapacity ||
+    aResult == WorkerCallResult::LeaseExpired || aResult == WorkerCallResult::Superseded;
   if (!causedByScheduler) {
     RecordFailure(*worker, aNow, aNow);
   }
@@ -92,7 +113,7 @@
                         WorkerCallResult aResult,
                         Instant aNow)
 {
-  if (StepDownIfFenced(aId, aResult)) {
+  if (StepDownIfFenced(aId, aResult, aNow)) {
     return;
   }
   Worker* worker = m_fleet.Find(aId);
--- a/unittests/Scheduler/ContactWorld.cpp
+++ b/unittests/Scheduler/ContactWorld.cpp
@@ -47,9 +47,38 @@
 ContactWorld::Restart(const WorkerName& aName, int64_t aIncarnation)
 {
   m_running[aName].clear();
+  m_ended[aName].clear();
+  m_acknowledged[aName] = 0;
+  m_fences[aName] = 0;
   m_incarnations[aName] = aIncarnation;
 }
 
+void
+ContactWorld::DeliverLateCalls()
+{
+  for (const StartTask& start : std::exchange(m_lateStarts, {})) {
+    if (TakeFence(start.m_worker, start.m_fence)) {
+      Run(start);
+    }
+  }
+  for (const PollWorker& poll : std::exchange(m_latePolls, {})) {
+    if (TakeFence(poll.m_worker, poll.m_fence)) {
+      Acknowledge(poll);
+    }
+  }
+}
+
+bool
+ContactWorld::TakeFence(const WorkerName& aName, uint64_t aFence)
+{
+  uint64_t& highest = m_fences[aName];
+  if (aFence < highest) {
+    return false;
+  }
+  highest = aFence;
+  return true;
+}
+
 void
 ContactWorld::End(const WorkerName& aWorker, AttemptEnd aEnd)
 {
@@ -125,6 +154,8 @@
     Start(*start);
   } else if (const PollWorker* poll = std::get_if<PollWorker>(&aAction)) {
     Poll(*poll);
+  } else if (std::holds_alternative<StepDown>(aAction)) {
+    m_steppedDown = true;
   }
 }
 
@@ -155,19 +186,37 @@
   const bool reached =
     IsReachable(aStart.m_worker, aStart.m_address) && m_ordersLost.count(aStart.m_worker) == 0;
   const bool late = aStart.m_leaseEndMs <= ClockMs(aStart.m_worker);
+  const bool fenced = reached && !TakeFence(aStart.m_worker, aStart.m_fence);
   const WorkerCallResult result = !reached ? WorkerCallResult::NoResponse
+                                  : fenced ? WorkerCallResult::Fenced
                                   : late   ? WorkerCallResult::LeaseExpired
                                            : WorkerCallResult::Accepted;
+  if (!reached) {
+    m_lateStarts.push_back(aStart);
+  }
   m_lastLease = milliseconds(aStart.m_leaseEndMs - WallMs());
   m_scheduler.OnStartResult(aStart.m_worker, aStart.m_task, aStart.m_attempt, result, m_now);
   if (result == WorkerCallResult::Accepted) {
-    const bool longRunning = m_longRunning.count(aStart.m_task.m_job) > 0;
-    m_startedAt[aStart.m_task] = m_now;
-    m_running[aStart.m_worker].push_back(
-      { aStart.m_task, aStart.m_attempt, "", longRunning ? 100 : 0, 0 });
+    Run(aStart);
   }
 }
 
+void
+ContactWorld::Run(const StartTask& aStart)
+{
+  const bool longRunning = m_longRunning.count(aStart.m_task.m_job) > 0;
+  m_startedAt[aStart.m_task] = m_now;
+  m_running[aStart.m_worker].push_back(
+    { aStart.m_task, aStart.m_attempt, "", longRunning ? 100 : 0, 0 });
+}
+
+void
+ContactWorld::Acknowledge(const PollWorker& aPoll)
+{
+  uint64_t& acknowledged = m_acknowledged[aPoll.m_worker];
+  acknowledged = std::max(acknowledged, aPoll.m_acknowledged);
+}
+
 void
 ContactWorld::Poll(const PollWorker& aPoll)
 {
@@ -177,17 +226,21 @@
       aPoll.m_worker, aPoll.m_number, WorkerCallResult::IncarnationMismatch, m_now);
     return;
   }
-  if (!IsReachable(aPoll.m_worker, aPoll.m_address)) {
+  if (!IsReachable(aPoll.m_worker, aPoll.m_address) || m_pollsLost.count(aPoll.m_worker) > 0) {
+    m_latePolls.push_back(aPoll);
     m_scheduler.OnPollFailed(aPoll.m_worker, aPoll.m_number, WorkerCallResult::NoResponse, m_now);
     return;
   }
+  if (!TakeFence(aPoll.m_worker, aPoll.m_fence)) {
+    m_scheduler.OnPollFailed(aPoll.m_worker, aPoll.m_number, WorkerCallResult::Fenced, m_now);
+    return;
+  }
   WorkerStatus status;
   status.m_clockMs = ClockMs(aPoll.m_worker);
   status.m_incarnation = m_incarnations[aPoll.m_worker];
   status.m_running = ReportedAttempts(aPoll.m_worker);
   status.m_ended = m_ended[aPoll.m_worker];
-  uint64_t& acknowledged = m_acknowledged[aPoll.m_worker];
-  acknowledged = std::max(acknowledged, aPoll.m_acknowledged);
+  Acknowledge(aPoll);
   m_scheduler.OnPollResponse(aPoll.m_worker, aPoll.m_number, status, m_now);
 }
 
--- a/unittests/Scheduler/ContactWorld.h
+++ b/unittests/Scheduler/ContactWorld.h
@@ -33,9 +33,12 @@
   /// lost there if there is no other worker.
   void RegisterWithLostStart(const WorkerName& aName);
 
-  /// Restarts the process of a worker with \p aIncarnation. It loses what it runs.
+  /// Restarts the process of a worker with \p aIncarnation. It knows nothing of before.
   void Restart(const WorkerName& aName, int64_t aIncarnation);
 
+  /// Lets the starts and polls without a response arrive at the processes that now run.
+  void DeliverLateCalls();
+
   /// Submits a task that takes a minute and reserves \p aCpuMilli.
   void SubmitOneMinute(GraphId aId, int64_t aCpuMilli) { Submit(aId, aCpuMilli, false); }
 
@@ -56,7 +59,9 @@
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   std::set<WorkerName> m_unreachable;
   std::set<WorkerName> m_ordersLost; ///< Starts and stops get no response there, polls do.
+  std::set<WorkerName> m_pollsLost;  ///< Polls get no response there, orders do.
   std::set<WorkerName> m_replaced;   ///< Another process responds at their address.
+  bool m_steppedDown = false;
   std::map<WorkerName, std::vector<RunningAttempt>> m_running;
   std::map<WorkerName, int64_t> m_incarnations; ///< As the workers themselves report them.
   std::map<WorkerName, int64_t> m_clockLeadsMs; ///< Ahead of the wall clock.
@@ -79,12 +84,19 @@
   bool IsReachable(const WorkerName& aName, const std::string& aAddress) const;
 
   void Execute(const Action& aAction);
+  /// Returns whether the worker takes a call with \p aFence, and keeps the highest one.
+  bool TakeFence(const WorkerName& aName, uint64_t aFence);
+  void Run(const StartTask& aStart);
+  void Acknowledge(const PollWorker& aPoll);
   void Append(const AppendRecords& aAppend);
   void Stop(const StopTask& aStop);
   void Start(const StartTask& aStart);
   void Poll(const PollWorker& aPoll);
 
   std::set<GraphId> m_longRunning;
+  std::map<WorkerName, uint64_t> m_fences;
+  std::vector<StartTask> m_lateStarts;
+  std::vector<PollWorker> m_latePolls;
   std::unordered_map<TaskRef, Instant, TaskRefHash> m_startedAt;
 };
 
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerWorld.h"
 
 #include "egretturn/Journal/Codec.h"
+#include "egretturn/Scheduler/Fence.h"
 #include "egretturn/Support/EnumTable.h"
 
 namespace egretturn::schedtest {
@@ -150,7 +151,7 @@
 SchedulerWorld::MakeLeader()
 {
   std::shared_ptr<Leader> leader = std::make_shared<Leader>();
-  leader->m_epoch = ++m_epoch;
+  leader->m_epoch = m_epoch = NextEpoch(m_epoch);
   leader->m_recoveryCountsFrom = m_now;
   leader->m_clockLagMs =
     m_random.Below(2) == 0 ? 0 : static_cast<int64_t>(m_random.Below(kMaxClockLagMs));
@@ -341,32 +342,30 @@
                            const std::function<WorkerCallResult(FakeWorker&, bool)>& aCall,
                            const WorkerCallCallback& aDone)
 {
+  // A worker that is back under its id takes calls that were meant for its former life.
   if (m_random.Unit() < m_faults.m_lateCallProbability) {
     After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NoResponse); });
     const Duration lateness = milliseconds(2000 + m_random.Below(10000));
     m_lateCallsUntil = std::max(m_lateCallsUntil, m_now + lateness);
-    After(lateness, [this, aWorker, aCall, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
+    After(lateness, [this, aWorker, aCall] {
       FakeWorker& worker = WorkerOf(aWorker);
-      if (worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation) {
+      if (worker.Report().m_id == aWorker) {
         aCall(worker, true);
       }
     });
     return;
   }
-  After(
-    Delay(),
-    [this, aCaller, aWorker, aCall, aDone, incarnation = WorkerOf(aWorker).Report().m_incarnation] {
-      FakeWorker& worker = WorkerOf(aWorker);
-      if (worker.m_unreachableUntil > m_now || aCaller->m_unreachableUntil[aWorker] > m_now) {
-        After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NotSent); });
-        return;
-      }
-      const bool intended =
-        worker.Report().m_id == aWorker && worker.Report().m_incarnation == incarnation;
-      const WorkerCallResult result =
-        intended ? aCall(worker, false) : WorkerCallResult::IncarnationMismatch;
-      After(Delay(), [aDone, result] { aDone(result); });
-    });
+  After(Delay(), [this, aCaller, aWorker, aCall, aDone] {
+    FakeWorker& worker = WorkerOf(aWorker);
+    if (worker.m_unreachableUntil > m_now || aCaller->m_unreachableUntil[aWorker] > m_now) {
+      After(kResponseTimeout, [aDone] { aDone(WorkerCallResult::NotSent); });
+      return;
+    }
+    const bool intended = worker.Report().m_id == aWorker;
+    const WorkerCallResult result =
+      intended ? aCall(worker, false) : WorkerCallResult::IncarnationMismatch;
+    After(Delay(), [aDone, result] { aDone(result); });
+  });
 }
 
 /// Calls the simulated workers for one instance.
@@ -451,11 +450,10 @@
 SchedulerWorld::Execute(const std::shared_ptr<Leader>& aLeader, const Action& aAction)
 {
   WorkerPort& workers = *aLeader->m_workerPort;
-  const uint64_t fence = aLeader->m_epoch;
   std::visit(
     Overloaded{
       [&](const StartTask& aStart) {
-        workers.Start(aStart, fence, [this, aLeader, aStart](WorkerCallResult aResult) {
+        workers.Start(aStart, aStart.m_fence, [this, aLeader, aStart](WorkerCallResult aResult) {
           Notify(aLeader, [&](Scheduler& aScheduler) {
             aScheduler.OnStartResult(
               aStart.m_worker, aStart.m_task, aStart.m_attempt, aResult, m_now);
@@ -463,7 +461,7 @@
         });
       },
       [&](const StopTask& aStop) {
-        workers.Stop(aStop, fence, [this, aLeader, aStop](WorkerCallResult aResult) {
+        workers.Stop(aStop, aStop.m_fence, [this, aLeader, aStop](WorkerCallResult aResult) {
           Notify(aLeader, [&](Scheduler& aScheduler) {
             aScheduler.OnStopResult(aStop.m_worker, aStop.m_task, aStop.m_attempt, aResult, m_now);
           });
@@ -471,7 +469,7 @@
       },
       [&](const PollWorker& aPoll) {
         workers.Poll(aPoll,
-                     fence,
+                     aPoll.m_fence,
                      [this, aLeader, worker = aPoll.m_worker, number = aPoll.m_number](
                        WorkerCallResult aResult, const WorkerStatus& aStatus) {
                        Notify(aLeader, [&](Scheduler& aScheduler) {
--- a/unittests/Soak/SoakWorld.cpp
+++ b/unittests/Soak/SoakWorld.cpp
@@ -154,9 +154,10 @@
 PathMode
 SoakWorld::FindPath(const WorkerName& aWorker, uint64_t aFence)
 {
-  const auto it = m_leaderOf.find(aFence);
-  return it == m_leaderOf.end() ? PathMode::Open
-                                : m_paths[it->second][std::stoul(aWorker.substr(1))];
+  const auto later = m_leaderOf.upper_bound(aFence); // by the epoch, its lowest fence
+  return later == m_leaderOf.begin()
+           ? PathMode::Open
+           : m_paths[std::prev(later)->second][std::stoul(aWorker.substr(1))];
 }
 
 void
