Hold a task whose first start may still be carried out by a restarted worker

Callers saw: TWICE. A start got no response, its worker confirmed the stop that prevents its late execution, and the task ran elsewhere. Then the worker started again under its id, and the new process, which has never seen the stop, carried out the first start.

Cause: a stop that a process has confirmed was taken as protection for ever; the attempt was forgotten at once (RemoveLostAttempts). Nothing that a worker can be told survives its restart.

Meanwhile the task starts again on the same worker, where no two attempts of it run at a time and a restart ends both; elsewhere only once nothing of its job has run for 1.5 s (a task that lasts: itself), as LOST demands. The worker is polled each 0.5 s, so that a restart is noticed and the fence raised soon, and a successor is told of the start. While the worker is out of contact the start counts for a lease, as before. job_waits names the cause start_may_follow.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -34,6 +34,7 @@
   bool m_bestEffort = false;
   bool m_longRunning = false;
   bool m_stopConfirmed = false; ///< The worker has confirmed the stop call.
+  bool m_startPending = false;  ///< The start call may be executed later.
   int m_percent = 0;
   ImageId m_image = 0;
   int m_throttlePercent = 100;    ///< Last value sent, or an estimate for an adopted attempt.
@@ -48,6 +49,15 @@
   Instant m_progressedAt;                   ///< When the percentage last rose.
 };
 
+/// A start call that got no response and whose attempt was given up. The stop that prevents its
+/// late execution holds for the process that has confirmed it, and not for one that replaces it.
+struct LateStart
+{
+  TaskRef m_task;
+  AttemptNumber m_attempt = 0;
+  Instant m_sentAt;
+};
+
 /// Whether a record is in the store.
 enum class RecordState : uint8_t
 {
@@ -119,6 +129,7 @@
   uint64_t m_endsProcessed = 0; ///< Highest number of a processed end.
   uint64_t m_endsDurable = 0;   ///< Highest number whose effects are in the store.
   std::vector<NonDurableEnd> m_nonDurableEnds; ///< Processed ends above m_endsDurable.
+  std::vector<LateStart> m_lateStarts;         ///< Changed by Fleet only.
   uint64_t m_endsInBatch = 0;                  ///< Highest number covered by the batch in flight.
   uint64_t m_endsAcknowledged = 0;             ///< Highest number the worker may have discarded.
   uint64_t m_endsBeingAcknowledged = 0;        ///< Highest number that the poll acknowledges.
@@ -151,6 +162,8 @@
   /// A superseded leader sends its last call to a worker no later than this after the claim of its
   /// successor.
   Duration m_noticeTime = std::chrono::milliseconds(1200);
+  /// A call that got no response is executed no later than this after it was sent.
+  Duration m_maxCallLateness = std::chrono::seconds(12);
 };
 
 /// Holds all workers by id, with the capacity that their attempts use. Not thread-safe.
@@ -165,7 +178,7 @@
   /// Marks the worker as deregistered.
   void Deregister(const WorkerName& aId);
 
-  /// Removes the worker. \pre It has no attempts.
+  /// Removes the worker. \pre It has no attempts and no late starts.
   void Erase(const WorkerName& aId);
 
   /// Returns the worker, or nullptr if the id is unknown.
@@ -185,6 +198,17 @@
   /// Returns whether any worker has an attempt of \p aTask, also one that is being stopped.
   bool HasAttempt(const TaskRef& aTask) const { return m_attemptsByTask.count(aTask) > 0; }
 
+  /// Records a start that \p aWorker, if it restarts, may execute for a while yet.
+  void AddLateStart(Worker& aWorker, const LateStart& aStart);
+
+  /// Forgets the starts for which \p aIsOver returns true.
+  template<typename Predicate>
+  void RemoveLateStarts(Worker& aWorker, const Predicate& aIsOver);
+
+  /// Returns the workers that may execute an earlier start of \p aTask, if they restart; nullptr
+  /// for none.
+  const std::vector<Worker*>* FindLateStarts(const TaskRef& aTask) const;
+
   /// Returns the share of the processors of \p aService that attempts reserve. Best-effort attempts
   /// reserve none.
   double ReservedShare(const std::string& aService) const;
@@ -211,6 +235,27 @@
   /// Of removed workers that have restarted: they know the fence that their restarts have raised.
   std::unordered_map<WorkerName, uint32_t> m_restartsOfRemoved;
   std::unordered_map<TaskRef, uint32_t, TaskRefHash> m_attemptsByTask; ///< On all workers.
+  std::unordered_map<TaskRef, std::vector<Worker*>, TaskRefHash> m_lateStartsByTask;
 };
 
+template<typename Predicate>
+void
+Fleet::RemoveLateStarts(Worker& aWorker, const Predicate& aIsOver)
+{
+  std::vector<LateStart>& starts = aWorker.m_lateStarts;
+  for (auto it = starts.begin(); it != starts.end();) {
+    if (!aIsOver(*it)) {
+      ++it;
+      continue;
+    }
+    const auto byTask = m_lateStartsByTask.find(it->m_task);
+    std::vector<Worker*>& workers = byTask->second;
+    workers.erase(std::find(workers.begin(), workers.end(), &aWorker));
+    if (workers.empty()) {
+      m_lateStartsByTask.erase(byTask);
+    }
+    it = starts.erase(it);
+  }
+}
+
 } // namespace egretturn
--- a/include/egretturn/Scheduler/JobWait.h
+++ b/include/egretturn/Scheduler/JobWait.h
@@ -14,6 +14,7 @@
   Unconfirmed,       ///< It needs a fresh confirmation that this leader leads.
   StoppingElsewhere, ///< A worker still stops an attempt of it.
   AttemptNotRunning, ///< It has an attempt that does not run, as far as the leader knows.
+  StartMayFollow,    ///< A worker may execute an earlier start of it, if it restarts.
   GangIncomplete,    ///< Another member of its gang still has an attempt.
   NoWorker,          ///< It fits on no worker; of a gang, not all members do.
   PassedOver,        ///< It was not tried, because a similar request did not fit.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -344,6 +344,27 @@
   /// The same for any task of the step.
   bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
 
+  // LateStarts.cpp
+  /// Holds the task if the start of \p aLost, which is given up, may be executed by a process that
+  /// replaces \p aWorker's.
+  void KeepLateStart(Worker& aWorker, const TaskRef& aTask, const AttemptState& aLost);
+  /// Forgets a start that was executed or refused.
+  void ForgetLateStart(Worker& aWorker, const TaskRef& aTask, AttemptNumber aAttempt);
+  /// Forgets the starts that \p aStatus lists, and those that are over.
+  void UpdateLateStarts(Worker& aWorker, const WorkerStatus& aStatus);
+  /// Forgets the starts on a worker out of contact as soon as it may be taken to run nothing.
+  void ExpireLateStarts(Worker& aWorker, Instant aNow);
+  /// Returns whether a task has waited for so long that a second attempt of it, which its late
+  /// start would bring about, is the smaller risk.
+  bool MayStartBesideLateStart(const WaitingStep& aWaiting, size_t aTask, Instant aNow);
+  /// Returns the only one of \p aLateStarters if the task may start there, or nullptr. A restart
+  /// that lets the late start run also ends the attempt that was started there since.
+  Worker* ChooseLateStarter(const WaitingStep& aWaiting,
+                            size_t aTask,
+                            const std::vector<Worker*>& aLateStarters,
+                            const PlacementRequest& aRequest,
+                            Instant aNow);
+
   // WorkerCalls.cpp
   uint64_t FenceFor(const Worker& aWorker) const;
   void EmitStop(const Worker& aWorker, const TaskRef& aTask, AttemptNumber aAttempt);
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -12,6 +12,8 @@
 static constexpr Duration kMaxIdlePollRetryDelay =
   std::chrono::milliseconds(2000); // without attempts
 static constexpr Duration kNonDurableEndsPollDelay = std::chrono::milliseconds(400);
+static constexpr Duration kLateStartPollDelay =
+  std::chrono::milliseconds(500); // where nothing runs
 static constexpr int kMinUnthrottledUsePercent =
   60; // minimum share of its demand that an unthrottled task uses
 
@@ -342,6 +344,7 @@
   if (attempt.m_attempt != aReported.m_attempt) {
     return; // an older attempt of the task, whose end will be reported next
   }
+  attempt.m_startPending = false;
   if (attempt.m_phase != AttemptPhase::Running && attempt.m_phase != AttemptPhase::Stopping) {
     attempt.m_phase = AttemptPhase::Running;
     attempt.m_phaseSince = aNow;
@@ -479,6 +482,7 @@
     StopAttempt(aWorker, task, aNow);
   }
   for (const TaskRef& task : lost) {
+    KeepLateStart(aWorker, task, aWorker.m_attempts.at(task));
     MarkAttemptLost(aWorker, task, aNow, "not_listed");
   }
 }
@@ -539,6 +543,7 @@
     UpdateRunningAttempt(*worker, reported, aNow);
   }
   RemoveLostAttempts(*worker, aStatus, aNow);
+  UpdateLateStarts(*worker, aStatus);
   if (worker->m_report.m_draining) {
     DrainWorker(*worker, aNow); // attempts adopted after the directory reported the draining
   }
@@ -549,9 +554,11 @@
   }
   const bool nonDurable = worker->m_endsProcessed > worker->m_endsDurable;
   const bool unacknowledged = worker->m_endsDurable > worker->m_endsAcknowledged;
-  worker->m_nextPollAt = aNow + (unacknowledged ? Duration::zero()
-                                 : nonDurable   ? kNonDurableEndsPollDelay
-                                                : kPollDelay);
+  const bool onlyLateStarts = worker->m_attempts.empty() && !worker->m_lateStarts.empty();
+  worker->m_nextPollAt = aNow + (unacknowledged   ? Duration::zero()
+                                 : nonDurable     ? kNonDurableEndsPollDelay
+                                 : onlyLateStarts ? kLateStartPollDelay
+                                                  : kPollDelay);
   if (unacknowledged) {
     SendPoll(*worker, aNow); // the next tick may come too late to acknowledge them
   }
@@ -571,6 +578,7 @@
   for (const TaskRef& task : lost) {
     MarkAttemptLost(aWorker, task, aNow, "other_instance");
   }
+  m_fleet.RemoveLateStarts(aWorker, [](const LateStart&) { return true; });
   if (aWorker.m_attempts.empty()) {
     aWorker.m_leaseExpiresAt = std::min(aWorker.m_leaseExpiresAt, aNow);
   }
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -105,6 +105,7 @@
     return;
   }
   assert((*it)->m_attempts.empty() && "a worker with attempts must not be erased");
+  assert((*it)->m_lateStarts.empty() && "a worker with late starts must not be erased");
   if ((*it)->m_restarts > 0) {
     m_restartsOfRemoved[aId] = (*it)->m_restarts;
   }
@@ -243,6 +244,20 @@
   return aWorker.m_clockMs + static_cast<int64_t>(sinceMs) + ToMillis(m_limits.m_maxDuration);
 }
 
+void
+Fleet::AddLateStart(Worker& aWorker, const LateStart& aStart)
+{
+  aWorker.m_lateStarts.push_back(aStart);
+  m_lateStartsByTask[aStart.m_task].push_back(&aWorker);
+}
+
+const std::vector<Worker*>*
+Fleet::FindLateStarts(const TaskRef& aTask) const
+{
+  const auto it = m_lateStartsByTask.find(aTask);
+  return it == m_lateStartsByTask.end() ? nullptr : &it->second;
+}
+
 Instant
 Fleet::LatestLeaseExpiry(Instant aGrantedUntil) const
 {
--- a/lib/Scheduler/JobWait.cpp
+++ b/lib/Scheduler/JobWait.cpp
@@ -12,6 +12,7 @@
   { WaitCause::Unconfirmed, "unconfirmed" },
   { WaitCause::StoppingElsewhere, "stopping_elsewhere" },
   { WaitCause::AttemptNotRunning, "run_not_at_work" },
+  { WaitCause::StartMayFollow, "start_may_follow" },
   { WaitCause::GangIncomplete, "gang_incomplete" },
   { WaitCause::NoWorker, "no_worker" },
   { WaitCause::PassedOver, "passed_over" },
@@ -73,6 +74,7 @@
     case WaitCause::Recovering:
     case WaitCause::StoppingElsewhere:
     case WaitCause::AttemptNotRunning:
+    case WaitCause::StartMayFollow:
     case WaitCause::GangIncomplete:
       AddWorker(line, aWait.m_worker);
       break;
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -139,6 +139,9 @@
     for (const std::pair<const TaskRef, AttemptState>& taskEntry : worker->m_attempts) {
       placements.m_tasks.push_back({ name, taskEntry.first });
     }
+    for (const LateStart& start : worker->m_lateStarts) {
+      placements.m_tasks.push_back({ name, start.m_task });
+    }
     for (const NonDurableEnd& end : worker->m_nonDurableEnds) {
       placements.m_tasks.push_back({ name, end.m_task });
     }
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -231,8 +231,8 @@
 {
   // Only a response restores contact, so a worker that may receive work again is polled until then.
   const bool outOfContact = aWorker.m_registered && aWorker.m_failedPolls > 0;
-  return !aWorker.m_attempts.empty() || !aWorker.m_polled || aWorker.m_statusStale ||
-         outOfContact || !aWorker.m_endsComplete ||
+  return !aWorker.m_attempts.empty() || !aWorker.m_lateStarts.empty() || !aWorker.m_polled ||
+         aWorker.m_statusStale || outOfContact || !aWorker.m_endsComplete ||
          aWorker.m_endsDurable > aWorker.m_endsAcknowledged;
 }
 
@@ -284,10 +284,12 @@
     if (!worker->m_attempts.empty() && aNow >= worker->m_leaseExpiresAt) {
       MarkAttemptsExpired(*worker, aNow);
     }
+    ExpireLateStarts(*worker, aNow);
     // A worker that was read in full runs exactly the attempts in m_attempts, and holds no end of
     // another one, so no lease needs to expire first.
     const bool allKnown = worker->m_readInFull && worker->m_endsComplete;
-    const bool idle = worker->m_attempts.empty() && (allKnown || aNow >= worker->m_leaseExpiresAt);
+    const bool idle = worker->m_attempts.empty() && worker->m_lateStarts.empty() &&
+                      (allKnown || aNow >= worker->m_leaseExpiresAt);
     if (idle && !worker->m_registered && worker->m_nonDurableEnds.empty()) {
       removable.push_back(worker->m_report.m_id);
     }
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -253,10 +253,17 @@
       ReportTasks(&WaitingReport::AddStopping, aWaiting, 1, aNow);
       continue;
     }
+    const std::vector<Worker*>* lateStarters = m_fleet.FindLateStarts(ref);
+    Worker* worker =
+      lateStarters ? ChooseLateStarter(aWaiting, i, *lateStarters, aRequest, aNow) : nullptr;
+    if (lateStarters && !worker && !MayStartBesideLateStart(aWaiting, i, aNow)) {
+      ReportTasks(&WaitingReport::AddStopping, aWaiting, 1, aNow);
+      continue;
+    }
     if (!ranking) {
       ranking.emplace(m_availableWorkers, aRequest);
     }
-    Worker* worker = ranking->TakeBest(task.m_avoidedWorker);
+    worker = worker ? worker : ranking->TakeBest(task.m_avoidedWorker);
     const bool lastResort = !worker && MayUseLastResort(aWaiting, i, aNow);
     if (lastResort) {
       worker =
@@ -275,7 +282,7 @@
     }
     siblings.push_back(worker);
     // The job is no longer idle, and a first sibling sets the preferred rack.
-    const bool changesAll = lastResort || aRequest.m_mayInterfere ||
+    const bool changesAll = lastResort || lateStarters || aRequest.m_mayInterfere ||
                             (aRequest.m_step->m_sameRack && siblings.size() == 1);
     aRequest.m_mayInterfere = false;
     if (changesAll) {
@@ -333,7 +340,9 @@
       ReportTasks(&WaitingReport::AddRecovering, aWaiting, record.m_waiting, aNow);
       return;
     }
-    if (m_fleet.HasAttempt(ref)) {
+    const bool lateStart =
+      m_fleet.FindLateStarts(ref) && !MayStartBesideLateStart(aWaiting, i, aNow);
+    if (m_fleet.HasAttempt(ref) || lateStart) {
       ReportTasks(&WaitingReport::AddStopping, aWaiting, record.m_waiting, aNow);
       return;
     }
@@ -389,6 +398,7 @@
   attempt.m_targetMs = step.m_targetMs;
   attempt.m_image = m_interference.Intern(step.m_image);
   attempt.m_startedAt = aNow;
+  attempt.m_startPending = true;
   attempt.m_hasValidDuration = task.m_checkpoint.empty();
   attempt.m_phaseSince = aNow;
   attempt.m_progressedAt = aNow;
--- a/lib/Scheduler/TaskWaits.cpp
+++ b/lib/Scheduler/TaskWaits.cpp
@@ -234,6 +234,11 @@
                                                                      : WaitCause::AttemptNotRunning;
     return true;
   }
+  if (const std::vector<Worker*>* lateStarters = m_fleet.FindLateStarts(aWait.m_task)) {
+    aWait.m_worker = DescribeWorker(*lateStarters->front(), aWait.m_task, aNow);
+    aWait.m_cause = WaitCause::StartMayFollow;
+    return true;
+  }
   const size_t members =
     StepOf(aWaiting.m_step).m_gang ? StepOf(aWaiting.m_step).m_count : size_t{ 0 };
   for (size_t i = 0; i < members; ++i) {
--- a/lib/Scheduler/WorkerCalls.cpp
+++ b/lib/Scheduler/WorkerCalls.cpp
@@ -61,9 +61,15 @@
   }
   Worker* worker = m_fleet.Find(aId);
   AttemptState* attempt = FindAttempt(worker, aTask, aAttempt);
+  const bool unknown =
+    aResult == WorkerCallResult::NoResponse || aResult == WorkerCallResult::LinkLost;
+  if (worker && !unknown) {
+    ForgetLateStart(*worker, aTask, aAttempt);
+  }
   if (!attempt) {
     return; // its end was reported before the response arrived
   }
+  attempt->m_startPending = unknown;
   Job* job = m_jobs.Find(aTask.m_job);
   if (job && aResult == WorkerCallResult::Accepted) {
     RecordBegun(*job);
@@ -85,7 +91,7 @@
   }
   LogAttempt("start_failed", *worker, aTask, aAttempt, NameOf(aResult));
   worker->m_nextPollAt = std::min(worker->m_nextPollAt, aNow);
-  if (aResult == WorkerCallResult::NoResponse || aResult == WorkerCallResult::LinkLost) {
+  if (unknown) {
     attempt->m_phase = AttemptPhase::Unconfirmed;
     attempt->m_phaseSince = aNow;
     if (aResult == WorkerCallResult::NoResponse) {
--- a/unittests/Scheduler/LateCallsTest.cpp
+++ b/unittests/Scheduler/LateCallsTest.cpp
@@ -44,6 +44,54 @@
   CHECK_FALSE(world.m_steppedDown);
 }
 
+// Guards against a task that runs twice: its first start, which the process before was told to
+// stop, is executed by the next one while another worker runs the task (TWICE).
+TEST_CASE("a task whose start got no response starts again where that start would be executed")
+{
+  const bool lasts = GENERATE(true, false);
+  CAPTURE(lasts);
+  ContactWorld world;
+  world.m_incarnations["a"] = 1000;
+  world.RegisterWorker("a", 1000);
+  world.Advance(seconds(1));
+  world.m_ordersLost.insert("a");
+  if (lasts) {
+    world.SubmitLongRunning(1, 5000);
+  } else {
+    world.SubmitOneMinute(1, 5000);
+  }
+  world.Advance(milliseconds(40));
+  world.m_ordersLost.clear(); // the stop is confirmed
+  world.RegisterWorker("b", 1000);
+  world.Advance(seconds(3));
+  CHECK(IsRunning(world, "a", 1));
+  CHECK_FALSE(IsRunning(world, "b", 1));
+}
+
+// Guards against a task that waits for a worker that may execute its start late, while nothing
+// else of its job runs (LOST).
+TEST_CASE("a task starts elsewhere if the worker that may execute its start late has no room")
+{
+  const bool lasts = GENERATE(true, false);
+  CAPTURE(lasts);
+  ContactWorld world;
+  world.m_incarnations["a"] = 1000;
+  world.RegisterWorker("a", 1000);
+  world.Advance(seconds(1));
+  world.m_ordersLost.insert("a");
+  if (lasts) {
+    world.SubmitLongRunning(1, 5000);
+  } else {
+    world.SubmitOneMinute(1, 5000);
+  }
+  world.Advance(milliseconds(40));
+  world.m_ordersLost.clear();
+  world.RegisterWorker("a", 1000, ContactWorld::kAddress, true); // it drains
+  world.RegisterWorker("b", 1000);
+  world.Advance(seconds(3));
+  CHECK(IsRunning(world, "b", 1));
+}
+
 namespace {
 
 /// A leader with the worker "w" of incarnation 1, and the calls that it makes.
