Use a worker's labels only if its entry is of the process that responds

Cause: the leader learns of the restart from the worker's response, and of the labels from the directory's entry, up to 0.4 s later. In between it went by the labels of the process before.

Change: a required label matches only if the entry is not older than the process that has responded. Entries without a time or far ahead count as before.

Conclusion: starts sent before the first response remain, as for all late calls.

--- a/lib/Scheduler/Packing.cpp
+++ b/lib/Scheduler/Packing.cpp
@@ -258,11 +258,24 @@
   return aWorker.m_used.m_cpuMilli + demand <= aWorker.m_report.m_capacity.m_cpuMilli;
 }
 
+/// Returns whether the directory's entry was written by an earlier process than the one that has
+/// responded last. That may be of another kind.
+static bool
+IsEntryOutdated(const Worker& aWorker)
+{
+  return aWorker.m_report.m_incarnation != 0 &&
+         aWorker.m_report.m_incarnation < aWorker.m_incarnation;
+}
+
 static bool
 HasLabel(const Worker& aWorker, const std::string& aLabel)
 {
+  if (aLabel.empty()) {
+    return true;
+  }
   const std::vector<std::string>& labels = aWorker.m_report.m_labels;
-  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+  return !IsEntryOutdated(aWorker) &&
+         std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
 static size_t
--- a/unittests/Scheduler/PackingTest.cpp
+++ b/unittests/Scheduler/PackingTest.cpp
@@ -193,3 +193,29 @@
   request.m_step = &large;
   CHECK(FindObstacle(worker, request) == Obstacle::Interference);
 }
+
+// Guards against tasks on a worker that has come back as another kind: the leader knew from its
+// response that the process is new, and went by the labels of the one before (ROUTE).
+TEST_CASE("a worker's labels do not count until its entry is of the process that responds")
+{
+  Fleet fleet{ LeaseLimits() };
+  Worker& worker = AddWorker(fleet, "w1");
+  const ImageInterferenceModel model;
+  GraphStep step;
+  step.m_demand = { 1000, 1000, 0 };
+  step.m_label = "a";
+  const PlacementRequest labelled = RequestFor(step, model, 0);
+  worker.m_report.m_incarnation = 1000;
+  worker.m_incarnation = 1000;
+  CHECK(FindObstacle(worker, labelled) == Obstacle::None);
+  worker.m_incarnation = 2000; // it has restarted
+  CHECK(FindObstacle(worker, labelled) == Obstacle::LabelMismatch);
+  worker.m_report.m_incarnation = 2000;
+  CHECK(FindObstacle(worker, labelled) == Obstacle::None);
+
+  // An entry by another writer, far ahead, takes no worker out of use, nor does one without a time.
+  worker.m_report.m_incarnation = int64_t{ 1 } << 60;
+  CHECK(FindObstacle(worker, labelled) == Obstacle::None);
+  worker.m_report.m_incarnation = 0;
+  CHECK(FindObstacle(worker, labelled) == Obstacle::None);
+}
