--- a/unittests/Soak/SoakWorld.h
+++ b/unittests/Soak/SoakWorld.h
@@ -45,6 +45,9 @@
   /// Ends all troubles, lets all jobs finish and checks their states.
   void Settle();
 
+  /// Runs \p aCallback after \p aDelay.
+  void After(Duration aDelay, const std::function<void()>& aCallback);
+
   // Troubles. Each ends by itself.
 
   /// Stops the processes and lets them go on after \p aTime.
@@ -111,7 +114,6 @@
   void OnAppended(const std::string& aTopic, const KeyedRecord& aRecord);
   PathMode FindPath(const WorkerName& aWorker, uint64_t aFence);
   bool AllReady();
-  void After(Duration aDelay, const std::function<void()>& aCallback);
   void Every(Duration aInterval, const std::function<void()>& aCallback);
   void Tick();
   void WriteEntries();
--- a/unittests/Soak/Troubles.cpp
+++ b/unittests/Soak/Troubles.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-static constexpr EnumTable<TroubleKind, 10> kTroubleNames{ {
+static constexpr EnumTable<TroubleKind, 11> kTroubleNames{ {
   { TroubleKind::Store, "store" },
   { TroubleKind::Paths, "paths" },
   { TroubleKind::Worker, "worker" },
@@ -21,12 +21,14 @@
   { TroubleKind::Reload, "reload" },
   { TroubleKind::CutOff, "cut-off" },
   { TroubleKind::CutZone, "cut-zone" },
+  { TroubleKind::RestartWorkers, "restart-workers" },
 } };
 
 static constexpr uint64_t kMinTroubleMs = 300;
 static constexpr uint64_t kTroubleRangeMs = 9000;
 static constexpr Duration kMaxSuspension = seconds(4);
 static constexpr Duration kMaxStarvation = seconds(5);
+static constexpr uint64_t kMaxTimeBeforeCutMs = 2500; // of a worker that has restarted
 static constexpr Duration kExtraCutTime = seconds(6); // a cut that matters outlasts leases
 
 Expected<std::vector<TroubleKind>>
@@ -140,6 +142,18 @@
   }
 }
 
+static void
+RestartWorkers(SoakWorld& aWorld, Duration aTime)
+{
+  const std::vector<size_t> workers = DrawSome(aWorld.m_random, aWorld.CountWorkers());
+  aWorld.Record("workers" + Describe(workers));
+  for (const size_t worker : workers) {
+    aWorld.RestartWorker(worker);
+    const Duration beforeCut = milliseconds(aWorld.m_random.Below(kMaxTimeBeforeCutMs));
+    aWorld.After(beforeCut, [&aWorld, worker, aTime] { aWorld.MakeUnreachable(worker, aTime); });
+  }
+}
+
 static void
 CutZone(SoakWorld& aWorld, Duration aTime)
 {
@@ -195,6 +209,9 @@
     case TroubleKind::CutZone:
       CutZone(aWorld, time);
       return;
+    case TroubleKind::RestartWorkers:
+      RestartWorkers(aWorld, time);
+      return;
     default:
       DisturbInstances(aWorld, kind, time);
   }
--- a/unittests/Soak/Troubles.h
+++ b/unittests/Soak/Troubles.h
@@ -19,6 +19,7 @@
   Reload,    ///< Instances are told that their settings have changed.
   CutOff,    ///< Instances are cut off from the others, but not from the store and the workers.
   CutZone,   ///< A zone is cut off from the others and the store; often that of the leader.
+  RestartWorkers, ///< Workers restart under their ids, and are cut off soon after.
 };
 
 /// Parses names that are separated by commas; "all" stands for all. Errors: bad_input.
--- a/unittests/Soak/WorkerStandin.cpp
+++ b/unittests/Soak/WorkerStandin.cpp
@@ -79,6 +79,7 @@
 WorkerStandin::Restart(Instant aNow)
 {
   m_model.Restart(aNow);
+  m_backlogUntil = m_model.m_unreachableUntil;
   m_waiting.clear();
   m_silenced.clear();
 }
@@ -104,6 +105,16 @@
   const std::string expected(aRequest["Expect-Instance"].data(),
                              aRequest["Expect-Instance"].size());
   if (m_model.m_unreachableUntil > BootClockNow()) {
+    if (m_backlogUntil == m_model.m_unreachableUntil) {
+      const std::shared_ptr<boost::asio::steady_timer> timer =
+        std::make_shared<boost::asio::steady_timer>(m_io, m_backlogUntil - BootClockNow());
+      timer->async_wait([this, timer, aRequest, aReply](boost::system::error_code aError) {
+        if (!aError) {
+          Handle(aRequest, aReply);
+        }
+      });
+      return;
+    }
     m_silenced.push_back(aReply);
     return;
   }
@@ -169,12 +180,11 @@
     const std::shared_ptr<boost::asio::steady_timer> timer =
       std::make_shared<boost::asio::steady_timer>(
         m_io, std::chrono::milliseconds(kMinLatenessMs + m_random.Below(range)));
-    timer->async_wait(
-      [this, timer, aCall, incarnation = Report().m_incarnation](boost::system::error_code aError) {
-        if (!aError && incarnation == Report().m_incarnation) {
-          aCall(true, nullptr);
-        }
-      });
+    timer->async_wait([timer, aCall](boost::system::error_code aError) {
+      if (!aError) {
+        aCall(true, nullptr); // also by a process that has been started since
+      }
+    });
   } else if (path == PathMode::Late) {
     m_silenced.pop_back();
     aCall(false, aReply);
--- a/unittests/Soak/WorkerStandin.h
+++ b/unittests/Soak/WorkerStandin.h
@@ -46,7 +46,8 @@
   /// Lets tasks end and leases expire, and answers polls that wait for that.
   void Advance(Instant aNow);
 
-  /// Lets the process end, and start again under its name.
+  /// Lets the process end, and start again under its name. The new process executes the calls that
+  /// arrive in between, as from the backlog of a socket that outlives it.
   void Restart(Instant aNow);
 
   /// Returns its entry of the directory.
@@ -90,6 +91,7 @@
   std::vector<WaitingPoll> m_waiting;
   std::vector<std::shared_ptr<HttpReply>> m_silenced; ///< Kept open without a response.
   uint64_t m_calls = 0;
+  Instant m_backlogUntil; ///< Until then, calls wait for the process that is starting.
 };
 
 } // namespace egretturn::soak
