--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -310,16 +310,6 @@
   void RemoveLostAttempts(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
   void MarkAttemptLost(Worker& aWorker, const TaskRef& aTask, Instant aNow, const char* aCause);
   void MarkAllAttemptsLost(Worker& aWorker, Instant aNow, const char* aCause);
-  /// Returns whether a response of \p aIncarnation is valid. A response that is older than the
-  /// directory's entry may predate a restart, so it is valid only once the worker repeats it.
-  static bool IsCurrentIncarnation(Worker& aWorker, int64_t aIncarnation);
-  /// Records the incarnation that has responded, and resets the counters of an earlier one.
-  static void SetIncarnation(Worker& aWorker, int64_t aIncarnation);
-  /// Handles the first response of a process that was started in place of the one before: raises
-  /// the fence of its calls, and polls it again.
-  void OnWorkerRestarted(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
-  /// Handles that another process has responded at the last address of \p aWorker.
-  void OnWorkerGone(Worker& aWorker, Instant aNow);
   static void LogAttempt(const char* aEvent,
                          const Worker& aWorker,
                          const TaskRef& aTask,
@@ -344,6 +334,18 @@
   /// The same for any task of the step.
   bool MayUseLastResort(const WaitingStep& aWaiting, Instant aNow);
 
+  // WorkerRestarts.cpp
+  /// Returns whether a response of \p aIncarnation is valid. A response that is older than the
+  /// directory's entry may predate a restart, so it is valid only once the worker repeats it.
+  static bool IsCurrentIncarnation(Worker& aWorker, int64_t aIncarnation);
+  /// Records the incarnation that has responded, and resets the counters of an earlier one.
+  static void SetIncarnation(Worker& aWorker, int64_t aIncarnation);
+  /// Handles the first response of a process that was started in place of the one before: raises
+  /// the fence of its calls, and polls it again.
+  void OnWorkerRestarted(Worker& aWorker, const WorkerStatus& aStatus, Instant aNow);
+  /// Handles that another process has responded at the last address of \p aWorker.
+  void OnWorkerGone(Worker& aWorker, Instant aNow);
+
   // LateStarts.cpp
   /// Holds the task if the start of \p aLost, which is given up, may be executed by a process that
   /// replaces \p aWorker's.
