Answer a cancel of an unknown job only once no other leader can have accepted it

Cause: 'no such job' was said for 1.8 s after the last confirmation; a successor may accept jobs after 1.3 s.

Change: such a cancel waits for a confirmation that was asked for after it came, and is then answered 410, or cancels the job if that has come. After 1 s without one it is answered 504, so that the caller asks another instance.

Conclusion: an answer that denies a job needs a confirmation younger than the request.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -126,7 +126,8 @@
   void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
 
   /// Cancels a job; the result follows as a CompleteRequest action once the cancellation is
-  /// durable.
+  /// durable. That there is no such job is said once the store has confirmed that no other leader
+  /// can have accepted it before the request came; Unknown if that takes too long.
   void Cancel(RequestToken aRequest, GraphId aId, Instant aNow, int64_t aWallMs);
 
   /// Returns the state reported to callers, or nothing for an unknown job.
@@ -187,6 +188,11 @@
   /// so, too.
   void OnConfirmed(Instant aSince, Instant aNow);
 
+  /// Answers Unknown to requests to cancel unknown jobs that have waited for a confirmation for too
+  /// long, so that the callers try another instance. Call regularly, also while Tick() is not due
+  /// because there is no evidence that this leader leads.
+  void ExpireUnconfirmedCancels(Instant aNow);
+
   /// Sets whether the store accepts appends. While it does not, new jobs are refused immediately.
   void SetStoreAvailable(bool aAvailable) { m_storeAvailable = aAvailable; }
 
@@ -273,6 +279,14 @@
     std::optional<WaitingTask> m_longRunning;  ///< The longest wait of a long-running one.
   };
 
+  /// A request to cancel a job that is not known here.
+  struct UnconfirmedCancel
+  {
+    RequestToken m_request;
+    GraphId m_id;
+    Instant m_receivedAt;
+  };
+
   /// A job as written in the batch in flight.
   struct BatchedJob
   {
@@ -501,6 +515,9 @@
   KeyedRecord PackModels() const;
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
+  /// Handles the requests to cancel unknown jobs for which the last confirmation is recent enough.
+  void CompleteUnconfirmedCancels(Instant aNow);
+
   // Recovery.cpp
   void CheckRecovery(Instant aNow);
   /// Logs which workers the recovery waits for, if a report is due.
@@ -570,6 +587,7 @@
   uint64_t m_batch = 0;
   uint64_t m_pollNumber = 0;
   bool m_batchInFlight = false;
+  std::vector<UnconfirmedCancel> m_unconfirmedCancels;
   Instant m_confirmedSince;             ///< Nobody else had claimed the leadership then.
   Instant m_confirmedAt;                ///< When that was learned.
   bool m_confirmationUnused = false;    ///< It was requested, and no placement pass has run since.
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -247,6 +247,7 @@
     m_scheduler.OnConfirmed(m_authority.ConfirmedSince(), now);
     m_scheduler.Tick(now, WallNowMs());
   }
+  m_scheduler.ExpireUnconfirmedCancels(now);
   ExecuteActions();
   if (m_stopped) {
     return;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -468,11 +468,6 @@
     return;
   }
   if (aOperation == PeerOperation::Cancel) {
-    const std::optional<JobState> known = m_session->StateOf(message.m_id);
-    if (!known) {
-      ServeState(message.m_id, aDone);
-      return;
-    }
     const RequestToken token = m_nextRequest++;
     m_requests.emplace(token, std::move(aDone));
     m_session->Cancel(token, message.m_id);
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -9,6 +9,8 @@
 
 namespace egretturn {
 
+// A leader renews its claim each 0.4 s, so it has probably lost the store or a successor by then.
+static constexpr Duration kMaxUnconfirmedTime = std::chrono::milliseconds(1000);
 static constexpr Duration kUrgentBatchInterval = std::chrono::milliseconds(10);
 static constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
 static constexpr Duration kModelsWriteInterval = std::chrono::seconds(3);
@@ -412,6 +414,7 @@
   }
   m_confirmedSince = aSince;
   m_confirmedAt = aNow;
+  CompleteUnconfirmedCancels(aNow);
   if (std::exchange(m_confirmationRequested, false)) {
     m_confirmationUnused = true;
     m_placementNeeded = true;
@@ -419,6 +422,36 @@
   }
 }
 
+void
+Scheduler::CompleteUnconfirmedCancels(Instant aNow)
+{
+  std::vector<UnconfirmedCancel> waiting;
+  for (const UnconfirmedCancel& cancel : std::exchange(m_unconfirmedCancels, {})) {
+    if (cancel.m_receivedAt > m_confirmedSince) {
+      waiting.push_back(cancel); // another leader may have accepted the job since
+    } else if (m_jobs.Find(cancel.m_id)) {
+      Cancel(cancel.m_request, cancel.m_id, aNow, m_wallMs);
+    } else {
+      Emit(CompleteRequest{ cancel.m_request, SubmitResult::NoSuchJob });
+    }
+  }
+  m_unconfirmedCancels = std::move(waiting);
+}
+
+void
+Scheduler::ExpireUnconfirmedCancels(Instant aNow)
+{
+  std::vector<UnconfirmedCancel>& cancels = m_unconfirmedCancels;
+  const auto expired =
+    std::stable_partition(cancels.begin(), cancels.end(), [&](const UnconfirmedCancel& aCancel) {
+      return aNow - aCancel.m_receivedAt < kMaxUnconfirmedTime;
+    });
+  for (auto it = expired; it != cancels.end(); ++it) {
+    Emit(CompleteRequest{ it->m_request, SubmitResult::Unknown });
+  }
+  cancels.erase(expired, cancels.end());
+}
+
 void
 Scheduler::SetEndsDurable(Worker& aWorker, uint64_t aNumber)
 {
