--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -119,9 +119,6 @@
       }
       boost::system::error_code ignored;
       self->m_stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-      // Closing resets the connection. After an orderly close, the kernel would go on sending a
-      // request that has timed out, for example to a process that was started at the address since.
-      self->m_stream->socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
       self->Write();
     });
   }
