Keep state only for the tasks that have started

Cause: what callers saw: one instance after the other ended, with a few small jobs in the store. A job of 3.5 KB may have 64 steps of 4,096 tasks, and JobRegistry made the state of each task (128 bytes) as soon as the job was due; each next leader did so again. Change: TaskTable keeps a record for a task only while something is known of it, and one bit for a task that is done. Conclusion: memory follows what has started, not what a caller writes down.

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -2,40 +2,25 @@
 #pragma once
 
 #include "egretturn/Scheduler/Durations.h"
-#include "egretturn/Scheduler/Fleet.h"
+#include "egretturn/Scheduler/TaskTable.h"
 
 #include <map>
 #include <unordered_map>
 
 namespace egretturn {
 
-/// An attempt of a task, and the worker that it occupies.
-struct LiveAttempt
-{
-  Worker* m_worker = nullptr;
-  AttemptNumber m_attempt = 0;
-};
-
-/// The scheduling state of one task.
-struct TaskRecord
-{
-  bool m_done = false;
-  uint32_t m_starts = 0;               ///< Starts under the current epoch; numbers the attempts.
-  std::vector<LiveAttempt> m_attempts; ///< More than one only for steps with speculative attempts.
-  std::vector<AttemptNumber> m_failedAttempts;
-  std::string m_checkpoint;
-  const Worker* m_avoidedWorker = nullptr; ///< Where it failed or was lost; never dereferenced.
-  Instant m_nextLastResortAt;              ///< It starts on an avoided or slow worker no earlier.
-  std::optional<Instant> m_putOffSince;    ///< Since when it waits for a near place.
-  Instant m_lastRanAt; ///< When an attempt that has left, or is to leave, was last known to run.
-};
-
 /// The tasks of one step, and how many of them are done or waiting.
 struct StepRecord
 {
-  std::vector<TaskRecord> m_tasks;
+  explicit StepRecord(uint32_t aTasks)
+    : m_tasks(aTasks)
+    , m_waiting(aTasks)
+  {
+  }
+
+  TaskTable m_tasks;
   uint32_t m_done = 0;
-  uint32_t m_waiting = 0; ///< Tasks that are not done and have no live attempt.
+  uint32_t m_waiting; ///< Tasks that are not done and have no live attempt.
 };
 
 /// The steps of one occurrence; empty once it is complete.
@@ -103,8 +88,17 @@
   /// opened; opens none if the job has no occurrence \p aNumber.
   bool OpenThrough(Job& aJob, uint32_t aNumber);
 
-  /// Returns the task, or nullptr if the job has no such open occurrence, step or index.
-  static TaskRecord* FindTask(Job& aJob, const TaskRef& aTask);
+  /// Returns the step, or nullptr if the job has no such open occurrence or step, or the step no
+  /// such task.
+  static StepRecord* FindStepOf(Job& aJob, const TaskRef& aTask);
+
+  /// Returns the record of the task to change it, or nullptr like FindStepOf().
+  static TaskRecord* EditTask(Job& aJob, const TaskRef& aTask);
+
+  /// Drops the record of the task if it is done and has no attempts. References to it are invalid
+  /// from then on.
+  static void ReleaseTask(Job& aJob, const TaskRef& aTask);
+
   static OccurrenceRecord* FindOccurrence(Job& aJob, uint32_t aNumber);
 
   /// Returns whether all tasks of an occurrence are done that is not marked as complete yet.
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -71,10 +71,13 @@
 Scheduler::RecordRun(const TaskRef& aTask, Instant aAt)
 {
   Job* job = m_jobs.Find(aTask.m_job);
-  TaskRecord* task = job ? JobRegistry::FindTask(*job, aTask) : nullptr;
-  if (task) {
+  StepRecord* step = job ? JobRegistry::FindStepOf(*job, aTask) : nullptr;
+  if (!step) {
+    return;
+  }
+  job->m_lastRanAt = std::max(job->m_lastRanAt, aAt);
+  if (TaskRecord* task = step->m_tasks.Find(aTask.m_index)) {
     task->m_lastRanAt = std::max(task->m_lastRanAt, aAt);
-    job->m_lastRanAt = std::max(job->m_lastRanAt, aAt);
   }
 }
 
@@ -102,8 +105,8 @@
 CloseOccurrence(Job& aJob, OccurrenceRecord& aOccurrence)
 {
   for (const StepRecord& step : aOccurrence.m_steps) {
-    for (const TaskRecord& task : step.m_tasks) {
-      aJob.m_liveAttempts -= static_cast<uint32_t>(task.m_attempts.size());
+    for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
+      aJob.m_liveAttempts -= static_cast<uint32_t>(taskEntry.second.m_attempts.size());
     }
   }
   aOccurrence.m_complete = true;
@@ -232,6 +235,7 @@
     return;
   }
   ApplyAttemptEnd(*job, *task, aReported, aWorker, aNow);
+  JobRegistry::ReleaseTask(*job, aReported.m_task);
   if (aReported.m_end == AttemptEnd::Done) {
     CompleteGang(*job, aReported.m_task, aNow);
   }
@@ -248,9 +252,10 @@
   TaskRef member = aDone;
   for (size_t i = 0; i < members && !IsEnded(aJob.m_state); ++i) {
     member.m_index = static_cast<uint16_t>(i);
-    TaskRecord* record = JobRegistry::FindTask(aJob, member);
-    if (record && !record->m_done) {
-      ApplyTaskDone(aJob, *record, member, aNow);
+    StepRecord* record = JobRegistry::FindStepOf(aJob, member);
+    if (record && !record->m_tasks[i].m_done) {
+      ApplyTaskDone(aJob, record->m_tasks.Edit(i), member, aNow);
+      JobRegistry::ReleaseTask(aJob, member);
     }
   }
 }
@@ -275,7 +280,7 @@
     m_waitingJobs.insert(aTask.m_job);
     m_placementNeeded = true;
   }
-  return JobRegistry::FindTask(*aJob, aTask);
+  return JobRegistry::EditTask(*aJob, aTask);
 }
 
 void
@@ -316,6 +321,9 @@
     RecordBegun(*job);
   }
   if (!needed) {
+    if (task) {
+      JobRegistry::ReleaseTask(*job, aReported.m_task);
+    }
     StopAttempt(aWorker, aReported.m_task, aNow);
     return;
   }
@@ -359,7 +367,8 @@
     return;
   }
   Job* job = m_jobs.Find(aReported.m_task.m_job);
-  TaskRecord* task = job ? JobRegistry::FindTask(*job, aReported.m_task) : nullptr;
+  StepRecord* step = job ? JobRegistry::FindStepOf(*job, aReported.m_task) : nullptr;
+  TaskRecord* task = step ? step->m_tasks.Find(aReported.m_task.m_index) : nullptr;
   if (task && !task->m_done) {
     task->m_checkpoint = aReported.m_checkpoint; // written with the next end or stop of the job
   }
@@ -380,9 +389,10 @@
   if (!job || IsEnded(job->m_state)) {
     return;
   }
-  if (TaskRecord* task = JobRegistry::FindTask(*job, aTask)) {
+  if (TaskRecord* task = JobRegistry::EditTask(*job, aTask)) {
     task->m_avoidedWorker = &aWorker;
     DetachAttempt(*job, aTask, *task, aWorker, attempt, aNow);
+    JobRegistry::ReleaseTask(*job, aTask);
     m_waitingJobs.insert(aTask.m_job);
   }
 }
--- a/lib/Scheduler/Avoidance.cpp
+++ b/lib/Scheduler/Avoidance.cpp
@@ -82,14 +82,20 @@
 bool
 Scheduler::MayUseLastResort(const WaitingStep& aWaiting, Instant aNow)
 {
-  const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
-    const TaskRecord& task = record.m_tasks[i];
-    if (!task.m_done && task.m_attempts.empty() && MayUseLastResort(aWaiting, i, aNow)) {
-      return true;
-    }
+  if (LastResortOf(StepOf(aWaiting)).empty()) {
+    return false;
+  }
+  const TaskTable& tasks = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_tasks;
+  const std::optional<size_t> untouched = tasks.FirstUntouched();
+  if (untouched && MayUseLastResort(aWaiting, *untouched, aNow)) {
+    return true;
   }
-  return false;
+  return std::any_of(tasks.GetRecords().begin(),
+                     tasks.GetRecords().end(),
+                     [&](const TaskTable::Records::value_type& aEntry) {
+                       return !aEntry.second.m_done && aEntry.second.m_attempts.empty() &&
+                              MayUseLastResort(aWaiting, aEntry.first, aNow);
+                     });
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Consistency.cpp
+++ b/lib/Scheduler/Consistency.cpp
@@ -32,10 +32,12 @@
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const StepRecord& step = aOccurrence.m_steps[s];
     TaskRef ref{ aJob.m_stored.m_id, aOccurrence.m_number, static_cast<uint16_t>(s), 0 };
-    const ptrdiff_t waiting = std::count_if(step.m_tasks.begin(), step.m_tasks.end(), IsWaiting);
-    const ptrdiff_t done = std::count_if(step.m_tasks.begin(),
-                                         step.m_tasks.end(),
-                                         [](const TaskRecord& aTask) { return aTask.m_done; });
+    size_t waiting = step.m_tasks.CountUntouched();
+    size_t done = step.m_tasks.CountReleased();
+    for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
+      waiting += IsWaiting(taskEntry.second) ? 1 : 0;
+      done += taskEntry.second.m_done ? 1 : 0;
+    }
     if (waiting != step.m_waiting) {
       aFound.push_back("a step counts other tasks as waiting: " + FormatTaskRef(ref));
     }
@@ -45,9 +47,9 @@
     if (waiting > 0 && aJob.m_durable && m_waitingJobs.count(aJob.m_stored.m_id) == 0) {
       aFound.push_back("no placement pass will find a waiting task: " + FormatTaskRef(ref));
     }
-    for (size_t i = 0; i < step.m_tasks.size(); ++i) {
-      ref.m_index = static_cast<uint16_t>(i);
-      if (!AreAttemptsOnWorkers(step.m_tasks[i], ref)) {
+    for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
+      ref.m_index = taskEntry.first;
+      if (!AreAttemptsOnWorkers(taskEntry.second, ref)) {
         aFound.push_back("a task has an attempt that its worker has not: " + FormatTaskRef(ref));
       }
     }
@@ -61,8 +63,8 @@
   for (const OccurrenceRecord& occurrence : aJob.m_occurrences) {
     CheckOccurrence(aJob, occurrence, aFound);
     for (const StepRecord& step : occurrence.m_steps) {
-      for (const TaskRecord& task : step.m_tasks) {
-        attempts += task.m_attempts.size();
+      for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
+        attempts += taskEntry.second.m_attempts.size();
       }
     }
   }
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -97,9 +97,7 @@
   occurrence.m_number = aNumber;
   occurrence.m_openedAt = aNow;
   for (const GraphStep& step : aJob.m_stored.m_graph.m_steps) {
-    StepRecord& record = occurrence.m_steps.emplace_back();
-    record.m_tasks.resize(step.m_count);
-    record.m_waiting = step.m_count;
+    occurrence.m_steps.emplace_back(step.m_count);
   }
   return occurrence;
 }
@@ -148,15 +146,30 @@
   return nullptr;
 }
 
-TaskRecord*
-JobRegistry::FindTask(Job& aJob, const TaskRef& aTask)
+StepRecord*
+JobRegistry::FindStepOf(Job& aJob, const TaskRef& aTask)
 {
   OccurrenceRecord* occurrence = FindOccurrence(aJob, aTask.m_occurrence);
   if (!occurrence || aTask.m_step >= occurrence->m_steps.size()) {
     return nullptr;
   }
   StepRecord& step = occurrence->m_steps[aTask.m_step];
-  return aTask.m_index < step.m_tasks.size() ? &step.m_tasks[aTask.m_index] : nullptr;
+  return aTask.m_index < step.m_tasks.size() ? &step : nullptr;
+}
+
+TaskRecord*
+JobRegistry::EditTask(Job& aJob, const TaskRef& aTask)
+{
+  StepRecord* step = FindStepOf(aJob, aTask);
+  return step ? &step->m_tasks.Edit(aTask.m_index) : nullptr;
+}
+
+void
+JobRegistry::ReleaseTask(Job& aJob, const TaskRef& aTask)
+{
+  if (StepRecord* step = FindStepOf(aJob, aTask)) {
+    step->m_tasks.Release(aTask.m_index);
+  }
 }
 
 bool
@@ -182,8 +195,8 @@
 ListWorkersOf(const StepRecord& aStep)
 {
   std::vector<const Worker*> workers;
-  for (const TaskRecord& task : aStep.m_tasks) {
-    for (const LiveAttempt& attempt : task.m_attempts) {
+  for (const TaskTable::Records::value_type& taskEntry : aStep.m_tasks.GetRecords()) {
+    for (const LiveAttempt& attempt : taskEntry.second.m_attempts) {
       workers.push_back(attempt.m_worker);
     }
   }
@@ -213,7 +226,7 @@
 
 /// Adds the progress of the tasks from \p aFirst to \p aEnd of the step \p aStep to \p aStored.
 static void
-DescribeTasks(const std::vector<TaskRecord>& aTasks,
+DescribeTasks(const TaskTable& aTasks,
               size_t aStep,
               size_t aFirst,
               size_t aEnd,
@@ -221,18 +234,17 @@
               StoredOccurrence& aStored)
 {
   aStored.m_done.resize(aStep + 1);
-  for (size_t i = aFirst; i < aEnd; ++i) {
-    const TaskRecord& task = aTasks[i];
-    const std::string checkpoint = aWithCheckpoints ? task.m_checkpoint : std::string();
-    if (task.m_done) {
-      aStored.m_done[aStep].push_back(static_cast<uint16_t>(i));
-    } else if (!task.m_failedAttempts.empty() || !checkpoint.empty()) {
+  aTasks.VisitKnown(aFirst, aEnd, [&](size_t aIndex, const TaskRecord& aTask) {
+    const std::string checkpoint = aWithCheckpoints ? aTask.m_checkpoint : std::string();
+    if (aTask.m_done) {
+      aStored.m_done[aStep].push_back(static_cast<uint16_t>(aIndex));
+    } else if (!aTask.m_failedAttempts.empty() || !checkpoint.empty()) {
       aStored.m_tasks.push_back({ static_cast<uint16_t>(aStep),
-                                  static_cast<uint16_t>(i),
-                                  task.m_failedAttempts,
+                                  static_cast<uint16_t>(aIndex),
+                                  aTask.m_failedAttempts,
                                   checkpoint });
     }
-  }
+  });
 }
 
 static StoredOccurrence
@@ -245,7 +257,7 @@
     return stored;
   }
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
-    const std::vector<TaskRecord>& tasks = aOccurrence.m_steps[s].m_tasks;
+    const TaskTable& tasks = aOccurrence.m_steps[s].m_tasks;
     DescribeTasks(tasks, s, 0, tasks.size(), aDetail == ProgressDetail::Full, stored);
   }
   return stored;
@@ -260,7 +272,7 @@
   for (const OccurrenceRecord& occurrence : aJob.m_occurrences) {
     first.m_occurrence = occurrence.m_number;
     for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      const std::vector<TaskRecord>& tasks = occurrence.m_steps[s].m_tasks;
+      const TaskTable& tasks = occurrence.m_steps[s].m_tasks;
       first.m_step = static_cast<uint16_t>(s);
       for (size_t i = 0; i < tasks.size(); i += aTasks) {
         first.m_index = static_cast<uint16_t>(i);
@@ -316,8 +328,7 @@
     StepRecord& step = aOccurrence.m_steps[s];
     for (uint16_t index : aStored.m_done[s]) {
       if (index < step.m_tasks.size() && !step.m_tasks[index].m_done) {
-        step.m_tasks[index].m_done = true;
-        step.m_tasks[index].m_checkpoint.clear();
+        step.m_tasks.MarkDone(index);
         ++step.m_done;
         --step.m_waiting;
       }
@@ -327,7 +338,7 @@
     const bool known = stored.m_step < aOccurrence.m_steps.size() &&
                        stored.m_index < aOccurrence.m_steps[stored.m_step].m_tasks.size();
     if (known) {
-      MergeTask(aOccurrence.m_steps[stored.m_step].m_tasks[stored.m_index], stored);
+      MergeTask(aOccurrence.m_steps[stored.m_step].m_tasks.Edit(stored.m_index), stored);
     }
   }
 }
--- a/lib/Scheduler/LongRunningMoves.cpp
+++ b/lib/Scheduler/LongRunningMoves.cpp
@@ -45,16 +45,16 @@
 uint32_t
 CountUnavailable(const StepRecord& aStep, const TaskRef& aTask, Instant aNow)
 {
-  uint32_t unavailable = 0;
+  uint32_t unavailable = static_cast<uint32_t>(aStep.m_tasks.size());
   TaskRef ref = aTask;
-  for (size_t i = 0; i < aStep.m_tasks.size(); ++i) {
-    ref.m_index = static_cast<uint16_t>(i);
-    const std::vector<LiveAttempt>& attempts = aStep.m_tasks[i].m_attempts;
+  for (const TaskTable::Records::value_type& taskEntry : aStep.m_tasks.GetRecords()) {
+    ref.m_index = taskEntry.first;
+    const std::vector<LiveAttempt>& attempts = taskEntry.second.m_attempts;
     const bool atWork =
       std::any_of(attempts.begin(), attempts.end(), [&](const LiveAttempt& aAttempt) {
         return IsAtWork(aAttempt, ref, aNow);
       });
-    unavailable += atWork ? 0 : 1;
+    unavailable -= atWork ? 1 : 0;
   }
   return unavailable;
 }
--- a/lib/Scheduler/PutOffStarts.cpp
+++ b/lib/Scheduler/PutOffStarts.cpp
@@ -21,19 +21,20 @@
   if (!aPlaces) {
     aPlaces.emplace(m_availableWorkers, aRequest, putOff, aNow);
   }
-  TaskRecord& task = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_tasks[aTask];
+  TaskTable& tasks = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_tasks;
+  const std::optional<Instant> putOffSince = tasks[aTask].m_putOffSince;
   PlaceWait wait;
   wait.m_farFactor = aRequest.m_farFactor;
   wait.m_duration = std::chrono::milliseconds(job.m_stepDurationMs[aWaiting.m_step]);
-  wait.m_waited = task.m_putOffSince ? aNow - *task.m_putOffSince : Duration::zero();
+  wait.m_waited = putOffSince ? aNow - *putOffSince : Duration::zero();
   wait.m_nextPlace = aPlaces->Next();
   if (!DoesWaitPay(wait)) {
     return false;
   }
   aPlaces->Take();
   ++putOff;
-  if (!task.m_putOffSince) {
-    task.m_putOffSince = aNow;
+  if (!putOffSince) {
+    tasks.Edit(aTask).m_putOffSince = aNow;
     ++m_counters.m_startsPutOff;
   }
   return true;
--- a/lib/Scheduler/Stragglers.cpp
+++ b/lib/Scheduler/Stragglers.cpp
@@ -61,7 +61,7 @@
 Scheduler::RescheduleAttempt(Worker& aWorker, const TaskRef& aTask, Instant aNow)
 {
   Job* job = m_jobs.Find(aTask.m_job);
-  if (TaskRecord* task = job ? JobRegistry::FindTask(*job, aTask) : nullptr) {
+  if (TaskRecord* task = job ? JobRegistry::EditTask(*job, aTask) : nullptr) {
     task->m_avoidedWorker = &aWorker;
   }
   StopAttempt(aWorker, aTask, aNow);
@@ -123,7 +123,7 @@
   Job* job = m_jobs.Find(aTask.m_job);
   OccurrenceRecord* occurrence =
     job && !IsEnded(job->m_state) ? JobRegistry::FindOccurrence(*job, aTask.m_occurrence) : nullptr;
-  if (!occurrence || !JobRegistry::FindTask(*job, aTask)) {
+  if (!occurrence || !JobRegistry::FindStepOf(*job, aTask)) {
     return false;
   }
   const GraphStep& step = job->m_stored.m_graph.m_steps[aTask.m_step];
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -354,7 +354,7 @@
     }
     if (MayStartTasksOf(*aWaiting.m_job, aNow)) {
       StartAttempt(aWaiting, i, *worker, aNow);
-      record.m_tasks[i].m_nextLastResortAt = aNow + kMaxJobIdleTime;
+      record.m_tasks.Edit(i).m_nextLastResortAt = aNow + kMaxJobIdleTime;
     } else {
       ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, 1, aNow);
       m_heldPlaces.Hold(*worker, aRequest.m_step->m_demand);
@@ -441,13 +441,15 @@
   // All members have the same attempt number and the same checkpoint.
   uint32_t starts = 0;
   std::string checkpoint;
-  for (const TaskRecord& task : record.m_tasks) {
+  for (const TaskTable::Records::value_type& taskEntry : record.m_tasks.GetRecords()) {
+    const TaskRecord& task = taskEntry.second;
     starts = std::max(starts, task.m_starts);
     checkpoint = task.m_checkpoint.empty() ? checkpoint : task.m_checkpoint;
   }
   for (size_t i = 0; i < chosen.size(); ++i) {
-    record.m_tasks[i].m_starts = starts;
-    record.m_tasks[i].m_checkpoint = checkpoint;
+    TaskRecord& task = record.m_tasks.Edit(i);
+    task.m_starts = starts;
+    task.m_checkpoint = checkpoint;
     StartAttempt(aWaiting, i, *chosen[i], aNow);
   }
 }
@@ -458,7 +460,7 @@
   Job& job = *aWaiting.m_job;
   const GraphStep& step = StepOf(aWaiting);
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  TaskRecord& task = record.m_tasks[aIndex];
+  TaskRecord& task = record.m_tasks.Edit(aIndex);
   const TaskRef ref = MakeTaskRef(aWaiting, aIndex);
   assert(!m_fleet.HasAttempt(ref) && "two attempts of a task would run at the same time");
   assert(aWorker.m_record == RecordState::Durable && "the next leader finds no attempt there");
@@ -543,13 +545,12 @@
 {
   for (OccurrenceRecord& occurrence : aJob.m_occurrences) {
     for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      std::vector<TaskRecord>& tasks = occurrence.m_steps[s].m_tasks;
-      for (size_t i = 0; i < tasks.size(); ++i) {
-        const TaskRef ref{ aJob.m_stored.m_id,
-                           occurrence.m_number,
-                           static_cast<uint16_t>(s),
-                           static_cast<uint16_t>(i) };
-        for (const LiveAttempt& attempt : tasks[i].m_attempts) {
+      const TaskTable& tasks = occurrence.m_steps[s].m_tasks;
+      for (const TaskTable::Records::value_type& taskEntry : tasks.GetRecords()) {
+        const TaskRef ref{
+          aJob.m_stored.m_id, occurrence.m_number, static_cast<uint16_t>(s), taskEntry.first
+        };
+        for (const LiveAttempt& attempt : taskEntry.second.m_attempts) {
           StopAttempt(*attempt.m_worker, ref, aNow);
         }
       }
--- a/lib/Scheduler/TaskWaits.cpp
+++ b/lib/Scheduler/TaskWaits.cpp
@@ -98,27 +98,33 @@
 void
 Scheduler::AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow) const
 {
-  const std::vector<TaskRecord>& tasks = aStep.m_occurrence->m_steps[aStep.m_step].m_tasks;
+  const TaskTable& tasks = aStep.m_occurrence->m_steps[aStep.m_step].m_tasks;
   const Instant turn =
     std::max({ m_createdAt, aStep.m_job->m_submittedAt, aStep.m_occurrence->m_openedAt });
   const bool longRunning = StepOf(aStep).m_longRunning;
-  for (size_t i = 0; i < tasks.size(); ++i) {
-    const TaskRecord& task = tasks[i];
-    const Instant ran = LastRan(task, MakeTaskRef(aStep, i), aNow);
-    aActivity.m_lastRan = std::max(aActivity.m_lastRan, longRunning ? Instant() : ran);
-    if (task.m_done || ran == aNow) {
-      continue;
-    }
-    ++aActivity.m_tasks;
-    const WaitingTask waiting{ aStep, i, longRunning ? std::max(turn, ran) : turn };
-    std::optional<WaitingTask>& named =
-      longRunning ? aActivity.m_longRunning : aActivity.m_shortRunning;
+  std::optional<WaitingTask>& named =
+    longRunning ? aActivity.m_longRunning : aActivity.m_shortRunning;
+  const auto add = [&](size_t aIndex, const TaskRecord& aTask, Instant aRan) {
+    const WaitingTask waiting{ aStep, aIndex, longRunning ? std::max(turn, aRan) : turn };
     // A task without attempts tells why nothing else starts.
     const bool earlier = longRunning && named && waiting.m_since < named->m_since;
-    const bool unheld = !longRunning && named && task.m_attempts.empty() && HasAttempts(*named);
+    const bool unheld = !longRunning && named && aTask.m_attempts.empty() && HasAttempts(*named);
     if (!named || earlier || unheld) {
       named = waiting;
     }
+  };
+  if (const std::optional<size_t> untouched = tasks.FirstUntouched()) {
+    aActivity.m_tasks += static_cast<uint32_t>(tasks.CountUntouched());
+    add(*untouched, tasks[*untouched], Instant()); // the others are like it
+  }
+  for (const TaskTable::Records::value_type& taskEntry : tasks.GetRecords()) {
+    const TaskRecord& task = taskEntry.second;
+    const Instant ran = LastRan(task, MakeTaskRef(aStep, taskEntry.first), aNow);
+    aActivity.m_lastRan = std::max(aActivity.m_lastRan, longRunning ? Instant() : ran);
+    if (!task.m_done && ran != aNow) {
+      ++aActivity.m_tasks;
+      add(taskEntry.first, task, ran);
+    }
   }
 }
 
--- a/unittests/HostileClients/Process.cpp
+++ b/unittests/HostileClients/Process.cpp
@@ -11,6 +11,9 @@
 
 namespace egretturn::hostile {
 
+// A process that grows without end fails before the machine does.
+static constexpr rlim_t kMaxAddressSpace = rlim_t{ 4 } * 1024 * 1024 * 1024;
+
 static void
 WriteSettings(const std::string& aPath, const ProcessPorts& aPorts, const ProcessLimits& aLimits)
 {
@@ -44,6 +47,8 @@
   closefrom(STDERR_FILENO + 1);
   const rlimit descriptors{ aLimits.m_descriptors, aLimits.m_descriptors };
   setrlimit(RLIMIT_NOFILE, &descriptors);
+  const rlimit addressSpace{ kMaxAddressSpace, kMaxAddressSpace };
+  setrlimit(RLIMIT_AS, &addressSpace);
   setenv("EGRETTURN_CONFIG", settings.c_str(), 1);
   execl(aProgram.c_str(), aProgram.c_str(), static_cast<char*>(nullptr));
   _exit(127);
