Limit the memory of jobs, and drop the inputs of those that have ended

Cause: what callers saw: after 20,000 small jobs with texts of 4,000 bytes the process had twice the memory of its settings, and an ordinary request got no answer. Only the number of jobs was limited. Jobs that were cancelled kept their texts for as long as their state can be queried. Change: JobBudget counts the bytes of the jobs in memory, together and by route, and refuses a new one while there is no room for 8 like it; a route has three quarters at most. The limit is a quarter of the instance's memory and 32 MiB at most, so that each instance of 128 MB or more can lead with what another has accepted. A job whose end is durable keeps the demands of its steps, which attempts of an earlier epoch need, and drops the rest. Conclusion: what an instance accepts, it and the next leader can hold.

--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "egretturn/Scheduler/Durations.h"
+#include "egretturn/Scheduler/JobBudget.h"
 #include "egretturn/Scheduler/TaskTable.h"
 
 #include <map>
@@ -58,6 +59,7 @@
   std::map<std::string, size_t> m_progressParts;
   std::vector<RequestToken> m_submitRequests;
   std::vector<RequestToken> m_cancelRequests;
+  size_t m_countedBytes = 0; ///< In the budget of the registry.
 
   /// Records that a task of \p aStep took \p aMs without a checkpoint or a throttle.
   void RecordDuration(size_t aStep, int64_t aMs);
@@ -69,17 +71,37 @@
   bool HasOpenOccurrences() const;
 };
 
+/// Returns the bytes that a job with \p aGraph takes until it ends, but for what its tasks add once
+/// they start and for occurrences that overlap. Thread-safe.
+size_t EstimateJobBytes(const Graph& aGraph);
+
 /// Holds the jobs by id. Not thread-safe.
 class JobRegistry
 {
 public:
+  /// \p aMaxBytes limits what the jobs take together.
+  explicit JobRegistry(size_t aMaxBytes)
+    : m_budget(aMaxBytes)
+  {
+  }
+
+  /// Returns whether there is room for a job of \p aRoute with \p aGraph.
+  bool HasRoomFor(const std::string& aRoute, const Graph& aGraph) const;
+
+  /// Drops what only the starts of tasks need. The demands stay, since an earlier epoch may have
+  /// left attempts that still run. \pre The job has ended, and its record is in the store.
+  void ReleaseInputs(Job& aJob);
+
   /// Returns the job, or nullptr if the id is unknown.
   Job* Find(GraphId aId);
 
   /// Adds a job. \pre Its graph is valid and its id is not in use.
   Job& Add(StoredJob aStored, const DurationModel& aDurations, Instant aNow);
 
-  void Erase(GraphId aId) { m_jobs.erase(aId); }
+  /// Removes the job. Has no effect if the id is unknown.
+  void Erase(GraphId aId);
+
+  const JobBudget& Budget() const { return m_budget; }
 
   /// Opens the occurrences that are due at \p aWallMs. Returns true if any was opened.
   bool OpenDue(Job& aJob, int64_t aWallMs, Instant aNow);
@@ -88,6 +110,10 @@
   /// opened; opens none if the job has no occurrence \p aNumber.
   bool OpenThrough(Job& aJob, uint32_t aNumber);
 
+  /// Returns what \p aTask was submitted as, or nullptr if \p aJob is nullptr, has no such step, or
+  /// does not need it any more.
+  static const GraphStep* FindGraphStep(const Job* aJob, const TaskRef& aTask);
+
   /// Returns the step, or nullptr if the job has no such open occurrence or step, or the step no
   /// such task.
   static StepRecord* FindStepOf(Job& aJob, const TaskRef& aTask);
@@ -111,7 +137,11 @@
   const std::unordered_map<GraphId, std::unique_ptr<Job>>& All() const { return m_jobs; }
 
 private:
+  /// Counts what \p aJob takes now.
+  void Recount(Job& aJob);
+
   std::unordered_map<GraphId, std::unique_ptr<Job>> m_jobs;
+  JobBudget m_budget;
 };
 
 /// The work that an occurrence still needs.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -164,6 +164,8 @@
   const RoomModel& GetRoom() const { return m_room; }
 
   size_t JobCount() { return m_jobs.All().size(); }
+  /// Returns the bytes that the jobs in memory are counted with.
+  size_t JobBytes() const { return m_jobs.Budget().Bytes(); }
   bool IsRecovered() const { return m_recovered; }
 
   /// Returns what contradicts itself in the records of jobs that have not ended; for tests. A task
@@ -520,6 +522,8 @@
                        std::vector<std::string>& aFound) const;
 
   // Scheduler.cpp
+  /// Returns why a new job can't be accepted now, or nullptr if it can.
+  const char* FindRefusal(const Submission& aSubmission) const;
   /// Marks the attempts on \p aWorker as lost, since their leases have expired.
   void MarkAttemptsExpired(Worker& aWorker, Instant aNow);
   /// Returns whether a state of \p aWorker can only change by its response. If so, a poll is in
--- a/include/egretturn/Scheduler/SchedulerTypes.h
+++ b/include/egretturn/Scheduler/SchedulerTypes.h
@@ -8,11 +8,16 @@
 
 namespace egretturn {
 
+/// Memory for jobs, in bytes. The same on all instances with memory enough, so that each can lead
+/// with what another has accepted.
+constexpr size_t kDefaultMaxJobBytes = 32 * 1024 * 1024;
+
 /// Limits of a scheduler's leases, memory, gangs and appends.
 struct SchedulerLimits
 {
   LeaseLimits m_lease;
   size_t m_maxJobs = 20000;                                 ///< Maximum number of jobs in memory.
+  size_t m_maxJobBytes = kDefaultMaxJobBytes;               ///< Of the jobs in memory.
   Duration m_endedJobRetention = std::chrono::seconds(120); ///< How long its state can be queried.
   Duration m_gangTimeout = std::chrono::seconds(3);
   size_t m_maxBatchBytes = 1024 * 1024; ///< Of the records of one append, with their lengths.
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -522,6 +522,7 @@
   const Room room = m_session->GetScheduler().GetRoom().TotalRoom();
   const MetricRow rows[] = {
     { "egretturn_jobs", m_session->GetScheduler().JobCount() },
+    { "egretturn_job_bytes", m_session->GetScheduler().JobBytes() },
     { "egretturn_jobs_accepted_total", counters.m_accepted },
     { "egretturn_jobs_refused_total", counters.m_refused },
     { "egretturn_starts_total", counters.m_starts },
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -295,13 +295,12 @@
   attempt.m_startedAt = aNow;
   attempt.m_phaseSince = aNow;
   attempt.m_progressedAt = aNow;
-  if (job && aReported.m_task.m_step < job->m_stored.m_graph.m_steps.size()) {
-    const GraphStep& step = job->m_stored.m_graph.m_steps[aReported.m_task.m_step];
-    attempt.m_demand = step.m_demand;
-    attempt.m_bestEffort = step.m_bestEffort;
-    attempt.m_longRunning = step.m_longRunning;
-    attempt.m_targetMs = step.m_targetMs;
-    attempt.m_image = m_interference.Intern(step.m_image);
+  if (const GraphStep* step = JobRegistry::FindGraphStep(job, aReported.m_task)) {
+    attempt.m_demand = step->m_demand;
+    attempt.m_bestEffort = step->m_bestEffort;
+    attempt.m_longRunning = step->m_longRunning;
+    attempt.m_targetMs = step->m_targetMs;
+    attempt.m_image = m_interference.Intern(step->m_image);
   }
   attempt.m_throttlePercent =
     attempt.m_bestEffort ? EstimateThrottle(aReported.m_usage, attempt.m_demand.m_cpuMilli) : 100;
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -358,6 +358,7 @@
       Emit(CompleteRequest{ request, SubmitResult::Accepted });
     }
     if (IsEnded(batched.m_state)) {
+      m_jobs.ReleaseInputs(*job);
       for (RequestToken request : std::exchange(job->m_cancelRequests, {})) {
         Emit(CompleteRequest{ request, SubmitResult::Accepted });
       }
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -70,6 +70,61 @@
   return work;
 }
 
+// What the tables of jobs take for one, beside the job itself.
+static constexpr size_t kJobOverheadBytes = 400;
+
+size_t
+EstimateJobBytes(const Graph& aGraph)
+{
+  size_t bytes = sizeof(Job) + kJobOverheadBytes + aGraph.m_payload.capacity();
+  for (const GraphStep& step : aGraph.m_steps) {
+    bytes += sizeof(GraphStep) + step.m_label.capacity() + step.m_dataRack.capacity() +
+             step.m_image.capacity() + step.m_dependencies.capacity() * sizeof(uint32_t);
+    bytes += sizeof(StepRecord) + sizeof(int64_t); // of one occurrence, and its expected duration
+  }
+  return bytes;
+}
+
+bool
+JobRegistry::HasRoomFor(const std::string& aRoute, const Graph& aGraph) const
+{
+  return m_budget.MayAccept(aRoute, EstimateJobBytes(aGraph));
+}
+
+void
+JobRegistry::Recount(Job& aJob)
+{
+  const std::string& route = aJob.m_stored.m_terms.m_route;
+  m_budget.Subtract(route, aJob.m_countedBytes);
+  aJob.m_countedBytes = EstimateJobBytes(aJob.m_stored.m_graph);
+  m_budget.Add(route, aJob.m_countedBytes);
+}
+
+void
+JobRegistry::ReleaseInputs(Job& aJob)
+{
+  assert(IsEnded(aJob.m_durableState) && aJob.m_recordWritten && "the job may still need them");
+  Graph& graph = aJob.m_stored.m_graph;
+  graph.m_payload = std::string();
+  for (GraphStep& step : graph.m_steps) {
+    step.m_label = std::string();
+    step.m_dataRack = std::string();
+    step.m_dependencies = {};
+  }
+  aJob.m_occurrences = {};
+  Recount(aJob);
+}
+
+void
+JobRegistry::Erase(GraphId aId)
+{
+  const auto it = m_jobs.find(aId);
+  if (it != m_jobs.end()) {
+    m_budget.Subtract(it->second->m_stored.m_terms.m_route, it->second->m_countedBytes);
+    m_jobs.erase(it);
+  }
+}
+
 Job&
 JobRegistry::Add(StoredJob aStored, const DurationModel& aDurations, Instant aNow)
 {
@@ -87,6 +142,7 @@
   SetObjective(*job);
   Job& added = *job;
   m_jobs.emplace(added.m_stored.m_id, std::move(job));
+  Recount(added);
   return added;
 }
 
@@ -146,6 +202,13 @@
   return nullptr;
 }
 
+const GraphStep*
+JobRegistry::FindGraphStep(const Job* aJob, const TaskRef& aTask)
+{
+  const bool known = aJob && aTask.m_step < aJob->m_stored.m_graph.m_steps.size();
+  return known ? &aJob->m_stored.m_graph.m_steps[aTask.m_step] : nullptr;
+}
+
 StepRecord*
 JobRegistry::FindStepOf(Job& aJob, const TaskRef& aTask)
 {
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -46,6 +46,9 @@
   const int64_t nowMs = m_retentionClock.NowMs();
   const bool known = job->m_endedReadingMs != RetentionClock::kNoReading;
   job->m_endedReadingMs = known ? std::min(job->m_endedReadingMs, nowMs) : nowMs;
+  if (IsEnded(job->m_state)) {
+    m_jobs.ReleaseInputs(*job);
+  }
 }
 
 void
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -22,6 +22,7 @@
   : m_limits(aLimits)
   , m_epoch(aEpoch)
   , m_fleet(aLimits.m_lease)
+  , m_jobs(aLimits.m_maxJobBytes)
   , m_confirmedSince(aNow)
   , m_batchSentAt(aNow)
   , m_nextBatchAt(aNow)
@@ -34,6 +35,19 @@
 {
 }
 
+const char*
+Scheduler::FindRefusal(const Submission& aSubmission) const
+{
+  if (!m_storeAvailable) {
+    return "store_unavailable";
+  }
+  if (m_jobs.All().size() >= m_limits.m_maxJobs) {
+    return "too_many_jobs";
+  }
+  return m_jobs.HasRoomFor(aSubmission.m_terms.m_route, aSubmission.m_graph) ? nullptr
+                                                                             : "no_memory_for_jobs";
+}
+
 void
 Scheduler::Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs)
 {
@@ -46,11 +60,11 @@
     }
     return;
   }
-  if (!m_storeAvailable || m_jobs.All().size() >= m_limits.m_maxJobs) {
+  if (const char* reason = FindRefusal(aSubmission)) {
     ++m_counters.m_refused;
     Log(LogLine(LogLevel::Info, "job_refused")
           .Add("job", FormatGraphId(aSubmission.m_id))
-          .Add("reason", m_storeAvailable ? "too_many_jobs" : "store_unavailable"));
+          .Add("reason", reason));
     Emit(CompleteRequest{ aRequest, SubmitResult::NotRun });
     return;
   }
@@ -331,22 +345,26 @@
 {
   const int64_t keepMs = ToMillis(m_limits.m_endedJobRetention);
   const int64_t nowMs = m_retentionClock.NowMs();
-  for (auto it = m_jobs.All().begin(); it != m_jobs.All().end();) {
-    const Job& job = *it->second;
+  std::vector<GraphId> removed;
+  for (const std::pair<const GraphId, std::unique_ptr<Job>>& jobEntry : m_jobs.All()) {
+    const Job& job = *jobEntry.second;
     const bool old = IsEnded(job.m_durableState) && job.m_endedReadingMs + keepMs < nowMs;
     if (!old) {
-      ++it;
       continue;
     }
+    const GraphId id = jobEntry.first;
+    removed.push_back(id);
     Log(LogLine(LogLevel::Info, "job_removed")
-          .Add("job", FormatGraphId(it->first))
+          .Add("job", FormatGraphId(id))
           .Add("kept_ms", nowMs - job.m_endedReadingMs));
-    m_keysToDelete.push_back(JobKey(it->first));
-    m_keysToDelete.push_back(ProgressKey(it->first));
+    m_keysToDelete.push_back(JobKey(id));
+    m_keysToDelete.push_back(ProgressKey(id));
     for (const std::pair<const std::string, size_t>& partEntry : job.m_progressParts) {
       m_keysToDelete.push_back(partEntry.first);
     }
-    it = m_jobs.All().erase(it);
+  }
+  for (const GraphId id : removed) {
+    m_jobs.Erase(id);
   }
 }
 
--- a/lib/Scheduler/Stragglers.cpp
+++ b/lib/Scheduler/Stragglers.cpp
@@ -77,9 +77,10 @@
     const TaskRef& ref = attemptEntry.first;
     const AttemptState& attempt = attemptEntry.second;
     const Job* job = m_jobs.Find(ref.m_job);
-    const bool watched =
-      job && !attempt.m_longRunning && attempt.m_phase == AttemptPhase::Running &&
-      attempt.m_throttlePercent == 100 && !job->m_stored.m_graph.m_steps[ref.m_step].m_gang;
+    const GraphStep* step = JobRegistry::FindGraphStep(job, ref);
+    const bool watched = step && !attempt.m_longRunning &&
+                         attempt.m_phase == AttemptPhase::Running &&
+                         attempt.m_throttlePercent == 100 && !step->m_gang;
     if (!watched) {
       continue;
     }
@@ -90,7 +91,7 @@
     const AttemptProgress progress = ProgressOf(attempt, job->m_stepDurationMs[ref.m_step], aNow);
     if (attempt.m_hasValidDuration && CanJudgeSlowness(progress)) {
       slownesses.push_back(SlownessOf(progress));
-      if (IsMoveFaster(progress, job->m_stored.m_graph.m_steps[ref.m_step].m_checkpoints)) {
+      if (IsMoveFaster(progress, step->m_checkpoints)) {
         movable.push_back(ref);
       }
     }
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -564,12 +564,11 @@
   std::vector<TaskRef> movable;
   for (const std::pair<const TaskRef, AttemptState>& refEntry : aWorker.m_attempts) {
     const TaskRef& ref = refEntry.first;
-    const Job* job = m_jobs.Find(ref.m_job);
-    if (!job || refEntry.second.m_phase == AttemptPhase::Stopping) {
+    const GraphStep* step = JobRegistry::FindGraphStep(m_jobs.Find(ref.m_job), ref);
+    if (!step || refEntry.second.m_phase == AttemptPhase::Stopping) {
       continue; // also an attempt that was never requested, of a step that may not exist
     }
-    const GraphStep& step = job->m_stored.m_graph.m_steps[ref.m_step];
-    if (step.m_longRunning || step.m_checkpoints) {
+    if (step->m_longRunning || step->m_checkpoints) {
       movable.push_back(ref);
     }
   }
--- a/lib/Scheduler/Throttling.cpp
+++ b/lib/Scheduler/Throttling.cpp
@@ -235,8 +235,8 @@
         attempt.m_phase != AttemptPhase::Running) {
       continue;
     }
-    const Job* job = m_jobs.Find(ref.m_job);
-    const bool savesCheckpoints = job && job->m_stored.m_graph.m_steps[ref.m_step].m_checkpoints;
+    const GraphStep* step = JobRegistry::FindGraphStep(m_jobs.Find(ref.m_job), ref);
+    const bool savesCheckpoints = step && step->m_checkpoints;
     if (savesCheckpoints && aGroup.m_throttlePercent < kMoveBelowPercent) {
       moving.push_back(ref);
     }
