Confirm at once that there is no job that a caller cancels

Change: while such requests wait, the claim is renewed every 25 ms; those that come together share one confirmation. Conclusion: a caller learns of an unknown job in tens of milliseconds.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -110,6 +110,8 @@
   void Wake();
   Duration BatchingDelay();
   void WakeAt(Instant aAt);
+  /// Returns whether the claim should be written again, as a confirmation that nobody else leads.
+  bool NeedsConfirmation(Instant aNow) const;
   void RunScheduler();
   void ExecuteActions();
   /// Returns whether workers may be called, and logs when that changes.
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -142,6 +142,9 @@
   /// because there is no evidence that this leader leads.
   void ExpireUnconfirmedCancels(Instant aNow);
 
+  /// Returns whether callers wait for a confirmation.
+  bool HasUnconfirmedCancels() const { return !m_unconfirmedCancels.IsEmpty(); }
+
   /// Sets whether the store accepts appends. While it does not, new jobs are refused immediately.
   void SetStoreAvailable(bool aAvailable) { m_storeAvailable = aAvailable; }
 
--- a/include/egretturn/Scheduler/UnconfirmedCancels.h
+++ b/include/egretturn/Scheduler/UnconfirmedCancels.h
@@ -22,6 +22,8 @@
 public:
   void Add(const UnconfirmedCancel& aCancel) { m_cancels.push_back(aCancel); }
 
+  bool IsEmpty() const { return m_cancels.empty(); }
+
   /// Removes and returns the requests that came before \p aConfirmedSince, when no other instance
   /// led.
   std::vector<UnconfirmedCancel> TakeConfirmed(Instant aConfirmedSince);
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -16,6 +16,8 @@
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
 static constexpr Duration kBatchingDelayPerWorker = std::chrono::microseconds(3);
 static constexpr Duration kConfirmInterval = std::chrono::milliseconds(400);
+// While callers wait for a confirmation; those that come together share one.
+static constexpr Duration kAwaitedConfirmInterval = std::chrono::milliseconds(25);
 static constexpr Duration kReadingInterval =
   std::chrono::milliseconds(1000); // between readings of the retention clock in the store
 static constexpr Duration kSuspendedInterval =
@@ -238,12 +240,19 @@
   });
 }
 
+bool
+LeaderSession::NeedsConfirmation(Instant aNow) const
+{
+  const Duration age = aNow - m_confirmedAt;
+  const bool awaited = m_scheduler.HasUnconfirmedCancels() && age >= kAwaitedConfirmInterval;
+  return awaited || age >= kConfirmInterval || m_witnesses != m_storedWitnesses;
+}
+
 void
 LeaderSession::RunScheduler()
 {
   const Instant now = BootClockNow();
-  if (m_appending.empty() &&
-      (now - m_confirmedAt >= kConfirmInterval || m_witnesses != m_storedWitnesses)) {
+  if (m_appending.empty() && NeedsConfirmation(now)) {
     RenewClaim();
   }
   if (!m_appending.empty() && now - m_appendStartedAt >= kStoreUnavailableAfter) {
@@ -259,6 +268,9 @@
   if (m_stopped) {
     return;
   }
+  if (m_scheduler.HasUnconfirmedCancels()) {
+    WakeAt(now + kAwaitedConfirmInterval);
+  }
   WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + BatchingDelay())
                  : now + kSuspendedInterval);
 }
