Open overlapping occurrences only while there is memory for them

Cause: what callers saw: four jobs of 3.5 KB with 1,000 occurrences a millisecond apart ended the process. Each occurrence that was due was opened at once, with the records of all its steps. Change: an occurrence that is not the only open one of its job counts in the budget of jobs, and waits while jobs take more than half of it. One occurrence of each job is always open, so that what was accepted goes on. Conclusion: an occurrence may start late while the leader is short of memory.

--- a/include/egretturn/Scheduler/JobBudget.h
+++ b/include/egretturn/Scheduler/JobBudget.h
@@ -28,6 +28,10 @@
   /// leave room for ordinary ones, and each route for the others.
   bool MayAccept(const std::string& aRoute, size_t aBytes) const;
 
+  /// Returns whether an accepted job may take \p aBytes more before it needs them. Half of the
+  /// limit is kept for other jobs.
+  bool MayGrow(size_t aBytes) const { return m_bytes + aBytes <= m_maxBytes / 2; }
+
   size_t Bytes() const { return m_bytes; }
   size_t MaxBytes() const { return m_maxBytes; }
 
--- a/include/egretturn/Scheduler/JobRegistry.h
+++ b/include/egretturn/Scheduler/JobRegistry.h
@@ -103,13 +103,23 @@
 
   const JobBudget& Budget() const { return m_budget; }
 
-  /// Opens the occurrences that are due at \p aWallMs. Returns true if any was opened.
+  /// Opens the occurrences that are due at \p aWallMs. Returns true if any was opened. While there
+  /// is no room for more, one occurrence of each job is open at a time, and the others wait.
   bool OpenDue(Job& aJob, int64_t aWallMs, Instant aNow);
 
   /// Opens the occurrences up to \p aNumber, whether they are due or not. Returns true if any was
   /// opened; opens none if the job has no occurrence \p aNumber.
   bool OpenThrough(Job& aJob, uint32_t aNumber);
 
+  /// Counts what \p aJob takes now, after ApplyProgress().
+  void Recount(Job& aJob);
+
+  /// Drops the tasks of a complete occurrence. What is left of their attempts no longer counts.
+  void CloseOccurrence(Job& aJob, OccurrenceRecord& aOccurrence);
+
+  /// Drops the occurrences of a job that has ended.
+  void CloseAll(Job& aJob);
+
   /// Returns what \p aTask was submitted as, or nullptr if \p aJob is nullptr, has no such step, or
   /// does not need it any more.
   static const GraphStep* FindGraphStep(const Job* aJob, const TaskRef& aTask);
@@ -137,8 +147,8 @@
   const std::unordered_map<GraphId, std::unique_ptr<Job>>& All() const { return m_jobs; }
 
 private:
-  /// Counts what \p aJob takes now.
-  void Recount(Job& aJob);
+  /// Returns whether the next occurrence of \p aJob may be open beside the others.
+  bool MayOpenNext(const Job& aJob) const;
 
   std::unordered_map<GraphId, std::unique_ptr<Job>> m_jobs;
   JobBudget m_budget;
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -87,7 +87,7 @@
   aJob.m_state = aState;
   aJob.m_endedMs = m_wallMs;
   StopAllAttempts(aJob, aNow);
-  aJob.m_occurrences.clear();
+  m_jobs.CloseAll(aJob);
   m_waitingJobs.erase(aJob.m_stored.m_id);
   MarkDirty(aJob);
   m_urgent = true;
@@ -100,19 +100,6 @@
         .Add("core_seconds", aJob.TotalWork()));
 }
 
-/// Removes the tasks of a complete occurrence. What is left of their attempts no longer counts.
-static void
-CloseOccurrence(Job& aJob, OccurrenceRecord& aOccurrence)
-{
-  for (const StepRecord& step : aOccurrence.m_steps) {
-    for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
-      aJob.m_liveAttempts -= static_cast<uint32_t>(taskEntry.second.m_attempts.size());
-    }
-  }
-  aOccurrence.m_complete = true;
-  aOccurrence.m_steps.clear();
-}
-
 void
 Scheduler::ApplyTaskDone(Job& aJob, TaskRecord& aTask, const TaskRef& aRef, Instant aNow)
 {
@@ -137,7 +124,7 @@
 void
 Scheduler::CompleteOccurrence(Job& aJob, OccurrenceRecord& aOccurrence, Instant aNow)
 {
-  CloseOccurrence(aJob, aOccurrence);
+  m_jobs.CloseOccurrence(aJob, aOccurrence);
   m_urgent = true;
   MarkDirty(aJob);
   if (!aJob.HasOpenOccurrences()) {
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -70,17 +70,25 @@
   return work;
 }
 
+/// Returns the bytes that an occurrence takes before any of its tasks has started.
+static size_t
+EstimateOccurrenceBytes(const Graph& aGraph)
+{
+  return sizeof(OccurrenceRecord) + aGraph.m_steps.size() * sizeof(StepRecord);
+}
+
 // What the tables of jobs take for one, beside the job itself.
 static constexpr size_t kJobOverheadBytes = 400;
 
 size_t
 EstimateJobBytes(const Graph& aGraph)
 {
-  size_t bytes = sizeof(Job) + kJobOverheadBytes + aGraph.m_payload.capacity();
+  size_t bytes =
+    sizeof(Job) + kJobOverheadBytes + aGraph.m_payload.capacity() + EstimateOccurrenceBytes(aGraph);
   for (const GraphStep& step : aGraph.m_steps) {
     bytes += sizeof(GraphStep) + step.m_label.capacity() + step.m_dataRack.capacity() +
              step.m_image.capacity() + step.m_dependencies.capacity() * sizeof(uint32_t);
-    bytes += sizeof(StepRecord) + sizeof(int64_t); // of one occurrence, and its expected duration
+    bytes += sizeof(int64_t); // its expected duration
   }
   return bytes;
 }
@@ -91,12 +99,53 @@
   return m_budget.MayAccept(aRoute, EstimateJobBytes(aGraph));
 }
 
+/// Returns the number of occurrences of \p aJob that are open.
+static size_t
+CountOpen(const Job& aJob)
+{
+  return static_cast<size_t>(std::count_if(
+    aJob.m_occurrences.begin(), aJob.m_occurrences.end(), [](const OccurrenceRecord& aOccurrence) {
+      return !aOccurrence.m_complete;
+    }));
+}
+
+bool
+JobRegistry::MayOpenNext(const Job& aJob) const
+{
+  return CountOpen(aJob) == 0 || m_budget.MayGrow(EstimateOccurrenceBytes(aJob.m_stored.m_graph));
+}
+
+void
+JobRegistry::CloseOccurrence(Job& aJob, OccurrenceRecord& aOccurrence)
+{
+  for (const StepRecord& step : aOccurrence.m_steps) {
+    for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
+      aJob.m_liveAttempts -= static_cast<uint32_t>(taskEntry.second.m_attempts.size());
+    }
+  }
+  aOccurrence.m_complete = true;
+  aOccurrence.m_steps = {};
+  Recount(aJob);
+}
+
+void
+JobRegistry::CloseAll(Job& aJob)
+{
+  aJob.m_occurrences = {};
+  Recount(aJob);
+}
+
 void
 JobRegistry::Recount(Job& aJob)
 {
   const std::string& route = aJob.m_stored.m_terms.m_route;
   m_budget.Subtract(route, aJob.m_countedBytes);
-  aJob.m_countedBytes = EstimateJobBytes(aJob.m_stored.m_graph);
+  const size_t open = CountOpen(aJob);
+  aJob.m_countedBytes = EstimateJobBytes(aJob.m_stored.m_graph) +
+                        (aJob.m_occurrences.size() - open) * sizeof(OccurrenceRecord);
+  if (open > 1) {
+    aJob.m_countedBytes += (open - 1) * EstimateOccurrenceBytes(aJob.m_stored.m_graph);
+  }
   m_budget.Add(route, aJob.m_countedBytes);
 }
 
@@ -171,8 +220,10 @@
   }
   bool opened = false;
   while (aJob.m_nextOccurrence < graph.m_occurrences &&
-         graph.m_firstDueMs + aJob.m_nextOccurrence * graph.m_intervalMs <= aWallMs) {
+         graph.m_firstDueMs + aJob.m_nextOccurrence * graph.m_intervalMs <= aWallMs &&
+         MayOpenNext(aJob)) {
     OpenOccurrence(aJob, aJob.m_nextOccurrence++, aNow);
+    Recount(aJob);
     opened = true;
   }
   return opened;
@@ -188,6 +239,7 @@
   while (aJob.m_nextOccurrence <= aNumber) {
     OpenOccurrence(aJob, aJob.m_nextOccurrence++);
   }
+  Recount(aJob);
   return true;
 }
 
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -42,6 +42,7 @@
     return;
   }
   ApplyProgress(*job, aProgress);
+  m_jobs.Recount(*job);
   // The job has not ended later than now, whatever the record says. Earlier versions say nothing.
   const int64_t nowMs = m_retentionClock.NowMs();
   const bool known = job->m_endedReadingMs != RetentionClock::kNoReading;
