Bound the work of a placement pass

Cause: what callers saw: with 400 jobs of 64 steps that fit nowhere, each with names of its own, an ordinary request got no answer. Each pass sorted all waiting steps, compared each with all that had failed before, and tried the rest on each worker; tasks that need nothing all started in one pass. Change: PassBudget limits what a pass visits, collects, starts and compares. What it could not try comes first in the next; passes stay with the jobs that they have collected until all were tried. A gang that does not fit counts as a failure. Passes that were cut are a metric. Conclusion: a pass takes bounded time; under such a crowd ordinary work starts later, in rotation.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -7,6 +7,7 @@
 #include "egretturn/Scheduler/JobRanking.h"
 #include "egretturn/Scheduler/JobRegistry.h"
 #include "egretturn/Scheduler/JobWait.h"
+#include "egretturn/Scheduler/PassBudget.h"
 #include "egretturn/Scheduler/PlaceWait.h"
 #include "egretturn/Scheduler/QuotaFloors.h"
 #include "egretturn/Scheduler/RoomModel.h"
@@ -347,6 +348,13 @@
   // TaskPlacement.cpp
   void PlaceWaitingSteps(Instant aNow);
   std::vector<WaitingStep> CollectReadySteps(Instant aNow);
+  /// Adds the steps of \p aJob that are ready. Returns whether any of its steps waits, as far as
+  /// the budget of the pass allows to tell.
+  bool CollectReadyStepsOf(Job& aJob, std::vector<WaitingStep>& aWaiting, Instant aNow);
+  /// Decides what the next pass begins with, after \p aTried of \p aSteps steps were tried.
+  void FinishPass(size_t aSteps, size_t aTried);
+  /// Begins with the steps that the last pass could not try.
+  void RotateToUntried(std::vector<WaitingStep>& aWaiting) const;
   static FloorCandidate DescribeForFloors(const WaitingStep& aWaiting, Instant aNow);
   /// Puts the steps ahead of the others that the floors guarantee a start.
   void ApplyFloors(std::vector<WaitingStep>& aWaiting, Instant aNow);
@@ -368,7 +376,10 @@
   bool PlaceStepAndCharge(const WaitingStep& aWaiting,
                           const PlacementRequest& aRequest,
                           Instant aNow);
-  void PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
+  /// Starts all tasks of a gang, or none. Returns false if they do not fit.
+  bool PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow);
+  /// Counts the comparison of \p aRequest with \p aWorkers workers.
+  void TakeComparisons(const PlacementRequest& aRequest, size_t aWorkers);
   /// Chooses a worker for each of \p aMembers members, or for as many as fit. Changes the siblings
   /// of \p aRequest.
   std::vector<Worker*> ChooseGangWorkers(size_t aMembers, PlacementRequest& aRequest);
@@ -551,7 +562,12 @@
   SlownessModel m_slownessModel;
   RoomModel m_room;
   std::vector<Action> m_actions;
-  std::unordered_set<GraphId> m_waitingJobs; ///< Jobs that may have tasks to place.
+  std::set<GraphId> m_waitingJobs; ///< Jobs that may have tasks to place.
+  GraphId m_nextWaitingJob = 0;    ///< Passes begin with this one or a later one until all that
+                                   ///< they collect from there has been tried.
+  GraphId m_endOfCollected = 0;    ///< The first one that the last pass did not collect, or 0.
+  size_t m_firstUntried = 0;       ///< Rank of the first step that the last passes could not try.
+  PassBudget m_passBudget;         ///< For one pass.
   std::unordered_set<GraphId> m_jobsWithFutureOccurrences;
   std::set<GraphId> m_dirtyJobs;           ///< Jobs changed since the last batch.
   GraphId m_nextDirtyJob = 0;              ///< The next batch begins with this one or a later one.
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -84,35 +84,50 @@
   return RankJob(input);
 }
 
+bool
+Scheduler::CollectReadyStepsOf(Job& aJob, std::vector<WaitingStep>& aWaiting, Instant aNow)
+{
+  bool any = false;
+  for (OccurrenceRecord& occurrence : aJob.m_occurrences) {
+    const JobRank rank = RankOccurrence(aJob, occurrence, aNow);
+    for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      if (!m_passBudget.TakeVisit()) {
+        return true; // nothing is known of the others
+      }
+      if (occurrence.m_steps[s].m_waiting == 0) {
+        continue;
+      }
+      any = true;
+      const WaitingStep step{ &aJob, &occurrence, static_cast<uint16_t>(s), rank };
+      if (!JobRegistry::IsReady(aJob, occurrence, s)) {
+        continue;
+      }
+      if (IsBlockedByRecovery(aJob)) {
+        ReportTasks(&WaitingReport::AddRecovering, step, occurrence.m_steps[s].m_waiting, aNow);
+      } else if (m_passBudget.TakeReadyStep()) {
+        aWaiting.push_back(step);
+      } else {
+        return true;
+      }
+    }
+  }
+  return any;
+}
+
 std::vector<Scheduler::WaitingStep>
 Scheduler::CollectReadySteps(Instant aNow)
 {
   std::vector<WaitingStep> waiting;
-  for (auto it = m_waitingJobs.begin(); it != m_waitingJobs.end();) {
+  std::set<GraphId>::iterator it = m_waitingJobs.lower_bound(m_nextWaitingJob);
+  for (size_t left = m_waitingJobs.size(); left > 0 && m_passBudget.MayCollect(); --left) {
+    it = it == m_waitingJobs.end() ? m_waitingJobs.begin() : it;
     Job* job = m_jobs.Find(*it);
-    bool any = false;
-    if (job && job->m_durable && !IsEnded(job->m_state)) {
-      for (OccurrenceRecord& occurrence : job->m_occurrences) {
-        const JobRank rank = RankOccurrence(*job, occurrence, aNow);
-        for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-          if (occurrence.m_steps[s].m_waiting == 0) {
-            continue;
-          }
-          any = true;
-          const WaitingStep step{ job, &occurrence, static_cast<uint16_t>(s), rank };
-          if (!JobRegistry::IsReady(*job, occurrence, s)) {
-            continue;
-          }
-          if (IsBlockedByRecovery(*job)) {
-            ReportTasks(&WaitingReport::AddRecovering, step, occurrence.m_steps[s].m_waiting, aNow);
-          } else {
-            waiting.push_back(step);
-          }
-        }
-      }
-    }
-    it = any ? std::next(it) : m_waitingJobs.erase(it);
+    const bool waits =
+      job && job->m_durable && !IsEnded(job->m_state) && CollectReadyStepsOf(*job, waiting, aNow);
+    it = waits ? std::next(it) : m_waitingJobs.erase(it);
   }
+  const bool all = m_passBudget.MayCollect();
+  m_endOfCollected = all || it == m_waitingJobs.end() ? 0 : *it;
   std::sort(
     waiting.begin(), waiting.end(), [](const WaitingStep& aLeft, const WaitingStep& aRight) {
       return aLeft.m_rank < aRight.m_rank;
@@ -212,6 +227,31 @@
   return request;
 }
 
+void
+Scheduler::RotateToUntried(std::vector<WaitingStep>& aWaiting) const
+{
+  if (m_firstUntried < aWaiting.size()) {
+    std::rotate(aWaiting.begin(),
+                aWaiting.begin() + static_cast<std::ptrdiff_t>(m_firstUntried),
+                aWaiting.end());
+  }
+}
+
+void
+Scheduler::FinishPass(size_t aSteps, size_t aTried)
+{
+  const bool cut = aTried < aSteps;
+  m_firstUntried += aTried;
+  if (!cut || m_firstUntried >= aSteps) { // all that were collected have been tried
+    m_firstUntried = 0;
+    m_nextWaitingJob = m_endOfCollected;
+  }
+  if (cut || m_nextWaitingJob != 0) {
+    ++m_counters.m_passesCut;
+    m_placementNeeded = true;
+  }
+}
+
 void
 Scheduler::PlaceWaitingSteps(Instant aNow)
 {
@@ -239,13 +279,21 @@
   if (aNow >= m_nextWaitingReportAt) {
     m_waitingReport.emplace();
   }
+  m_passBudget = PassBudget();
   std::vector<WaitingStep> steps = CollectReadySteps(aNow);
   ApplyFloors(steps, aNow);
+  RotateToUntried(steps);
   m_nextPlacementAt =
     aNow + kMinPlacementInterval + kPlacementIntervalPerWorker * m_fleet.All().size() +
     std::min<Duration>(kPlacementIntervalPerStep * steps.size(), kMaxExtraPlacementInterval);
   std::vector<FailedStep> failedSteps;
+  size_t tried = 0;
   for (const WaitingStep& waiting : steps) {
+    if (!m_passBudget.MayTry()) {
+      ReportSkippedStep(waiting, aNow);
+      continue;
+    }
+    ++tried;
     const PlacementRequest request = MakePlacementRequest(waiting, aNow);
     const bool idle = IsIdle(*waiting.m_job, aNow);
     const bool ruledOut =
@@ -257,6 +305,7 @@
     } else if (!PlaceStepAndCharge(waiting, request, aNow)) {
       // Made anew: a job that is no longer idle failed with a task that must not interfere.
       failedSteps.push_back({ waiting, MakePlacementRequest(waiting, aNow) });
+      m_passBudget.TakeFailure();
     }
     if (m_waitingReport && idle && waiting.m_job->m_liveAttempts == 0) {
       m_waitingReport->AddIdleJob(waiting.m_job->m_stored.m_id,
@@ -265,6 +314,7 @@
                                   ReservedShareOf(*request.m_service));
     }
   }
+  FinishPass(steps.size(), tried);
   m_heldPlaces.ReleaseAll();
   FinishWaitingReport(failedSteps, aNow);
   m_confirmationUnused = false;
@@ -307,8 +357,7 @@
   std::vector<const Worker*> siblings = ListWorkersOf(record);
   aRequest.m_siblings = &siblings;
   if (aRequest.m_step->m_gang) {
-    PlaceGang(aWaiting, aRequest, aNow);
-    return true;
+    return PlaceGang(aWaiting, aRequest, aNow);
   }
   std::optional<CandidateRanking> ranking;
   std::optional<NearPlaces> nearPlaces;
@@ -334,6 +383,7 @@
       continue;
     }
     if (!ranking) {
+      TakeComparisons(aRequest, m_availableWorkers.size());
       ranking.emplace(m_availableWorkers, aRequest);
     }
     if (!worker) {
@@ -352,6 +402,9 @@
       ReportUnplacedStep(aWaiting, aRequest, aNow);
       return false;
     }
+    if (!m_passBudget.TakeStart()) {
+      return true; // the next pass goes on here
+    }
     if (MayStartTasksOf(*aWaiting.m_job, aNow)) {
       StartAttempt(aWaiting, i, *worker, aNow);
       record.m_tasks.Edit(i).m_nextLastResortAt = aNow + kMaxJobIdleTime;
@@ -373,6 +426,13 @@
   return true;
 }
 
+void
+Scheduler::TakeComparisons(const PlacementRequest& aRequest, size_t aWorkers)
+{
+  const bool compares = aRequest.m_step->m_maxPerWorker > 0;
+  m_passBudget.TakeComparisons(aWorkers, compares ? aRequest.m_siblings->size() : 0);
+}
+
 std::vector<Worker*>
 Scheduler::ChooseGangWorkers(size_t aMembers, PlacementRequest& aRequest)
 {
@@ -383,8 +443,10 @@
   std::optional<CandidateRanking> ranking;
   while (chosen.size() < aMembers) {
     if (!ranking) {
+      TakeComparisons(aRequest, m_availableWorkers.size());
       ranking.emplace(m_availableWorkers, aRequest);
     }
+    TakeComparisons(aRequest, 1);
     Worker* worker = ranking->TakeBest(nullptr);
     if (!worker) {
       break;
@@ -405,38 +467,38 @@
   return chosen;
 }
 
-void
+bool
 Scheduler::PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow)
 {
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
   if (record.m_waiting < record.m_tasks.size()) { // members of the last attempt are still there
     ReportTasks(&WaitingReport::AddIncomplete, aWaiting, record.m_waiting, aNow);
-    return;
+    return true;
   }
   for (size_t i = 0; i < record.m_tasks.size(); ++i) {
     const TaskRef ref = MakeTaskRef(aWaiting, i);
     if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
       ReportTasks(&WaitingReport::AddRecovering, aWaiting, record.m_waiting, aNow);
-      return;
+      return true;
     }
     const bool lateStart =
       m_fleet.FindLateStarts(ref) && !MayStartBesideLateStart(aWaiting, i, aNow);
     if (m_fleet.HasAttempt(ref) || lateStart) {
       ReportTasks(&WaitingReport::AddStopping, aWaiting, record.m_waiting, aNow);
-      return;
+      return true;
     }
   }
   const std::vector<Worker*> chosen = ChooseGangWorkers(record.m_tasks.size(), aRequest);
   if (chosen.size() < record.m_tasks.size()) {
     ReportUnplacedStep(aWaiting, aRequest, aNow);
-    return;
+    return false;
   }
   if (!MayStartTasksOf(*aWaiting.m_job, aNow)) {
     ReportTasks(&WaitingReport::AddUnconfirmed, aWaiting, record.m_waiting, aNow);
     for (Worker* worker : chosen) {
       m_heldPlaces.Hold(*worker, aRequest.m_step->m_demand);
     }
-    return;
+    return true;
   }
   // All members have the same attempt number and the same checkpoint.
   uint32_t starts = 0;
@@ -450,8 +512,10 @@
     TaskRecord& task = record.m_tasks.Edit(i);
     task.m_starts = starts;
     task.m_checkpoint = checkpoint;
+    m_passBudget.TakeStart();
     StartAttempt(aWaiting, i, *chosen[i], aNow);
   }
+  return true;
 }
 
 void
