Bound the peers and witnesses that pings add

Cause: a ping made an entry for each instance that it claimed to come from, and nothing removed it; each zone that it claimed added a witness, which are compared with each other each 150 ms and written with each claim. Change: a peer that is silent for 30 s is forgotten; there are at most 4,096, whose texts have up to 256 bytes; there are no more witnesses than zones in the settings, or three. Conclusion: strangers on the peer port fill nothing. Who may reach it is still the platform's matter.

--- a/include/egretturn/Node/Node.h
+++ b/include/egretturn/Node/Node.h
@@ -78,6 +78,10 @@
   void Serve(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone);
   void ServeAsLeader(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone);
   void ServePing(const std::string& aBody, const PeerCallback& aDone);
+  struct Peer;
+  /// Records the sender of \p aPing as a peer. Returns nullptr if it can't be one, or there are too
+  /// many.
+  const Peer* RecordPing(PingMessage aPing);
   void ServeClaim(const PeerCallback& aDone);
   PlacedTasksResponse ServePlaced(const std::string& aBody);
   LinkOrdersReply ServeLinkOrders(const std::string& aBody);
@@ -129,9 +133,8 @@
   std::vector<LinkInstance> ListLinkInstances() const;
   std::string LinkMetrics() const;
   std::string ShardMetrics() const;
-  struct Peer;
-  /// Ranks the peers by how well they would succeed this leader: the strongest first, then those
-  /// of its region, which is near the store.
+  /// Forgets silent peers, and ranks the others by how well they would succeed this leader: the
+  /// strongest first, then those of its region, which is near the store.
   void RankPeers();
   /// Returns the eligible peer with the highest weight, or nullptr.
   const Peer* StrongestPeer() const;
--- a/lib/Node/Following.cpp
+++ b/lib/Node/Following.cpp
@@ -47,8 +47,10 @@
   std::set<std::string> zones;
   std::vector<Witness> witnesses;
   std::vector<const Peer*> others;
+  const size_t maxWitnesses = std::max(kMinWitnesses, m_settings.m_regionOf.size());
   for (const Peer* peer : candidates) {
-    if (zones.insert(peer->m_ping.m_zone).second) {
+    // A stranger may name any zone.
+    if (witnesses.size() < maxWitnesses && zones.insert(peer->m_ping.m_zone).second) {
       witnesses.push_back({ peer->m_ping.m_instance, peer->m_ping.m_address });
     } else {
       others.push_back(peer);
--- a/lib/Node/Handover.cpp
+++ b/lib/Node/Handover.cpp
@@ -11,6 +11,7 @@
 static constexpr Duration kPlacedTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration kClaimTimeout = std::chrono::milliseconds(1700);
 static constexpr Duration kPeerTimeout = std::chrono::seconds(2);
+static constexpr Duration kPeerMemory = std::chrono::seconds(30); // then a silent peer is forgotten
 // A peer that did not claim the leadership is not asked again for this long.
 static constexpr Duration kHandoverRetryDelay = std::chrono::seconds(5);
 static constexpr Duration kMinLeadingTime = std::chrono::seconds(1); // before a voluntary handover
@@ -113,6 +114,9 @@
     return;
   }
   const Instant now = BootClockNow();
+  std::erase_if(m_peers, [&](const std::pair<const std::string, Peer>& aEntry) {
+    return now - aEntry.second.m_lastHeardAt >= kPeerMemory;
+  });
   const std::string region = DescribeSelf().m_region;
   std::vector<Peer*> ranked;
   for (std::pair<const std::string, Peer>& peerEntry : m_peers) {
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -4,6 +4,8 @@
 #include "egretturn/Support/EnumTable.h"
 #include "egretturn/Support/Log.h"
 
+#include <algorithm>
+
 namespace egretturn {
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(150);
@@ -13,6 +15,9 @@
 static constexpr Duration kMaxClaimAge = std::chrono::milliseconds(1800);
 static constexpr Duration kAnnouncementWait = std::chrono::seconds(5);
 static constexpr Duration kAnnouncementRetry = std::chrono::milliseconds(250);
+// Far more than instances; a stranger may claim any number of names.
+static constexpr size_t kMaxPeers = 4096;
+
 static constexpr size_t kMaxPeerBodyBytes =
   1024 * 1024; // request or response; lists of placed tasks are long
 
@@ -420,6 +425,34 @@
   }
 }
 
+/// Returns whether the texts of \p aPing are as long as those of an instance may be.
+static bool
+IsPlausible(const PingMessage& aPing)
+{
+  const std::string* texts[] = {
+    &aPing.m_instance, &aPing.m_address, &aPing.m_zone, &aPing.m_region
+  };
+  return std::all_of(std::begin(texts), std::end(texts), [](const std::string* aText) {
+    return aText->size() <= kMaxNameBytes;
+  });
+}
+
+const Node::Peer*
+Node::RecordPing(PingMessage aPing)
+{
+  if (!IsPlausible(aPing)) {
+    return nullptr;
+  }
+  const auto known = m_peers.find(aPing.m_instance);
+  if (known == m_peers.end() && m_peers.size() >= kMaxPeers) {
+    return nullptr; // RankPeers() makes room as soon as others are silent
+  }
+  Peer& peer = known == m_peers.end() ? m_peers[aPing.m_instance] : known->second;
+  peer.m_ping = std::move(aPing);
+  peer.m_lastHeardAt = BootClockNow();
+  return &peer;
+}
+
 void
 Node::ServePing(const std::string& aBody, const PeerCallback& aDone)
 {
@@ -430,10 +463,9 @@
   PeerResponse response;
   PingMessage ping;
   if (UnpackCompact(aBody, ping)) {
-    Peer& peer = m_peers[ping.m_instance];
-    peer.m_ping = std::move(ping);
-    peer.m_lastHeardAt = BootClockNow();
-    response.m_rank = peer.m_rank;
+    if (const Peer* peer = RecordPing(std::move(ping))) {
+      response.m_rank = peer->m_rank;
+    }
   }
   response.m_outcome = PeerOutcome::Ok;
   response.m_leader = m_session->Claim();
