Bound the table of images

Cause: each name of an image that a caller sent stayed in a table of the leader for good, and the 65,537th shared its number with the first, so that two images were taken for one. Change: 512 images have numbers of their own; all later ones share one, whose weights are those of no other image. Conclusion: names that callers choose take bounded memory.

--- a/include/egretturn/Scheduler/ImageInterference.h
+++ b/include/egretturn/Scheduler/ImageInterference.h
@@ -99,11 +99,12 @@
 class ImageInterferenceModel
 {
 public:
-  /// Returns a small number for \p aImage, the same one at each call.
+  /// Returns a small number for \p aImage, the same one at each call. Callers choose the names, so
+  /// only kMaxImages have a number of their own; all others share one.
   ImageId Intern(const std::string& aImage);
 
   /// Returns the image that Intern() has given this number. \pre There is one.
-  const std::string& NameOf(ImageId aImage) const { return *m_names[aImage]; }
+  const std::string& NameOf(ImageId aImage) const;
 
   /// Returns the utilization of a task of \p aServingImage whose tail latency is \p aRatio times
   /// its target.
@@ -142,7 +143,11 @@
   /// Restores the estimates that an earlier epoch stored.
   void Restore(const StoredInterference& aStored);
 
+  static constexpr size_t kMaxImages = 512;
+
 private:
+  static constexpr ImageId kOtherImages = kMaxImages;
+
   /// A weight, and the variance of its error.
   struct Estimate
   {
--- a/lib/Scheduler/ImageInterference.cpp
+++ b/lib/Scheduler/ImageInterference.cpp
@@ -102,13 +102,25 @@
 ImageId
 ImageInterferenceModel::Intern(const std::string& aImage)
 {
-  const auto [it, added] = m_images.emplace(aImage, static_cast<ImageId>(m_images.size()));
-  if (added) {
-    m_names.push_back(&it->first);
+  const auto known = m_images.find(aImage);
+  if (known != m_images.end()) {
+    return known->second;
   }
+  if (m_images.size() == kMaxImages) {
+    return kOtherImages;
+  }
+  const auto it = m_images.emplace(aImage, static_cast<ImageId>(m_images.size())).first;
+  m_names.push_back(&it->first);
   return it->second;
 }
 
+const std::string&
+ImageInterferenceModel::NameOf(ImageId aImage) const
+{
+  static const std::string kOthers = "(others)";
+  return aImage < m_names.size() ? *m_names[aImage] : kOthers;
+}
+
 double
 ImageInterferenceModel::UtilizationOf(ImageId aServingImage, double aRatio)
 {
@@ -252,8 +264,10 @@
     for (size_t bestEffort = 0; bestEffort < m_weights[serving].size(); ++bestEffort) {
       const Estimate& estimate = m_weights[serving][bestEffort];
       if (estimate.m_sampled) {
-        stored.m_pairs.push_back(
-          { *m_names[serving], *m_names[bestEffort], estimate.m_weight, estimate.m_variance });
+        stored.m_pairs.push_back({ NameOf(static_cast<ImageId>(serving)),
+                                   NameOf(static_cast<ImageId>(bestEffort)),
+                                   estimate.m_weight,
+                                   estimate.m_variance });
       }
     }
   }
@@ -274,8 +288,8 @@
       estimate.m_loggedWeight = estimate.m_weight;
       estimate.m_loggedKnown = known;
       Log(LogLine(LogLevel::Info, "pressure_learned")
-            .Add("serving", *m_names[serving])
-            .Add("filling", *m_names[bestEffort])
+            .Add("serving", NameOf(static_cast<ImageId>(serving)))
+            .Add("filling", NameOf(static_cast<ImageId>(bestEffort)))
             .Add("weight", estimate.m_weight)
             .Add("deviation", std::sqrt(estimate.m_variance))
             .Add("known", known ? 1 : 0));
--- a/unittests/Scheduler/ImageInterferenceTest.cpp
+++ b/unittests/Scheduler/ImageInterferenceTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace egretturn;
 using std::chrono::milliseconds;
@@ -141,3 +142,18 @@
   load.Record(2, 0.62, later);
   CHECK(load.OwnLoad(later) == Approx(0.6));
 }
+
+TEST_CASE("callers cannot fill the table of images")
+{
+  static constexpr size_t kNames = 70000;
+  ImageInterferenceModel model;
+  std::set<ImageId> numbers;
+  for (size_t i = 0; i < kNames; ++i) {
+    numbers.insert(model.Intern("image-" + std::to_string(i)));
+  }
+  CHECK(numbers.size() <= 1024);
+  const ImageId other = model.Intern("one more");
+  CHECK(other == model.Intern("yet another"));
+  CHECK_FALSE(model.NameOf(other).empty());
+  CHECK(model.NameOf(model.Intern("image-1")) == "image-1");
+}
