--- a/lib/Scheduler/WaitingReport.cpp
+++ b/lib/Scheduler/WaitingReport.cpp
@@ -6,6 +6,9 @@
 
 namespace egretturn {
 
+// In one report, to bound the log: callers choose the names of images.
+static constexpr size_t kMaxLoggedImages = 32;
+
 WaitingImage&
 WaitingReport::AddTasks(ImageId aImage, uint32_t aTasks, Duration aAge)
 {
@@ -87,7 +90,13 @@
 void
 WaitingReport::LogLines(const ImageInterferenceModel& aInterference) const
 {
+  size_t lines = 0;
   for (const std::pair<const ImageId, WaitingImage>& imageEntry : m_images) {
+    if (++lines > kMaxLoggedImages) {
+      Log(LogLine(LogLevel::Info, "tasks_waiting_more")
+            .Add("images", uint64_t{ m_images.size() - kMaxLoggedImages }));
+      break;
+    }
     const WaitingImage& image = imageEntry.second;
     LogLine line(LogLevel::Info, "tasks_waiting");
     line.Add("image", aInterference.NameOf(imageEntry.first))
