Send the interim response to callers that expect it

Cause: a caller that sends `Expect: 100-continue` waited for nothing until it gave up waiting. Change: the server sends 100 Continue once the header is read and the body is not complete. Conclusion: such callers send their body at once.

--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -26,6 +27,9 @@
 // A body of chunks of one byte takes six bytes for each.
 static constexpr size_t kMaxWireBytesPerBodyByte = 8;
 
+static constexpr unsigned kHttp11 = 11; // as the parser counts versions
+static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
 static constexpr const char* kRetryAfterSeconds = "1";
 static constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
 static constexpr uint64_t kMaxCloseLogLines = 1;
@@ -141,6 +145,7 @@
     m_parser->header_limit(static_cast<uint32_t>(m_shared->m_limits.m_headerBytes));
     m_parser->body_limit(m_shared->m_limits.m_bodyBytes);
     m_receivedBytes = 0;
+    m_continueSent = false;
     m_stream.expires_after(m_shared->m_limits.m_idle);
     if (m_buffer.size() > 0) {
       StartReceiving();
@@ -268,11 +273,39 @@
       return;
     }
     NoteHeld();
-    if (IsInBudget()) {
+    if (!IsInBudget()) {
+      return;
+    }
+    if (AwaitsContinue()) {
+      SendContinue();
+    } else {
       ReadSome(kReadBytes);
     }
   }
 
+  /// Returns whether the caller waits for the interim response before it sends the body.
+  bool AwaitsContinue() const
+  {
+    if (m_continueSent || !m_parser->is_header_done() || m_parser->get().version() < kHttp11) {
+      return false;
+    }
+    return beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+  }
+
+  void SendContinue()
+  {
+    m_continueSent = true;
+    boost::asio::async_write(m_stream,
+                             boost::asio::buffer(kContinue),
+                             [self = this->shared_from_this()](beast::error_code aError, size_t) {
+                               if (aError || !self->IsInBudget()) {
+                                 self->Close();
+                               } else {
+                                 self->ReadSome(kReadBytes);
+                               }
+                             });
+  }
+
   void OnRead(beast::error_code aError)
   {
     if (aError == http::error::body_limit || aError == http::error::header_limit) {
@@ -392,6 +425,7 @@
   std::optional<http::request_parser<http::string_body>> m_parser;
   HttpResponse m_response;
   std::function<void()> m_onDisconnect;
+  bool m_continueSent = false; ///< For the current request.
   bool m_keepAlive = true;
   bool m_responded = true;
   bool m_inFlight = false; ///< Whether Shared::m_inFlight counts the current request.
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -2,7 +2,9 @@
 // keep-alive.
 #include "egretturn/Http/Http.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace egretturn;
@@ -82,6 +84,30 @@
   CHECK_FALSE(fixture.m_responses[0].m_response.keep_alive());
 }
 
+TEST_CASE("a caller that expects it is told to send its body")
+{
+  static constexpr std::string_view kInterim = "HTTP/1.1 100 Continue\r\n\r\n";
+  ServerFixture fixture;
+  boost::asio::ip::tcp::socket caller(fixture.m_io);
+  caller.connect(*ParseEndpoint(kAddress));
+  boost::asio::write(caller,
+                     boost::asio::buffer(std::string_view(
+                       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                       "Expect: 100-continue\r\n\r\n")));
+  std::string received(kInterim.size(), '\0');
+  bool read = false;
+  boost::asio::async_read(
+    caller, boost::asio::buffer(received), [&](boost::system::error_code aError, size_t) {
+      read = !aError;
+    });
+  fixture.RunUntil([&] { return read; });
+  CHECK(received == kInterim);
+  CHECK(fixture.m_replies.empty());
+  boost::asio::write(caller, boost::asio::buffer(std::string_view("body")));
+  fixture.RunUntil([&] { return fixture.m_replies.size() == 1; });
+  fixture.m_replies[0]->Send(MakeResponse(200, "text/plain", ""));
+}
+
 // Guards against calls to a wrong endpoint when an address that another program wrote is malformed.
 TEST_CASE("an address is an IP address and a 16-bit port, with nothing around them")
 {
