--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -90,16 +90,15 @@
   ServerFixture fixture;
   boost::asio::ip::tcp::socket caller(fixture.m_io);
   caller.connect(*ParseEndpoint(kAddress));
-  boost::asio::write(caller,
-                     boost::asio::buffer(std::string_view(
-                       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
-                       "Expect: 100-continue\r\n\r\n")));
+  boost::asio::write(
+    caller,
+    boost::asio::buffer(std::string_view("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                                         "Expect: 100-continue\r\n\r\n")));
   std::string received(kInterim.size(), '\0');
   bool read = false;
-  boost::asio::async_read(
-    caller, boost::asio::buffer(received), [&](boost::system::error_code aError, size_t) {
-      read = !aError;
-    });
+  boost::asio::async_read(caller,
+                          boost::asio::buffer(received),
+                          [&](boost::system::error_code aError, size_t) { read = !aError; });
   fixture.RunUntil([&] { return read; });
   CHECK(received == kInterim);
   CHECK(fixture.m_replies.empty());
