--- a/include/egretturn/Scheduler/TaskTable.h
+++ b/include/egretturn/Scheduler/TaskTable.h
@@ -44,20 +44,20 @@
   {
   }
 
-  size_t size() const { return m_size; }
+  size_t Size() const { return m_size; }
 
   /// Returns the state of a task. The reference is valid until the task's record changes hands.
-  /// \pre \p aIndex is less than size().
+  /// \pre \p aIndex is less than Size().
   const TaskRecord& operator[](size_t aIndex) const;
 
   /// Returns the record of a task to change it, and adds one if there is none. The reference is
-  /// valid until Release() drops the record. \pre \p aIndex is less than size().
+  /// valid until Release() drops the record. \pre \p aIndex is less than Size().
   TaskRecord& Edit(size_t aIndex);
 
   /// Returns the record of a task, or nullptr if it has none.
   TaskRecord* Find(size_t aIndex);
 
-  /// Marks a task as done that has no attempts. \pre \p aIndex is less than size(), and the task is
+  /// Marks a task as done that has no attempts. \pre \p aIndex is less than Size(), and the task is
   /// not done.
   void MarkDone(size_t aIndex);
 
--- a/lib/Scheduler/JobRegistry.cpp
+++ b/lib/Scheduler/JobRegistry.cpp
@@ -269,7 +269,7 @@
     return nullptr;
   }
   StepRecord& step = occurrence->m_steps[aTask.m_step];
-  return aTask.m_index < step.m_tasks.size() ? &step : nullptr;
+  return aTask.m_index < step.m_tasks.Size() ? &step : nullptr;
 }
 
 TaskRecord*
@@ -292,7 +292,7 @@
 {
   const std::vector<StepRecord>& steps = aOccurrence.m_steps;
   return std::all_of(steps.begin(), steps.end(), [](const StepRecord& aStep) {
-    return aStep.m_done == aStep.m_tasks.size();
+    return aStep.m_done == aStep.m_tasks.Size();
   });
 }
 
@@ -302,7 +302,7 @@
   const std::vector<uint32_t>& dependencies = aJob.m_stored.m_graph.m_steps[aStep].m_dependencies;
   return std::all_of(dependencies.begin(), dependencies.end(), [&](uint32_t aDependency) {
     const StepRecord& step = aOccurrence.m_steps[aDependency];
-    return step.m_done == step.m_tasks.size();
+    return step.m_done == step.m_tasks.Size();
   });
 }
 
@@ -327,7 +327,7 @@
   int64_t longestPathMs = 0;
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const GraphStep& step = steps[s];
-    const size_t open = aOccurrence.m_steps[s].m_tasks.size() - aOccurrence.m_steps[s].m_done;
+    const size_t open = aOccurrence.m_steps[s].m_tasks.Size() - aOccurrence.m_steps[s].m_done;
     for (uint32_t dependency : step.m_dependencies) {
       endMs[s] = std::max(endMs[s], endMs[dependency]);
     }
@@ -373,7 +373,7 @@
   }
   for (size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const TaskTable& tasks = aOccurrence.m_steps[s].m_tasks;
-    DescribeTasks(tasks, s, 0, tasks.size(), aDetail == ProgressDetail::Full, stored);
+    DescribeTasks(tasks, s, 0, tasks.Size(), aDetail == ProgressDetail::Full, stored);
   }
   return stored;
 }
@@ -389,12 +389,12 @@
     for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const TaskTable& tasks = occurrence.m_steps[s].m_tasks;
       first.m_step = static_cast<uint16_t>(s);
-      for (size_t i = 0; i < tasks.size(); i += aTasks) {
+      for (size_t i = 0; i < tasks.Size(); i += aTasks) {
         first.m_index = static_cast<uint16_t>(i);
         StoredProgressPart part;
         part.m_acceptedMs = aJob.m_stored.m_acceptedMs;
         part.m_occurrence.m_number = occurrence.m_number;
-        const size_t end = std::min(tasks.size(), i + aTasks);
+        const size_t end = std::min(tasks.Size(), i + aTasks);
         DescribeTasks(tasks, s, i, end, true, part.m_occurrence);
         if (!part.m_occurrence.m_done[s].empty() || !part.m_occurrence.m_tasks.empty()) {
           parts.emplace_back(first, std::move(part));
@@ -442,7 +442,7 @@
   for (size_t s = 0; s < aStored.m_done.size() && s < aOccurrence.m_steps.size(); ++s) {
     StepRecord& step = aOccurrence.m_steps[s];
     for (uint16_t index : aStored.m_done[s]) {
-      if (index < step.m_tasks.size() && !step.m_tasks[index].m_done) {
+      if (index < step.m_tasks.Size() && !step.m_tasks[index].m_done) {
         step.m_tasks.MarkDone(index);
         ++step.m_done;
         --step.m_waiting;
@@ -451,7 +451,7 @@
   }
   for (const StoredTask& stored : aStored.m_tasks) {
     const bool known = stored.m_step < aOccurrence.m_steps.size() &&
-                       stored.m_index < aOccurrence.m_steps[stored.m_step].m_tasks.size();
+                       stored.m_index < aOccurrence.m_steps[stored.m_step].m_tasks.Size();
     if (known) {
       MergeTask(aOccurrence.m_steps[stored.m_step].m_tasks.Edit(stored.m_index), stored);
     }
--- a/lib/Scheduler/LongRunningMoves.cpp
+++ b/lib/Scheduler/LongRunningMoves.cpp
@@ -45,7 +45,7 @@
 uint32_t
 CountUnavailable(const StepRecord& aStep, const TaskRef& aTask, Instant aNow)
 {
-  uint32_t unavailable = static_cast<uint32_t>(aStep.m_tasks.size());
+  uint32_t unavailable = static_cast<uint32_t>(aStep.m_tasks.Size());
   TaskRef ref = aTask;
   for (const TaskTable::Records::value_type& taskEntry : aStep.m_tasks.GetRecords()) {
     ref.m_index = taskEntry.first;
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -361,7 +361,7 @@
   }
   std::optional<CandidateRanking> ranking;
   std::optional<NearPlaces> nearPlaces;
-  for (size_t i = 0; i < record.m_tasks.size() && record.m_waiting > 0; ++i) {
+  for (size_t i = 0; i < record.m_tasks.Size() && record.m_waiting > 0; ++i) {
     const TaskRecord& task = record.m_tasks[i];
     const TaskRef ref = MakeTaskRef(aWaiting, i);
     if (task.m_done || !task.m_attempts.empty()) {
@@ -471,11 +471,11 @@
 Scheduler::PlaceGang(const WaitingStep& aWaiting, PlacementRequest& aRequest, Instant aNow)
 {
   StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
-  if (record.m_waiting < record.m_tasks.size()) { // members of the last attempt are still there
+  if (record.m_waiting < record.m_tasks.Size()) { // members of the last attempt are still there
     ReportTasks(&WaitingReport::AddIncomplete, aWaiting, record.m_waiting, aNow);
     return true;
   }
-  for (size_t i = 0; i < record.m_tasks.size(); ++i) {
+  for (size_t i = 0; i < record.m_tasks.Size(); ++i) {
     const TaskRef ref = MakeTaskRef(aWaiting, i);
     if (MayRunElsewhere(*aWaiting.m_job, ref, aNow)) {
       ReportTasks(&WaitingReport::AddRecovering, aWaiting, record.m_waiting, aNow);
@@ -488,8 +488,8 @@
       return true;
     }
   }
-  const std::vector<Worker*> chosen = ChooseGangWorkers(record.m_tasks.size(), aRequest);
-  if (chosen.size() < record.m_tasks.size()) {
+  const std::vector<Worker*> chosen = ChooseGangWorkers(record.m_tasks.Size(), aRequest);
+  if (chosen.size() < record.m_tasks.Size()) {
     ReportUnplacedStep(aWaiting, aRequest, aNow);
     return false;
   }
--- a/lib/Scheduler/TaskWaits.cpp
+++ b/lib/Scheduler/TaskWaits.cpp
@@ -136,7 +136,7 @@
   for (OccurrenceRecord& occurrence : aJob.m_occurrences) {
     for (size_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepRecord& record = occurrence.m_steps[s];
-      if (record.m_done < record.m_tasks.size() && JobRegistry::IsReady(aJob, occurrence, s)) {
+      if (record.m_done < record.m_tasks.Size() && JobRegistry::IsReady(aJob, occurrence, s)) {
         AddWaitingTasks({ &aJob, &occurrence, static_cast<uint16_t>(s), {} }, activity, aNow);
       }
     }
@@ -315,7 +315,7 @@
     return aWait.m_obstacles[static_cast<size_t>(Obstacle::None)] > 0;
   }
   const size_t members =
-    aWaiting.m_step.m_occurrence->m_steps[aWaiting.m_step.m_step].m_tasks.size();
+    aWaiting.m_step.m_occurrence->m_steps[aWaiting.m_step.m_step].m_tasks.Size();
   return ChooseGangWorkers(members, aRequest).size() == members;
 }
 
--- a/unittests/Scheduler/TaskTableTest.cpp
+++ b/unittests/Scheduler/TaskTableTest.cpp
@@ -17,7 +17,7 @@
 TEST_CASE("a task without a record is like any other that has not started")
 {
   TaskTable table(4096);
-  CHECK(table.size() == 4096);
+  CHECK(table.Size() == 4096);
   CHECK_FALSE(table[7].m_done);
   CHECK(table.GetRecords().empty());
   CHECK(table.CountUntouched() == 4096);
