Leave descriptors for the daemon's own calls

Cause: egretturnd took 4,096 connections of callers and as many of peers, whatever its descriptors allow, so a crowd of idle connections left none for its calls to workers, peers and the log. Change: callers get half of the descriptors but 200 at most, peers an eighth.

--- a/include/egretturn/Http/ServerLimits.h
+++ b/include/egretturn/Http/ServerLimits.h
@@ -18,4 +18,9 @@
 /// calls. Thread-safe.
 ServerLimits DivideLimits(uint64_t aMemoryBytes, uint64_t aDescriptors);
 
+/// Lowers the connections of \p aLimits to what DivideLimits() gives callers and peers, so that
+/// descriptors are left for the process's own calls. Thread-safe.
+HttpLimits FitCallersTo(HttpLimits aLimits, uint64_t aDescriptors);
+HttpLimits FitPeersTo(HttpLimits aLimits, uint64_t aDescriptors);
+
 } // namespace egretturn
--- a/lib/Daemon/DataPlane.cpp
+++ b/lib/Daemon/DataPlane.cpp
@@ -1,8 +1,10 @@
 #include "egretturn/Daemon/DataPlane.h"
 
+#include "egretturn/Http/ServerLimits.h"
 #include "egretturn/Support/EnumTable.h"
 
 #include <sstream>
+#include <sys/resource.h>
 
 namespace egretturn {
 
@@ -44,12 +46,20 @@
   return m_metrics;
 }
 
+/// Returns how many descriptors the process may have.
+static uint64_t
+DescriptorLimit()
+{
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : RLIM_INFINITY;
+}
+
 static HttpLimits
 PeerLimits(HttpLimits aLimits)
 {
   aLimits.m_bodyBytes = std::max(aLimits.m_bodyBytes, kPeerBodyBytes);
   aLimits.m_heldBytes = std::max(aLimits.m_heldBytes, kPeerBodiesHeld * kPeerBodyBytes);
-  return aLimits;
+  return FitPeersTo(aLimits, DescriptorLimit());
 }
 
 DataPlane::DataPlane(EventLoopThread& aLoop,
@@ -60,7 +70,7 @@
   , m_settings(aSettings)
   , m_statusBoard(aStatusBoard)
   , m_server(aLoop.Io(),
-             aSettings.m_limits,
+             FitCallersTo(aSettings.m_limits, DescriptorLimit()),
              [this](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
                OnRequest(std::move(aRequest), aReply, false);
              })
--- a/lib/Http/ServerLimits.cpp
+++ b/lib/Http/ServerLimits.cpp
@@ -38,4 +38,20 @@
   return limits;
 }
 
+HttpLimits
+FitCallersTo(HttpLimits aLimits, uint64_t aDescriptors)
+{
+  const size_t connections = DivideLimits(0, aDescriptors).m_callers.m_connections;
+  aLimits.m_connections = std::min(aLimits.m_connections, connections);
+  return aLimits;
+}
+
+HttpLimits
+FitPeersTo(HttpLimits aLimits, uint64_t aDescriptors)
+{
+  const size_t connections = DivideLimits(0, aDescriptors).m_peers.m_connections;
+  aLimits.m_connections = std::min(aLimits.m_connections, connections);
+  return aLimits;
+}
+
 } // namespace egretturn
