Limit the tasks of all jobs of a daemon

Cause: egretturnd bounded the tasks of one job (20,000) and the number of jobs (12,000), not their product; the state of each task is made when the job is accepted, on all instances of a zone. Change: a job is refused with 503 while the jobs that have not ended would have over 500,000 tasks; ended jobs are discarded beyond 1,000,000 tasks, the oldest first. Hostile-daemon (crowd-test) is the first test of a crowd of egretturnd: eight crowds of connections on two ports, and such jobs. Conclusion: the state of the daemons is bounded by what has been accepted, and that by a number.

--- a/include/egretturn/Jobs/JobTable.h
+++ b/include/egretturn/Jobs/JobTable.h
@@ -143,6 +143,9 @@
 
   const std::map<JobId, Job>& All() const { return m_jobs; }
 
+  /// Returns whether the jobs that have not ended leave room for one with \p aTasks tasks.
+  bool HasRoomFor(uint32_t aTasks) const;
+
   // Entries of snapshots. Specifications belong to the intake stream, task states to the zone
   // stream.
   struct JobSpecEntry
@@ -197,6 +200,8 @@
 
   const std::string m_zone;
   std::map<JobId, Job> m_jobs;
+  uint64_t m_taskCount = 0;     ///< Tasks of all jobs, by their specifications.
+  uint64_t m_openTaskCount = 0; ///< Tasks of local jobs that have not ended.
   std::unordered_map<std::string, JobId> m_byKey;
   std::vector<std::string> m_rackNames;
   std::unordered_map<std::string, uint16_t> m_rackIndexes;
--- a/lib/Core/Operators.cpp
+++ b/lib/Core/Operators.cpp
@@ -192,6 +192,14 @@
     ReplyError(aId, checked.error());
     return;
   }
+  const JobTable& jobs = m_context.m_replica.Jobs();
+  if (!jobs.FindByKey(aJob.m_key) && !jobs.HasRoomFor(aJob.m_tasks)) {
+    ReplyError(aId,
+               Error{ ErrorKind::Overloaded,
+                      "the jobs that have not ended have too many tasks",
+                      "submit again with the same key once jobs have ended, or cancel some" });
+    return;
+  }
   const BatchKind& kind = m_context.Config().m_kinds.find(aJob.m_kind)->second;
   aJob.m_restartable = aJob.m_restartable || kind.m_restartable;
   AppendAndAwait(aId, Stream::Intake, std::move(aJob));
--- a/lib/Jobs/JobTable.cpp
+++ b/lib/Jobs/JobTable.cpp
@@ -8,7 +8,9 @@
 
 namespace egretturn {
 
-static constexpr size_t kMaxJobs = 12'000; // about one day at the largest site
+static constexpr size_t kMaxJobs = 12'000;       // about one day at the largest site
+static constexpr uint64_t kMaxTasks = 1'000'000; // of all jobs; ended jobs are discarded beyond it
+static constexpr uint64_t kMaxOpenTasks = 500'000; // of jobs that have not ended
 
 static constexpr EnumTable<TaskPhase, 5> kTaskPhases{ {
   { TaskPhase::Waiting, "waiting" },
@@ -95,6 +97,7 @@
   aJob.m_started += aPhase == TaskPhase::Started ? 1 : 0;
   aJob.m_finished += aPhase == TaskPhase::Finished ? 1 : 0;
   aJob.m_ended += IsFinal(aPhase) ? 1 : 0;
+  m_openTaskCount -= IsFinal(aPhase) ? 1 : 0;
   UpdateRackIndex(aJob, aIndex, true);
 }
 
@@ -106,9 +109,11 @@
   job.m_spec = aSubmit;
   job.m_local = aSubmit.m_zone == m_zone && !aSubmit.m_racks.empty();
   m_byKey[aSubmit.m_key] = aId;
+  m_taskCount += aSubmit.m_tasks;
   if (!job.m_local) {
     return;
   }
+  m_openTaskCount += aSubmit.m_tasks;
   job.m_tasks.resize(aSubmit.m_tasks);
   for (uint32_t i = 0; i < aSubmit.m_tasks; ++i) {
     job.m_tasks[i].m_rack = InternRack(aSubmit.m_racks[i % aSubmit.m_racks.size()]);
@@ -134,16 +139,23 @@
 JobTable::DiscardOldest()
 {
   // Only the oldest jobs are discarded, so that every instance discards the same ones.
-  while (m_jobs.size() > kMaxJobs) {
+  while (m_jobs.size() > kMaxJobs || m_taskCount > kMaxTasks) {
     const std::map<JobId, Job>::iterator oldest = m_jobs.begin();
     if (oldest->second.m_local && oldest->second.m_ended < oldest->second.m_tasks.size()) {
       return;
     }
     m_byKey.erase(oldest->second.m_spec.m_key);
+    m_taskCount -= oldest->second.m_spec.m_tasks;
     m_jobs.erase(oldest);
   }
 }
 
+bool
+JobTable::HasRoomFor(uint32_t aTasks) const
+{
+  return m_openTaskCount + aTasks <= kMaxOpenTasks;
+}
+
 TaskState*
 JobTable::MutableTask(const TaskId& aTask)
 {
--- a/unittests/HostileClients/HostileClientsMain.cpp
+++ b/unittests/HostileClients/HostileClientsMain.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <thread>
 
 namespace egretturn::hostile {
 
@@ -60,6 +61,7 @@
 
 Usage:
   hostile-clients --program=FILE --folder=FOLDER --attack=NAME --port=PORT [--restart]
+  hostile-clients --target=PORT --attack=NAME --hold=SECONDS
   hostile-clients (-h | --help)
 
 Options:
@@ -68,6 +70,8 @@
   --attack=NAME    What the clients do.
   --port=PORT      Where: ingress, ready or peer.
   --restart        Judge the process that follows on the same store.
+  --target=PORT    Only play the clients, against a port of this machine.
+  --hold=SECONDS   How long they stay connected.
   -h --help        Show this text.
 
 Exit codes:
@@ -136,6 +140,25 @@
   return Report(broken);
 }
 
+/// Plays clients against a process that another test has started and judges.
+static int
+PlayAlone(const Arguments& aArguments)
+{
+  const Expected<double> target = ParseNumberOption(aArguments, "--target");
+  const Expected<double> hold = ParseNumberOption(aArguments, "--hold");
+  const std::vector<Attack> attacks = MakeAttacks();
+  const Attack* attack = FindByName(attacks, aArguments.at("--attack").asString());
+  if (!target || !hold || !attack) {
+    std::cout << "the port, the attack or the time is wrong\n";
+    return kExitUsage;
+  }
+  Crowd crowd(static_cast<uint16_t>(*target), attack->m_clients);
+  crowd.Send(attack->m_script);
+  std::cout << attack->m_clients << " clients sent " << crowd.SentBytes() << " bytes" << std::endl;
+  std::this_thread::sleep_for(std::chrono::duration<double>(*hold));
+  return EXIT_SUCCESS;
+}
+
 static int
 Play(const Arguments& aArguments)
 {
@@ -174,5 +197,5 @@
     return arguments.error();
   }
   std::signal(SIGPIPE, SIG_IGN);
-  return hostile::Play(*arguments);
+  return arguments->at("--target") ? hostile::PlayAlone(*arguments) : hostile::Play(*arguments);
 }
--- a/unittests/Jobs/JobTableTest.cpp
+++ b/unittests/Jobs/JobTableTest.cpp
@@ -78,3 +78,26 @@
   CHECK(copy.Waiting("r1").size() == jobs.Waiting("r1").size());
   CHECK(copy.Find(1)->m_finished == 1);
 }
+
+TEST_CASE("the tasks of all jobs together are bounded", "[jobs]")
+{
+  static constexpr uint32_t kTasks = 20000;
+  static constexpr JobId kJobs = 60;
+  JobTable jobs("z");
+  for (JobId id = 1; id <= 25; ++id) {
+    CHECK(jobs.HasRoomFor(kTasks));
+    jobs.Apply(id, MakeSpec(std::to_string(id), kTasks));
+  }
+  CHECK_FALSE(jobs.HasRoomFor(1));
+  jobs.Apply(JobCancel{ 3 });
+  CHECK(jobs.HasRoomFor(kTasks));
+  CHECK(jobs.All().size() == 25);
+  for (JobId id = 1; id <= kJobs; ++id) { // ended jobs are kept while there is room
+    jobs.Apply(id, MakeSpec(std::to_string(id), kTasks));
+    jobs.Apply(JobCancel{ id });
+  }
+  CHECK(jobs.All().size() == 50);
+  CHECK_FALSE(jobs.Find(1));
+  CHECK(jobs.Find(kJobs));
+  CHECK(jobs.HasRoomFor(25 * kTasks));
+}
