--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -345,7 +345,7 @@
   void MoveFromSlowWorker(Worker& aWorker, Instant aNow);
   bool MayMove(const Worker& aWorker, const TaskRef& aTask, Instant aNow);
 
-  // TaskPlacement.cpp
+  // PlacementPass.cpp
   void PlaceWaitingSteps(Instant aNow);
   std::vector<WaitingStep> CollectReadySteps(Instant aNow);
   /// Adds the steps of \p aJob that are ready. Returns whether any of its steps waits, as far as
@@ -361,8 +361,6 @@
   /// Adds a job that is new here to the means of its route.
   void AddToRouteMeans(const Job& aJob);
   JobRank RankOccurrence(const Job& aJob, const OccurrenceRecord& aOccurrence, Instant aNow) const;
-  static TaskRef MakeTaskRef(const WaitingStep& aWaiting, size_t aIndex);
-  static const GraphStep& StepOf(const WaitingStep& aWaiting);
   /// Returns the share of the processors of \p aService that was reserved when the current pass
   /// first asked for it. A pass asks for each idle job, and the share is a sum over all workers.
   double ReservedShareOf(const std::string& aService);
@@ -370,6 +368,10 @@
   PlacementRequest MakePlacementRequest(const WaitingStep& aWaiting, Instant aNow);
   /// Returns whether \p aJob has had no attempts for a while.
   static bool IsIdle(const Job& aJob, Instant aNow);
+
+  // TaskPlacement.cpp
+  static TaskRef MakeTaskRef(const WaitingStep& aWaiting, size_t aIndex);
+  static const GraphStep& StepOf(const WaitingStep& aWaiting);
   /// Starts the tasks of the step that fit. Returns false if a task does not fit on any worker.
   bool PlaceStep(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow);
   /// The same; what has started counts against its floor.
