Let only long-running tasks that have run before go ahead of all else

Cause: new long-running jobs beyond the capacity became overdue, too. They went first and places were cleared for them, which short tasks and the tasks that had been lost then lacked. The users' rule is about tasks that have run: "from 6 s after its last run".

Change: a task is away since it last ran, and not if it has never run. An epoch that has restored a running job does not know when they ran: there each waiting task counts since the job was accepted.

--- a/include/egretturn/Scheduler/JobRanking.h
+++ b/include/egretturn/Scheduler/JobRanking.h
@@ -20,7 +20,8 @@
 {
   uint32_t m_priority = 0; ///< 0 comes first.
   bool m_longRunning = false;
-  Duration m_age{}; ///< Of a long-running job: how long a task of it has been away.
+  Duration m_age{};  ///< Of a long-running job: since it last ran.
+  Duration m_away{}; ///< How long a long-running task that has run before has been away.
   Duration m_objective{};
   Duration m_criticalPath{};  ///< Minimum time until the job is done.
   double m_totalWork = 0;     ///< Core-seconds of the whole job.
--- a/lib/Scheduler/JobRanking.cpp
+++ b/lib/Scheduler/JobRanking.cpp
@@ -64,8 +64,8 @@
   rank.m_priority = aInput.m_priority;
   if (aInput.m_longRunning) {
     rank.m_valueDensity = LongRunningDensity(aInput);
-    rank.m_overdue = IsOverdue(aInput.m_age);
-    rank.m_away = rank.m_overdue ? aInput.m_age : Duration::zero();
+    rank.m_overdue = IsOverdue(aInput.m_away);
+    rank.m_away = rank.m_overdue ? aInput.m_away : Duration::zero();
     return rank;
   }
   rank.m_tooLate = aInput.m_age > kMaxLateness * aInput.m_objective;
--- a/lib/Scheduler/LongRunningAbsence.cpp
+++ b/lib/Scheduler/LongRunningAbsence.cpp
@@ -4,40 +4,41 @@
 
 namespace egretturn {
 
-/// Returns when the turn of the tasks of \p aOccurrence came.
-static Instant
-TurnOf(const Job& aJob, const OccurrenceRecord& aOccurrence)
-{
-  const bool openedEarlier = aJob.m_recovered && aJob.m_stored.m_graph.m_occurrences == 0;
-  return openedEarlier ? aJob.m_submittedAt : std::max(aJob.m_submittedAt, aOccurrence.m_openedAt);
-}
-
-Instant
+std::optional<Instant>
 AwaySince(const Job& aJob, const OccurrenceRecord& aOccurrence, const TaskRecord& aTask)
 {
-  return std::max(TurnOf(aJob, aOccurrence), aTask.m_lastRanAt);
+  if (aTask.m_lastRanAt != Instant()) {
+    return aTask.m_lastRanAt;
+  }
+  if (!aJob.m_recovered || aJob.m_state != JobState::Running) {
+    return std::nullopt;
+  }
+  const bool scheduled = aJob.m_stored.m_graph.m_occurrences > 0;
+  return scheduled ? std::max(aJob.m_submittedAt, aOccurrence.m_openedAt) : aJob.m_submittedAt;
 }
 
-Instant
+std::optional<Instant>
 LongestAwaySince(const Job& aJob, const OccurrenceRecord& aOccurrence)
 {
-  const Instant turn = TurnOf(aJob, aOccurrence);
-  Instant since = Instant::max();
+  std::optional<Instant> since;
+  const auto add = [&](const TaskRecord& aTask) {
+    const std::optional<Instant> away = AwaySince(aJob, aOccurrence, aTask);
+    since = away && (!since || *away < *since) ? away : since;
+  };
   for (const StepRecord& step : aOccurrence.m_steps) {
     if (step.m_waiting == 0) {
       continue;
     }
     if (step.m_tasks.CountUntouched() > 0) {
-      return turn;
+      add(TaskRecord());
     }
     for (const TaskTable::Records::value_type& taskEntry : step.m_tasks.GetRecords()) {
-      const TaskRecord& task = taskEntry.second;
-      if (!task.m_done && task.m_attempts.empty()) {
-        since = std::min(since, AwaySince(aJob, aOccurrence, task));
+      if (!taskEntry.second.m_done && taskEntry.second.m_attempts.empty()) {
+        add(taskEntry.second);
       }
     }
   }
-  return since == Instant::max() ? turn : since;
+  return since;
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/PlaceClearing.cpp
+++ b/lib/Scheduler/PlaceClearing.cpp
@@ -58,8 +58,9 @@
   std::vector<const Worker*> siblings = ListWorkersOf(record);
   aRequest.m_siblings = &siblings;
   for (size_t i = 0; i < record.m_tasks.Size(); ++i) {
-    const Instant since = AwaySince(*aWaiting.m_job, *aWaiting.m_occurrence, record.m_tasks[i]);
-    if (!MayBePlaced(aWaiting, i, aNow) || !IsOverdue(aNow - since)) {
+    const std::optional<Instant> since =
+      AwaySince(*aWaiting.m_job, *aWaiting.m_occurrence, record.m_tasks[i]);
+    if (!since || !IsOverdue(aNow - *since) || !MayBePlaced(aWaiting, i, aNow)) {
       continue;
     }
     if (m_clearedPlaces >= kMaxClearedPlaces || !m_passBudget.MayTry()) {
--- a/lib/Scheduler/PlacementPass.cpp
+++ b/lib/Scheduler/PlacementPass.cpp
@@ -57,7 +57,7 @@
 WaitsSince(const Job& aJob, const OccurrenceRecord& aOccurrence)
 {
   if (aJob.IsLongRunning()) {
-    return LongestAwaySince(aJob, aOccurrence);
+    return std::max({ aJob.m_submittedAt, aOccurrence.m_openedAt, aJob.m_lastRanAt });
   }
   const bool scheduled = aJob.m_stored.m_graph.m_occurrences > 0;
   return scheduled ? std::max(aJob.m_submittedAt, aOccurrence.m_openedAt) : aJob.m_submittedAt;
@@ -72,6 +72,9 @@
   input.m_priority = terms.m_priority;
   input.m_longRunning = aJob.IsLongRunning();
   input.m_age = aNow - WaitsSince(aJob, aOccurrence);
+  if (input.m_longRunning) {
+    input.m_away = aNow - LongestAwaySince(aJob, aOccurrence).value_or(aNow);
+  }
   input.m_objective = aJob.m_objective;
   input.m_criticalPath = remaining.m_criticalPath;
   input.m_totalWork = aJob.TotalWork();
--- a/unittests/Scheduler/LongRunningFirstTest.cpp
+++ b/unittests/Scheduler/LongRunningFirstTest.cpp
@@ -31,13 +31,7 @@
       AddWorker(name);
     }
     m_scheduler.OnDirectoryRead();
-    GraphStep step;
-    step.m_demand = { aLastingCpuMilli, 100, 0 };
-    step.m_count = kLastingTasks;
-    step.m_estimateMs = 60000;
-    step.m_longRunning = true;
-    step.m_maxPerWorker = 2;
-    m_scheduler.Submit(kLasting, MakeSubmission(kLasting, step), m_now, 0);
+    SubmitLasting(kLasting, aLastingCpuMilli);
     Advance(seconds(8)); // beyond the first seconds of the epoch
     REQUIRE(CountLasting() == kLastingTasks);
     m_crowded = true;
@@ -50,6 +44,17 @@
     m_running[aName];
   }
 
+  void SubmitLasting(GraphId aId, int64_t aCpuMilli)
+  {
+    GraphStep step;
+    step.m_demand = { aCpuMilli, 100, 0 };
+    step.m_count = kLastingTasks;
+    step.m_estimateMs = 60000;
+    step.m_longRunning = true;
+    step.m_maxPerWorker = 2;
+    m_scheduler.Submit(aId, MakeSubmission(aId, step), m_now, 0);
+  }
+
   /// Lets the worker of the first long-running task drain.
   void DrainFirst()
   {
@@ -266,6 +271,15 @@
   CHECK(fleet.CountLasting() == kLastingTasks);
 }
 
+// Guards against short tasks that wait for room kept for new long-running jobs beyond the capacity.
+TEST_CASE("no place is cleared for long-running tasks that have never run")
+{
+  CrowdedFleet fleet(6000);
+  fleet.SubmitLasting(kLasting + 1, 10000);
+  fleet.Advance(seconds(20));
+  CHECK(fleet.Counters().m_placesCleared == 0);
+}
+
 TEST_CASE("room is cleared where the least of it lacks beside what lasts and what is held")
 {
   Worker full;
