Log for each long-running task that was away, how long and by which cause

What callers saw: LOST says that a long-running task doesn't run beside room for it, and no more. From a task's id nobody could tell afterwards what held it, from when to when: `job_waits` names the five longest waits of a second and their present cause.

Change: AbsenceLog follows the long-running tasks that are away, at most 2,048 (64 of a step that were never started); egretturn_long_running_tasks_not_followed counts the others. The report of each second, which visits these tasks already, tells it of each one and of its cause; what the last pass has said of the step (no worker, passed over, evacuated) is noted once a step, so no worker is compared again. `task_was_away` comes when a task that was away for 3 s or more (IsOverdue) runs again, or its job has ended: ms and, adding up to it, CAUSE_ms. `task_is_away` says the same after 6, 12, 24 s. 64 lines a second at the most, absences that have ended first; `held_back` counts the others. Metrics: egretturn_long_running_tasks_away (over 6 s), egretturn_long_running_longest_away_ms. WaitCause::Evacuated is new and given for absences only.

There is no "before": the report did not exist.

Conclusion: one search for a task's id gives its runs and, between them, how long it was away by which cause.

--- a/include/egretturn/Scheduler/JobWait.h
+++ b/include/egretturn/Scheduler/JobWait.h
@@ -17,11 +17,14 @@
   StartMayFollow,    ///< A worker may execute an earlier start of it, if it restarts.
   GangIncomplete,    ///< Another member of its gang still has an attempt.
   NoWorker,          ///< It fits on no worker; of a gang, not all members do.
+  Evacuated,         ///< It fits in zones that take no starts only. Told apart for absences.
   PassedOver,        ///< It was not tried, because a similar request did not fit.
   NotTried,          ///< The placement does not know that it waits.
   Startable,         ///< Nothing holds it: it is due to start in the next pass.
 };
 
+constexpr size_t kWaitCauses = static_cast<size_t>(WaitCause::Startable) + 1;
+
 /// Returns the stable name of \p aCause. Thread-safe.
 std::string_view NameOf(WaitCause aCause);
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -3,6 +3,7 @@
 // clocks of its own.
 #pragma once
 
+#include "egretturn/Scheduler/AbsenceLog.h"
 #include "egretturn/Scheduler/HeldPlaces.h"
 #include "egretturn/Scheduler/JobRanking.h"
 #include "egretturn/Scheduler/JobRegistry.h"
@@ -166,6 +167,8 @@
   Fleet& Workers() { return m_fleet; }
   /// Returns the jobs that had nothing running when that was last determined, once a second.
   const JobWaits& WaitingJobs() const { return m_jobWaits; }
+  /// Returns which long-running tasks are away or were until then, as of the last look.
+  const AbsenceReport& GetAbsences() const { return m_absences.LastReport(); }
   /// Returns the room for work by service, measured at least once a second.
   const RoomModel& GetRoom() const { return m_room; }
 
@@ -397,10 +400,20 @@
   void ReportWaitingJobs(const std::vector<FailedStep>& aFailed, Instant aNow);
   /// Returns the task that a report on \p aJob names, or nothing if none waits, and sets \p aTasks
   /// to how many wait. One task at work is enough for all that are not long-running.
-  std::optional<WaitingTask> FindLongestWait(Job& aJob, uint32_t& aTasks, Instant aNow) const;
+  std::optional<WaitingTask> FindLongestWait(Job& aJob, uint32_t& aTasks, Instant aNow);
   static bool HasAttempts(const WaitingTask& aWaiting);
   /// Adds the tasks of a ready step to \p aActivity.
-  void AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow) const;
+  void AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow);
+  void NoteHeldStep(const WaitingStep& aWaiting, WaitCause aCause);
+  /// Tells m_absences of a long-running task, which runs if its m_since is \p aNow.
+  void FollowLongRunning(const WaitingTask& aTask, const TaskRecord& aRecord, Instant aNow);
+  /// Tells m_absences of a long-running task that doesn't run.
+  void FollowAbsence(const WaitingTask& aWaiting, Instant aNow);
+  /// The same for the tasks of a step that were never started, as far as its bound allows.
+  void FollowUnstarted(const WaitingStep& aStep, Instant aTurn, Instant aNow);
+  /// Returns what holds a long-running task, by what the last pass has found, and sets \p aHolder
+  /// to the worker if it is known. Takes less time than ExplainWait().
+  WaitCause FindCauseOfAbsence(const WaitingTask& aWaiting, const Worker*& aHolder, Instant aNow);
   JobWait ExplainWait(const WaitingTask& aWaiting,
                       const std::vector<FailedStep>& aFailed,
                       Instant aNow);
@@ -585,6 +598,7 @@
   Instant m_nextWaitingReportAt;                ///< When the next report on waiting tasks is due.
   std::optional<WaitingReport> m_waitingReport; ///< Set while a report is collected.
   JobWaits m_jobWaits;                          ///< Of the last report.
+  AbsenceLog m_absences;
   Instant m_nextSweepAt;
   Instant m_modelsWrittenAt;
   SchedulerCounters m_counters;
--- a/include/egretturn/Scheduler/SchedulerTypes.h
+++ b/include/egretturn/Scheduler/SchedulerTypes.h
@@ -74,6 +74,9 @@
   uint64_t m_tasksUnconfirmed = 0; ///< The part of m_tasksWaiting that needs a confirmation.
   uint64_t m_tasksEvacuated = 0;   ///< The part of m_tasksWaiting that waits for WaitsForZone().
   uint64_t m_jobsWaiting = 0;      ///< Jobs that the last report on waiting jobs counted.
+  uint64_t m_longRunningAway = 0;  ///< Long-running tasks away for over 6 s at the last look.
+  uint64_t m_longRunningLongestAwayMs = 0; ///< The longest absence of one at the last look.
+  uint64_t m_longRunningNotFollowed = 0;   ///< Those away beyond the bound of AbsenceLog.
   uint64_t m_workersRegistered = 0;
   uint64_t m_workersUnreachable = 0; ///< Registered workers whose last polls failed.
 };
--- a/lib/Scheduler/JobWait.cpp
+++ b/lib/Scheduler/JobWait.cpp
@@ -5,8 +5,6 @@
 
 namespace egretturn {
 
-static constexpr size_t kWaitCauses = static_cast<size_t>(WaitCause::Startable) + 1;
-
 static constexpr EnumTable<WaitCause, kWaitCauses> kWaitCauseNames{ {
   { WaitCause::Recovering, "recovering" },
   { WaitCause::Unconfirmed, "unconfirmed" },
@@ -15,6 +13,7 @@
   { WaitCause::StartMayFollow, "start_may_follow" },
   { WaitCause::GangIncomplete, "gang_incomplete" },
   { WaitCause::NoWorker, "no_worker" },
+  { WaitCause::Evacuated, "evacuated" },
   { WaitCause::PassedOver, "passed_over" },
   { WaitCause::NotTried, "not_tried" },
   { WaitCause::Startable, "startable" },
@@ -82,6 +81,7 @@
       AddConfirmation(line, aWait);
       break;
     case WaitCause::NoWorker:
+    case WaitCause::Evacuated:
       AddObstacles(line, aWait.m_obstacles);
       break;
     case WaitCause::PassedOver:
--- a/lib/Scheduler/TaskPlacement.cpp
+++ b/lib/Scheduler/TaskPlacement.cpp
@@ -265,6 +265,9 @@
   start.m_fence = FenceFor(aWorker);
   m_fleet.ExtendLease(aWorker, aNow);
   ++m_counters.m_starts;
+  if (step.m_longRunning) {
+    m_absences.OnStart(ref, start.m_worker, aNow);
+  }
   if (LogEnabled(LogLevel::Info)) {
     Log(LogLine(LogLevel::Info, "run_start")
           .Add("job", FormatGraphId(ref.m_job))
--- a/lib/Scheduler/TaskWaits.cpp
+++ b/lib/Scheduler/TaskWaits.cpp
@@ -32,6 +32,15 @@
 {
   const uint32_t tasks = aWaiting.m_occurrence->m_steps[aWaiting.m_step].m_waiting;
   ReportTasks(&WaitingReport::AddSkipped, aWaiting, tasks, aNow);
+  NoteHeldStep(aWaiting, WaitCause::PassedOver);
+}
+
+void
+Scheduler::NoteHeldStep(const WaitingStep& aWaiting, WaitCause aCause)
+{
+  if (m_waitingReport && StepOf(aWaiting).m_longRunning) {
+    m_absences.NoteStep(MakeTaskRef(aWaiting, 0), aCause);
+  }
 }
 
 void
@@ -43,11 +52,13 @@
     return;
   }
   const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
+  const bool waitsForZone = WaitsForZone(m_fleet, aRequest, aNow);
   m_waitingReport->AddUnplaced(aRequest.m_image,
                                record.m_waiting,
                                aNow - aWaiting.m_job->m_submittedAt,
                                CountObstacles(m_fleet, aRequest, aNow),
-                               WaitsForZone(m_fleet, aRequest, aNow));
+                               waitsForZone);
+  NoteHeldStep(aWaiting, waitsForZone ? WaitCause::Evacuated : WaitCause::NoWorker);
 }
 
 void
@@ -95,8 +106,86 @@
   return !step.m_tasks[aWaiting.m_index].m_attempts.empty();
 }
 
+WaitCause
+Scheduler::FindCauseOfAbsence(const WaitingTask& aWaiting, const Worker*& aHolder, Instant aNow)
+{
+  const Job& job = *aWaiting.m_step.m_job;
+  const TaskRef ref = MakeTaskRef(aWaiting.m_step, aWaiting.m_index);
+  const StepRecord& record = aWaiting.m_step.m_occurrence->m_steps[aWaiting.m_step.m_step];
+  const TaskRecord& task = record.m_tasks[aWaiting.m_index];
+  if (!task.m_attempts.empty()) {
+    aHolder = task.m_attempts.back().m_worker;
+    const auto it = aHolder->m_attempts.find(ref);
+    const bool stops =
+      it != aHolder->m_attempts.end() && it->second.m_phase == AttemptPhase::Stopping;
+    return stops ? WaitCause::StoppingElsewhere : WaitCause::AttemptNotRunning;
+  }
+  if (m_fleet.HasAttempt(ref)) {
+    return WaitCause::StoppingElsewhere;
+  }
+  if (const std::vector<Worker*>* lateStarters = m_fleet.FindLateStarts(ref)) {
+    aHolder = lateStarters->front();
+    return WaitCause::StartMayFollow;
+  }
+  if (StepOf(aWaiting.m_step).m_gang && record.m_waiting < record.m_tasks.Size()) {
+    return WaitCause::GangIncomplete;
+  }
+  if (MayRunElsewhere(job, ref, aNow)) {
+    return WaitCause::Recovering;
+  }
+  if (m_waitingJobs.count(ref.m_job) == 0 || record.m_waiting == 0) {
+    return WaitCause::NotTried;
+  }
+  const WaitCause otherwise =
+    NeedsConfirmation(job, aNow) ? WaitCause::Unconfirmed : WaitCause::Startable;
+  return m_absences.FindStep(MakeTaskRef(aWaiting.m_step, 0)).value_or(otherwise);
+}
+
 void
-Scheduler::AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow) const
+Scheduler::FollowAbsence(const WaitingTask& aWaiting, Instant aNow)
+{
+  const Worker* holder = nullptr;
+  const WaitCause cause = FindCauseOfAbsence(aWaiting, holder, aNow);
+  m_absences.OnAway(MakeTaskRef(aWaiting.m_step, aWaiting.m_index),
+                    aWaiting.m_since,
+                    cause,
+                    holder ? &holder->m_report.m_id : nullptr,
+                    aNow);
+}
+
+void
+Scheduler::FollowLongRunning(const WaitingTask& aTask, const TaskRecord& aRecord, Instant aNow)
+{
+  if (aTask.m_since == aNow && !aRecord.m_attempts.empty()) {
+    m_absences.OnAtWork(MakeTaskRef(aTask.m_step, aTask.m_index),
+                        aRecord.m_attempts.back().m_worker->m_report.m_id,
+                        aNow);
+  } else {
+    FollowAbsence(aTask, aNow);
+  }
+}
+
+void
+Scheduler::FollowUnstarted(const WaitingStep& aStep, Instant aTurn, Instant aNow)
+{
+  const TaskTable& tasks = aStep.m_occurrence->m_steps[aStep.m_step].m_tasks;
+  const size_t unstarted = tasks.CountUntouched();
+  const size_t followed = std::min(unstarted, AbsenceLog::kMaxUnstartedOfStep);
+  size_t found = 0;
+  for (size_t i = 0; i < tasks.Size() && found < followed; ++i) {
+    const TaskTable::Records& records = tasks.GetRecords();
+    if (records.count(static_cast<uint16_t>(i)) == 0 && !tasks[i].m_done) {
+      ++found;
+      FollowAbsence({ aStep, i, aTurn }, aNow);
+    }
+  }
+  if (unstarted > found) {
+    m_absences.CountNotFollowed(unstarted - found, aTurn, aNow);
+  }
+}
+
+void
+Scheduler::AddWaitingTasks(const WaitingStep& aStep, JobActivity& aActivity, Instant aNow)
 {
   const TaskTable& tasks = aStep.m_occurrence->m_steps[aStep.m_step].m_tasks;
   const Instant turn =
@@ -116,6 +205,9 @@
   if (const std::optional<size_t> untouched = tasks.FirstUntouched()) {
     aActivity.m_tasks += static_cast<uint32_t>(tasks.CountUntouched());
     add(*untouched, tasks[*untouched], Instant()); // the others are like it
+    if (longRunning) {
+      FollowUnstarted(aStep, turn, aNow);
+    }
   }
   for (const TaskTable::Records::value_type& taskEntry : tasks.GetRecords()) {
     const TaskRecord& task = taskEntry.second;
@@ -125,11 +217,14 @@
       ++aActivity.m_tasks;
       add(taskEntry.first, task, ran);
     }
+    if (!task.m_done && longRunning) {
+      FollowLongRunning({ aStep, taskEntry.first, std::max(turn, ran) }, task, aNow);
+    }
   }
 }
 
 std::optional<WaitingTask>
-Scheduler::FindLongestWait(Job& aJob, uint32_t& aTasks, Instant aNow) const
+Scheduler::FindLongestWait(Job& aJob, uint32_t& aTasks, Instant aNow)
 {
   JobActivity activity;
   activity.m_lastRan = aJob.m_lastRanAt;
@@ -181,6 +276,10 @@
                       return std::tie(aLeft.first.m_since, left) <
                              std::tie(aRight.first.m_since, right);
                     });
+  const AbsenceReport& absences = m_absences.FinishLook(aNow);
+  m_counters.m_longRunningAway = absences.m_longAway;
+  m_counters.m_longRunningLongestAwayMs = static_cast<uint64_t>(ToMillis(absences.m_longest));
+  m_counters.m_longRunningNotFollowed = absences.m_notFollowed;
   m_counters.m_jobsWaiting = waiting.size();
   m_jobWaits.m_heldBack = waiting.size() - reported;
   m_jobWaits.m_longest.clear();
--- a/unittests/Scheduler/JobWaitTest.cpp
+++ b/unittests/Scheduler/JobWaitTest.cpp
@@ -398,3 +398,104 @@
   CHECK_FALSE(world.WaitOf(kJob));
   CHECK(world.m_scheduler.WaitingJobs().m_longest.empty());
 }
+
+/// Returns a step whose tasks are long-running.
+static GraphStep
+MakeLongRunningStep(uint32_t aCount, int64_t aCpuMilli)
+{
+  GraphStep step = MakeStep(aCount, aCpuMilli);
+  step.m_longRunning = true;
+  return step;
+}
+
+/// Advances until the absence of a task ends that is reported, for \p aTime at the most.
+static ReportedAbsence
+AwaitEndOfAbsence(WaitWorld& aWorld, Duration aTime)
+{
+  for (const Instant end = aWorld.m_now + aTime; aWorld.m_now < end;) {
+    aWorld.Advance(milliseconds(500));
+    for (const ReportedAbsence& line : aWorld.m_scheduler.GetAbsences().m_lines) {
+      if (line.m_event != AbsenceEvent::StillAway) {
+        return line;
+      }
+    }
+  }
+  FAIL("no absence has ended");
+  return {};
+}
+
+static Duration
+TimeOf(const ReportedAbsence& aLine, WaitCause aCause)
+{
+  return aLine.m_absence.m_byCause[static_cast<size_t>(aCause)];
+}
+
+// Guards against an absence of which, afterwards, nobody can tell what held the task: only the five
+// longest waits were reported, by second.
+TEST_CASE("a long-running task that had no room is reported with that cause once it runs")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  world.Submit(kJob, MakeLongRunningStep(2, kWorkerCpu));
+  world.Advance(seconds(8));
+  REQUIRE(world.m_scheduler.Counters().m_starts == 1);
+  CHECK(world.m_scheduler.Counters().m_longRunningAway == 1);
+  CHECK(world.m_scheduler.Counters().m_longRunningLongestAwayMs >= 6900);
+  world.AddWorker("new");
+  const ReportedAbsence line = AwaitEndOfAbsence(world, seconds(5));
+  CHECK(line.m_absence.m_task == TaskRef{ kJob, 0, 0, 1 });
+  CHECK(line.m_event == AbsenceEvent::AtWork);
+  CHECK(line.m_absence.m_worker == "new");
+  CHECK(line.m_away >= seconds(8));
+  CHECK(line.m_away <= milliseconds(8500));
+  CHECK(TimeOf(line, WaitCause::NoWorker) >= line.m_away - seconds(1));
+  world.Advance(seconds(2));
+  CHECK(world.m_scheduler.Counters().m_longRunningAway == 0);
+  CHECK(world.m_scheduler.Counters().m_longRunningLongestAwayMs == 0);
+}
+
+// Guards against the same of a run that counts until its lease ends although nobody hears of it.
+TEST_CASE(
+  "a long-running task on a worker out of contact is reported with that worker once it runs")
+{
+  WaitWorld world;
+  Behavior& worker = world.AddWorker("w");
+  world.Submit(kJob, MakeLongRunningStep(1, 2000));
+  world.Advance(seconds(2));
+  REQUIRE(worker.m_running.size() == 1);
+  worker.m_silent = true;
+  world.Advance(seconds(2));
+  world.AddWorker("other");
+  const ReportedAbsence line = AwaitEndOfAbsence(world, seconds(20));
+  CHECK(line.m_absence.m_task == kFirstTask);
+  CHECK(line.m_event == AbsenceEvent::AtWork);
+  CHECK(line.m_absence.m_worker == "other");
+  CHECK(line.m_absence.m_holder == "w");
+  CHECK(TimeOf(line, WaitCause::AttemptNotRunning) >= line.m_away - seconds(2));
+}
+
+// Guards against the same after a change of leaders.
+TEST_CASE(
+  "a long-running task that waits for the recovery is reported with that cause once it runs")
+{
+  WaitWorld world;
+  world.RestoreJob(kJob, MakeLongRunningStep(1, 2000));
+  world.AddWorker("w");
+  world.AddWorker("lost").m_silent = true;
+  const ReportedAbsence line = AwaitEndOfAbsence(world, seconds(30));
+  CHECK(line.m_absence.m_task == kFirstTask);
+  CHECK(line.m_event == AbsenceEvent::AtWork);
+  CHECK(TimeOf(line, WaitCause::Recovering) >= line.m_away - seconds(2));
+}
+
+// Guards against lines on a job that the callers have withdrawn as if its task ran.
+TEST_CASE("a long-running task whose job is cancelled while it is away is reported as gone")
+{
+  WaitWorld world;
+  world.AddWorker("w");
+  world.Submit(kJob, MakeLongRunningStep(1, kWorkerCpu + 1));
+  world.Advance(seconds(5));
+  world.m_scheduler.Cancel(99, kJob, world.m_now, ToMillis(world.m_now.time_since_epoch()));
+  const ReportedAbsence line = AwaitEndOfAbsence(world, seconds(5));
+  CHECK(line.m_event == AbsenceEvent::Gone);
+}
