Leave half of a pass's comparisons to the steps behind overdue ones

Two long-running jobs with one task on each of 2,100 workers (max_per_server 1) are one place short once a worker leaves, and from 3 s on no short task of any route starts, for as long as that lasts, with nearly all processors free.

Cause: overdue steps go first in each pass and draw on the pass's 500,000 comparisons. Each of these takes 277,000 of them (workers x siblings), so nothing is left, and the rotation that gives untried steps their turn only turns those behind the overdue ones. ClearPlaces counted no siblings, though it compares them.

Change: steps that go first stop at half of the comparisons; the others have half in any case. The cursor of the overdue steps also moves on when not all that go first could be tried. Places that are cleared are charged with the siblings. ClearPlaces returns before it lists the siblings once all places are taken.

Why it works: what the steps behind may compare no longer depends on what goes first. A pass compares at most 1.5 times as much as before, and one step over it.

Conclusion: bounded work per pass holds again for steps that go first. The test's fleet takes the number of workers, the long-running steps and the number of short tasks that wait; the cases that were there are unchanged.

--- a/include/egretturn/Scheduler/PassBudget.h
+++ b/include/egretturn/Scheduler/PassBudget.h
@@ -33,6 +33,13 @@
   /// Returns whether steps of more jobs may be collected.
   bool MayCollect() const { return m_visits > 0 && m_readySteps > 0; }
 
+  /// Returns whether steps may be tried that go first whatever waits behind them. These get half of
+  /// the comparisons.
+  bool MayTryFirst() const { return MayTry() && m_comparisons > kMaxComparisons / 2; }
+
+  /// Leaves half of the comparisons to the steps behind those that go first.
+  void LeaveToOthers() { m_comparisons = std::max(m_comparisons, kMaxComparisons / 2); }
+
   /// Returns whether steps may be tried.
   bool MayTry() const { return m_starts > 0 && m_failures > 0 && m_comparisons > 0; }
 
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -324,8 +324,9 @@
   /// Adds the steps of \p aJob that are ready. Returns whether any of its steps waits, as far as
   /// the budget of the pass allows to tell.
   bool CollectReadyStepsOf(Job& aJob, std::vector<WaitingStep>& aWaiting, Instant aNow);
-  /// Decides what the next pass begins with, after \p aTried steps of \p aOrder were tried.
-  void FinishPass(const PassOrder& aOrder, size_t aTried);
+  /// Decides what the next pass begins with, after so many steps of \p aOrder were tried of those
+  /// that go first, and of the others.
+  void FinishPass(const PassOrder& aOrder, size_t aTriedFirst, size_t aTriedOthers);
   /// Puts overdue steps first, and then those that the last pass could not try.
   PassOrder OrderSteps(const std::vector<WaitingStep>& aWaiting, Instant aNow);
   /// Keeps starts from where room is cleared for what is overdue of a step that does not fit.
--- a/lib/Scheduler/PlaceClearing.cpp
+++ b/lib/Scheduler/PlaceClearing.cpp
@@ -51,7 +51,8 @@
 void
 Scheduler::ClearPlaces(const WaitingStep& aWaiting, PlacementRequest aRequest, Instant aNow)
 {
-  if (!aWaiting.m_rank.m_overdue || aRequest.m_step->m_gang || aRequest.m_step->m_bestEffort) {
+  if (!aWaiting.m_rank.m_overdue || aRequest.m_step->m_gang || aRequest.m_step->m_bestEffort ||
+      m_clearedPlaces >= kMaxClearedPlaces) {
     return;
   }
   const StepRecord& record = aWaiting.m_occurrence->m_steps[aWaiting.m_step];
@@ -66,7 +67,7 @@
     if (m_clearedPlaces >= kMaxClearedPlaces || !m_passBudget.MayTry()) {
       return;
     }
-    m_passBudget.TakeComparisons(m_availableWorkers.size(), 0);
+    TakeComparisons(aRequest, m_availableWorkers.size());
     Worker* worker = ChooseWorkerToClear(m_availableWorkers, aRequest);
     if (!worker) {
       return;
--- a/lib/Scheduler/PlacementPass.cpp
+++ b/lib/Scheduler/PlacementPass.cpp
@@ -251,16 +251,15 @@
 }
 
 void
-Scheduler::FinishPass(const PassOrder& aOrder, size_t aTried)
+Scheduler::FinishPass(const PassOrder& aOrder, size_t aTriedFirst, size_t aTriedOthers)
 {
-  const size_t triedFirst = std::min(aTried, aOrder.m_first);
-  if (m_cursor.Advance(aOrder.m_steps.size() - aOrder.m_first, aTried - triedFirst)) {
+  if (m_cursor.Advance(aOrder.m_steps.size() - aOrder.m_first, aTriedOthers)) {
     m_nextWaitingJob = m_endOfCollected;
   }
-  if (m_clearedPlaces == 0) {
-    m_overdueCursor.Advance(aOrder.m_overdue, triedFirst);
+  if (m_clearedPlaces == 0 || aTriedFirst < aOrder.m_first) {
+    m_overdueCursor.Advance(aOrder.m_overdue, aTriedFirst);
   }
-  if (aTried < aOrder.m_steps.size() || m_nextWaitingJob != 0) {
+  if (aTriedFirst + aTriedOthers < aOrder.m_steps.size() || m_nextWaitingJob != 0) {
     ++m_counters.m_passesCut;
     m_placementNeeded = true;
   }
@@ -301,13 +300,19 @@
                       std::min<Duration>(kPlacementIntervalPerStep * order.m_steps.size(),
                                          kMaxExtraPlacementInterval);
   std::vector<FailedStep> failedSteps;
-  size_t tried = 0;
-  for (const WaitingStep& waiting : order.m_steps) {
-    if (!m_passBudget.MayTry()) {
+  size_t triedFirst = 0;
+  size_t triedOthers = 0;
+  for (size_t i = 0; i < order.m_steps.size(); ++i) {
+    const WaitingStep& waiting = order.m_steps[i];
+    const bool first = i < order.m_first;
+    if (i == order.m_first) {
+      m_passBudget.LeaveToOthers();
+    }
+    if (!(first ? m_passBudget.MayTryFirst() : m_passBudget.MayTry())) {
       ReportSkippedStep(waiting, aNow);
       continue;
     }
-    ++tried;
+    ++(first ? triedFirst : triedOthers);
     const PlacementRequest request = MakePlacementRequest(waiting, aNow);
     const bool idle = IsIdle(*waiting.m_job, aNow);
     const bool ruledOut =
@@ -330,7 +335,7 @@
                                   ReservedShareOf(*request.m_service));
     }
   }
-  FinishPass(order, tried);
+  FinishPass(order, triedFirst, triedOthers);
   m_heldPlaces.ReleaseAll();
   FinishWaitingReport(failedSteps, aNow);
   m_confirmationUnused = false;
--- a/unittests/Scheduler/LongRunningFirstTest.cpp
+++ b/unittests/Scheduler/LongRunningFirstTest.cpp
@@ -25,34 +25,50 @@
 {
 public:
   explicit CrowdedFleet(int64_t aLastingCpuMilli)
-    : m_scheduler(SchedulerLimits(), 1, m_now)
+    : CrowdedFleet(4, { MakeLastingStep(aLastingCpuMilli, kLastingTasks, 2) }, 24)
   {
-    for (const char* name : { "w0", "w1", "w2", "w3" }) {
-      AddWorker(name);
+  }
+
+  /// Each of \p aLasting becomes a job.
+  CrowdedFleet(size_t aWorkers, const std::vector<GraphStep>& aLasting, size_t aShortWaiting)
+    : m_shortWanted(aShortWaiting)
+    , m_scheduler(SchedulerLimits(), 1, m_now)
+  {
+    for (size_t i = 0; i < aWorkers; ++i) {
+      AddWorker("w" + std::to_string(i));
     }
     m_scheduler.OnDirectoryRead();
-    SubmitLasting(kLasting, aLastingCpuMilli);
+    for (const GraphStep& step : aLasting) {
+      SubmitLasting(step);
+    }
     Advance(seconds(8)); // beyond the first seconds of the epoch
-    REQUIRE(CountLasting() == kLastingTasks);
+    REQUIRE(CountLasting() == m_lastingTasks);
     m_crowded = true;
     Advance(seconds(5));
   }
 
-  void AddWorker(const WorkerName& aName)
-  {
-    m_scheduler.UpdateWorker(MakeReport(aName), m_now);
-    m_running[aName];
-  }
-
-  void SubmitLasting(GraphId aId, int64_t aCpuMilli)
+  static GraphStep MakeLastingStep(int64_t aCpuMilli, uint32_t aTasks, uint32_t aMaxPerWorker)
   {
     GraphStep step;
     step.m_demand = { aCpuMilli, 100, 0 };
-    step.m_count = kLastingTasks;
+    step.m_count = aTasks;
     step.m_estimateMs = 60000;
     step.m_longRunning = true;
-    step.m_maxPerWorker = 2;
-    m_scheduler.Submit(aId, MakeSubmission(aId, step), m_now, 0);
+    step.m_maxPerWorker = aMaxPerWorker;
+    return step;
+  }
+
+  void SubmitLasting(const GraphStep& aStep)
+  {
+    const GraphId id = kLasting + m_lastingJobs++;
+    m_lastingTasks += aStep.m_count;
+    m_scheduler.Submit(id, MakeSubmission(id, aStep), m_now, 0);
+  }
+
+  void AddWorker(const WorkerName& aName)
+  {
+    m_scheduler.UpdateWorker(MakeReport(aName), m_now);
+    m_running[aName];
   }
 
   /// Lets the worker of the first long-running task drain.
@@ -76,7 +92,7 @@
       RunScheduler(
         m_scheduler, m_now, milliseconds(20), [this](const Action& aAction) { Execute(aAction); });
       m_longestGap =
-        CountLasting() == kLastingTasks ? Duration::zero() : m_longestGap + milliseconds(20);
+        CountLasting() == m_lastingTasks ? Duration::zero() : m_longestGap + milliseconds(20);
       m_maxAway = std::max(m_maxAway, m_longestGap);
     }
   }
@@ -111,18 +127,17 @@
   using WorkerTasks = std::pair<const WorkerName, Runs>;
 
   static constexpr GraphId kFirstShort = 100;
-  static constexpr size_t kShortWaiting = 24;
 
   static size_t CountLastingOf(const Runs& aRuns)
   {
     return static_cast<size_t>(std::count_if(
-      aRuns.begin(), aRuns.end(), [](const auto& aRun) { return aRun.first.m_job == kLasting; }));
+      aRuns.begin(), aRuns.end(), [](const auto& aRun) { return aRun.first.m_job < kFirstShort; }));
   }
 
   /// Submits jobs of one task each, until enough wait to fill all that becomes free.
   void SubmitShort()
   {
-    while (m_crowded && m_shortWaiting < kShortWaiting) {
+    while (m_crowded && m_shortWaiting < m_shortWanted) {
       GraphStep step;
       step.m_demand = { 2000, 100, 0 };
       step.m_estimateMs = 1000;
@@ -149,7 +164,7 @@
 
   void Start(const StartTask& aStart)
   {
-    const bool lasting = aStart.m_task.m_job == kLasting;
+    const bool lasting = aStart.m_task.m_job < kFirstShort;
     m_shortWaiting -= lasting ? 0 : 1;
     // So that hardly two of them end at once.
     const Duration time = milliseconds(900 + 20 * (aStart.m_task.m_job * 7 % 11));
@@ -228,6 +243,9 @@
     m_scheduler.OnPollResponse(aPoll.m_worker, aPoll.m_number, status, m_now);
   }
 
+  size_t m_shortWanted;
+  GraphId m_lastingJobs = 0;
+  size_t m_lastingTasks = 0;
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler;
   std::map<WorkerName, Runs> m_running;
@@ -275,11 +293,26 @@
 TEST_CASE("no place is cleared for long-running tasks that have never run")
 {
   CrowdedFleet fleet(6000);
-  fleet.SubmitLasting(kLasting + 1, 10000);
+  fleet.SubmitLasting(CrowdedFleet::MakeLastingStep(10000, 4, 2));
   fleet.Advance(seconds(20));
   CHECK(fleet.Counters().m_placesCleared == 0);
 }
 
+// A job with one task on each worker has one too many once a worker leaves; each try of it is
+// compared with all its siblings.
+TEST_CASE("short tasks go on starting beside wide long-running jobs that fit nowhere")
+{
+  const size_t workers = 2100;
+  const GraphStep oneOnEach = CrowdedFleet::MakeLastingStep(100, workers, 1);
+  CrowdedFleet fleet(workers, { oneOnEach, oneOnEach }, 24);
+  fleet.DrainFirst();
+  fleet.Advance(seconds(5));
+  const size_t ended = fleet.CountShortEnds();
+  fleet.Advance(seconds(5));
+  CHECK(fleet.CountLasting() == 2 * (workers - 1));
+  CHECK(fleet.CountShortEnds() > ended + 100);
+}
+
 TEST_CASE("room is cleared where the least of it lacks beside what lasts and what is held")
 {
   Worker full;
