Collect what goes first in each pass, whichever jobs the pass collects

Where more steps wait than a pass collects (4,096), LOST as before: a long-running task whose worker left stays away beside room that is cleared for it in some passes.

Cause: such passes collect one part of the waiting jobs after the other. A place is cleared only in the passes that collect the overdue job; in the others short tasks take the room, so it never adds up.

Change: the jobs of the steps that went first in a pass (64 steps at the most) are collected in the next one too, ahead of that pass's part and with a budget of their own.

Why it works: an overdue task is seen in each pass from the first one that collects it, so its place is held until it is free. At most 64 jobs of 64 steps are visited besides.

--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -557,6 +557,7 @@
                                    ///< they collect from there has been tried.
   GraphId m_endOfCollected = 0;    ///< The first one that the last pass did not collect, or 0.
   PassCursor m_cursor;             ///< In the steps that are not overdue.
+  std::set<GraphId> m_jobsFirst;   ///< Of which steps went first in the last pass.
   PassCursor m_overdueCursor;      ///< Moves on past steps for which no room can be cleared.
   PassBudget m_passBudget;         ///< For one pass.
   size_t m_clearedPlaces = 0;      ///< In one pass.
--- a/lib/Scheduler/PlacementPass.cpp
+++ b/lib/Scheduler/PlacementPass.cpp
@@ -117,10 +117,23 @@
 std::vector<WaitingStep>
 Scheduler::CollectReadySteps(Instant aNow)
 {
+  // What went first does so in each pass until it starts, whichever jobs this one collects: others
+  // would take the room that is cleared for it.
   std::vector<WaitingStep> waiting;
+  for (const GraphId id : m_jobsFirst) {
+    Job* job = m_waitingJobs.count(id) > 0 ? m_jobs.Find(id) : nullptr;
+    if (job && job->m_durable && !IsEnded(job->m_state)) {
+      CollectReadyStepsOf(*job, waiting, aNow);
+    }
+  }
+  m_passBudget = PassBudget(); // these jobs are few
   std::set<GraphId>::iterator it = m_waitingJobs.lower_bound(m_nextWaitingJob);
   for (size_t left = m_waitingJobs.size(); left > 0 && m_passBudget.MayCollect(); --left) {
     it = it == m_waitingJobs.end() ? m_waitingJobs.begin() : it;
+    if (m_jobsFirst.count(*it) > 0) {
+      ++it;
+      continue;
+    }
     Job* job = m_jobs.Find(*it);
     const bool waits =
       job && job->m_durable && !IsEnded(job->m_state) && CollectReadyStepsOf(*job, waiting, aNow);
@@ -240,6 +253,10 @@
   order.m_overdue = order.m_steps.size();
   order.m_first = std::min(order.m_overdue, kMaxStepsFirst);
   m_overdueCursor.Rotate(order.m_steps);
+  m_jobsFirst.clear();
+  for (size_t i = 0; i < order.m_first; ++i) {
+    m_jobsFirst.insert(order.m_steps[i].m_job->m_stored.m_id);
+  }
   const Iterator endOfFirst = order.m_steps.cbegin() + static_cast<std::ptrdiff_t>(order.m_first);
   std::vector<WaitingStep> others(endOfFirst, order.m_steps.cend());
   others.insert(others.end(), firstOther, aWaiting.end());
--- a/unittests/Scheduler/LongRunningFirstTest.cpp
+++ b/unittests/Scheduler/LongRunningFirstTest.cpp
@@ -298,6 +298,17 @@
   CHECK(fleet.Counters().m_placesCleared == 0);
 }
 
+// Guards against LOST where more waits than one pass collects: the others must not take the room
+// that is cleared for a task that this pass does not see.
+TEST_CASE("a long-running task is at work again though more short tasks wait than a pass collects")
+{
+  CrowdedFleet fleet(4, { CrowdedFleet::MakeLastingStep(6000, kLastingTasks, 2) }, 12000);
+  fleet.DrainFirst();
+  fleet.Advance(seconds(20));
+  CHECK(fleet.CountLasting() == kLastingTasks);
+  CHECK(fleet.MaxAway() <= kMaxAway);
+}
+
 // A job with one task on each worker has one too many once a worker leaves; each try of it is
 // compared with all its siblings.
 TEST_CASE("short tasks go on starting beside wide long-running jobs that fit nowhere")
