--- a/unittests/Scheduler/LongRunningFirstTest.cpp
+++ b/unittests/Scheduler/LongRunningFirstTest.cpp
@@ -324,6 +324,17 @@
   CHECK(fleet.CountShortEnds() > ended + 100);
 }
 
+TEST_CASE("short tasks keep their floor while more long-running tasks wait than fit")
+{
+  CrowdedFleet fleet(4, { CrowdedFleet::MakeLastingStep(4000, kLastingTasks, 0) }, 24);
+  fleet.SubmitLasting(CrowdedFleet::MakeLastingStep(4000, 40, 0));
+  fleet.Advance(seconds(30));
+  const size_t ended = fleet.CountShortEnds();
+  fleet.Advance(seconds(20));
+  // Of 64 cores at least 0.02 for 20 s, at 2 cores for 1 s each.
+  CHECK(fleet.CountShortEnds() >= ended + 12);
+}
+
 TEST_CASE("room is cleared where the least of it lacks beside what lasts and what is held")
 {
   Worker full;
