Only steps that last are overdue, not the steps that end of the same job

A job with one long-running step sends its steps that end ahead of all else after 3 s too, and places are cleared for them, though the rule on tasks that last doesn't hold for them.

Cause: the rank, and so whether a step is overdue, is that of the occurrence.

Change: a step that isn't long-running keeps its job's density, and is not overdue.

The test "no room is cleared for tasks that end of a job with a long-running step" without the change: 62 places cleared in 5 s (0 are allowed); passes now.

Conclusion: what goes first is what the rule is about. Open: a long-running step behind others counts as away since its occurrence's turn, so it is overdue at once.

--- a/lib/Scheduler/PlacementPass.cpp
+++ b/lib/Scheduler/PlacementPass.cpp
@@ -98,7 +98,11 @@
         continue;
       }
       any = true;
-      const WaitingStep step{ &aJob, &occurrence, static_cast<uint16_t>(s), rank };
+      WaitingStep step{ &aJob, &occurrence, static_cast<uint16_t>(s), rank };
+      if (!aJob.m_stored.m_graph.m_steps[s].m_longRunning) { // only what lasts is overdue
+        step.m_rank.m_overdue = false;
+        step.m_rank.m_away = Duration::zero();
+      }
       if (!JobRegistry::IsReady(aJob, occurrence, s)) {
         continue;
       }
--- a/unittests/Scheduler/LongRunningFirstTest.cpp
+++ b/unittests/Scheduler/LongRunningFirstTest.cpp
@@ -58,6 +58,20 @@
     return step;
   }
 
+  /// Submits a job of a long-running task whose turn comes after large tasks that end.
+  void SubmitMixed()
+  {
+    GraphStep ends;
+    ends.m_demand = { 10000, 100, 0 };
+    ends.m_count = 40;
+    ends.m_estimateMs = 1000;
+    GraphStep lasts = MakeLastingStep(100, 1, 0);
+    lasts.m_dependencies = { 0 };
+    Submission submission = MakeSubmission(kMixed, ends);
+    submission.m_graph.m_steps.push_back(lasts);
+    m_scheduler.Submit(kMixed, std::move(submission), m_now, 0);
+  }
+
   void SubmitLasting(const GraphStep& aStep)
   {
     const GraphId id = kLasting + m_lastingJobs++;
@@ -126,6 +140,7 @@
   using Runs = std::unordered_map<TaskRef, Run, TaskRefHash>;
   using WorkerTasks = std::pair<const WorkerName, Runs>;
 
+  static constexpr GraphId kMixed = 90;
   static constexpr GraphId kFirstShort = 100;
 
   static size_t CountLastingOf(const Runs& aRuns)
@@ -324,6 +339,15 @@
   CHECK(fleet.CountShortEnds() > ended + 100);
 }
 
+TEST_CASE("no room is cleared for tasks that end of a job with a long-running step")
+{
+  CrowdedFleet fleet(6000);
+  const uint64_t cleared = fleet.Counters().m_placesCleared;
+  fleet.SubmitMixed();
+  fleet.Advance(seconds(5));
+  CHECK(fleet.Counters().m_placesCleared == cleared);
+}
+
 TEST_CASE("short tasks keep their floor while more long-running tasks wait than fit")
 {
   CrowdedFleet fleet(4, { CrowdedFleet::MakeLastingStep(4000, kLastingTasks, 0) }, 24);
