Ask the question of LOST in a nearly full fleet, in the random tests

Cause: the random tests ask the rule's question while time runs, but in fleets of 8 workers that are never full of short work beside long-running work.

It is the question that was there: from 6 s after the last run, room on single workers for the whole task twice over for 3 s, 4 s of calm before; the share in use isn't asked. A worker that drains or has left is no room and no disturbance (so it is asked while workers leave, where the rule may be more lenient); one that joins is one. FakeWorker can drain and leave; the share in use is counted once a check.

--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -7,10 +7,10 @@
 using std::chrono::milliseconds;
 
 static constexpr int64_t kMaxLeaseMs = 6000;
+static constexpr Duration kMinTime = milliseconds(100);
 static constexpr double kClockRate = 0.985; // a worker's clock may be 2% slow
 static constexpr Duration kStopTime = milliseconds(300);
 static constexpr Duration kRestartTime = milliseconds(200); // a process does not start immediately
-static constexpr Duration kLongRunningFailureTime = std::chrono::seconds(20);
 
 const GraphStep*
 Oracle::StepOf(const TaskRef& aTask) const
@@ -236,8 +236,9 @@
   }
   const bool fails = m_failsAll || m_random.Below(25) == 0;
   attempt.m_end = fails ? AttemptEnd::Failed : AttemptEnd::Done;
-  const Duration length = step.m_longRunning ? kLongRunningFailureTime
-                                             : Duration(milliseconds(100 + m_random.Below(2500)));
+  const uint64_t range = static_cast<uint64_t>(ToMillis(m_maxTime - kMinTime));
+  const Duration length =
+    step.m_longRunning ? m_longRunningTime : kMinTime + milliseconds(m_random.Below(range));
   attempt.m_startedAt = aNow;
   attempt.m_endsAt = aNow + (fails ? length / 3 : length);
   attempt.m_stalls = m_random.Below(4) == 0;
@@ -366,4 +367,15 @@
   m_report.m_incarnation = ToMillis(aNow.time_since_epoch());
 }
 
+void
+FakeWorker::Leave(Instant aNow)
+{
+  const int64_t incarnation = m_report.m_incarnation;
+  Restart(aNow);
+  m_report.m_incarnation = incarnation;
+  m_unreachableUntil = Instant::max();
+  m_deregisteredUntil = Instant::max();
+  m_left = true;
+}
+
 } // namespace egretturn::schedtest
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -85,6 +85,19 @@
   /// Restarts the worker with a new incarnation; all its attempts are lost.
   void Restart(Instant aNow);
 
+  /// Reports from now on that it drains.
+  void Drain() { m_report.m_draining = true; }
+
+  /// Lets the worker exit for good; all its attempts are lost. Nothing is listed under its id
+  /// again.
+  void Leave(Instant aNow);
+
+  /// Returns whether it has exited for good.
+  bool HasLeft() const { return m_left; }
+
+  /// Returns whether it neither runs anything nor has an end that was not acknowledged.
+  bool IsIdle() const { return m_attempts.empty() && m_ended.empty(); }
+
   const WorkerReport& Report() const { return m_report; }
   size_t Running() const { return m_attempts.size(); }
   /// Returns the demand of all attempts, also of best-effort ones.
@@ -98,6 +111,8 @@
   int64_t m_firstClockMs = 1000; ///< What its clock shows when it starts.
   size_t m_maxListedEnds = 500;  ///< Ends in one response; the first ones if there are more.
   size_t m_checkpointBytes = 0;  ///< Of each checkpoint; 0 for no checkpoints.
+  Duration m_longRunningTime = std::chrono::seconds(20); ///< After which such a task fails.
+  Duration m_maxTime = std::chrono::milliseconds(2600);  ///< Of another task: 100 ms or more.
 
 private:
   struct Attempt
@@ -132,6 +147,7 @@
   uint64_t m_fence = 0;
   int64_t m_leaseMs = 0;
   Instant m_startedAt;
+  bool m_left = false;
 };
 
 } // namespace egretturn::schedtest
--- a/unittests/Scheduler/RandomFaults.cpp
+++ b/unittests/Scheduler/RandomFaults.cpp
@@ -72,7 +72,7 @@
   }
 }
 
-static void
+void
 CancelLongRunningJobs(SchedulerWorld& aWorld)
 {
   for (const std::pair<const GraphId, JobHistory>& historyEntry : aWorld.m_oracle.m_jobs) {
@@ -83,7 +83,7 @@
   }
 }
 
-static void
+void
 SettleAndCheck(SchedulerWorld& aWorld)
 {
   aWorld.Settle();
--- a/unittests/Scheduler/RandomFaults.h
+++ b/unittests/Scheduler/RandomFaults.h
@@ -17,6 +17,12 @@
 /// faults are healed for a while, so that what runs in the calm is checked.
 void PlayCalmSpells(SchedulerWorld& aWorld);
 
+/// Asks the leader to cancel all long-running jobs.
+void CancelLongRunningJobs(SchedulerWorld& aWorld);
+
+/// Clears all faults, lets everything finish that can, and checks the result.
+void SettleAndCheck(SchedulerWorld& aWorld);
+
 /// Fails the test with each violation that the oracle of \p aWorld has recorded.
 void CheckViolations(const SchedulerWorld& aWorld, uint64_t aSeed);
 
--- a/unittests/Scheduler/RunnableTasks.cpp
+++ b/unittests/Scheduler/RunnableTasks.cpp
@@ -23,6 +23,9 @@
     parties.push_back(leader->m_stopped ? -1 : static_cast<int64_t>(leader->m_epoch));
   }
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    if (worker->HasLeft()) {
+      continue;
+    }
     parties.push_back(worker->Report().m_incarnation);
     parties.push_back(worker->m_failsAll ? 1 : 0);
   }
@@ -44,7 +47,8 @@
                          leader.m_responseLost || !leader.m_reachesStore;
   const bool workerAway = std::any_of(
     m_workers.begin(), m_workers.end(), [&](const std::unique_ptr<FakeWorker>& aWorker) {
-      return aWorker->m_unreachableUntil > m_now || aWorker->m_deregisteredUntil > m_now;
+      return !aWorker->HasLeft() &&
+             (aWorker->m_unreachableUntil > m_now || aWorker->m_deregisteredUntil > m_now);
     });
   const std::map<WorkerName, Instant>& cut = leader.m_caller->m_unreachableUntil;
   const bool cutOff =
@@ -130,7 +134,7 @@
   Demand used;
   Demand capacity;
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
-    if (!worker->m_failsAll) {
+    if (!worker->m_failsAll && !worker->HasLeft()) {
       used.m_cpuMilli += worker->TotalDemand().m_cpuMilli;
       used.m_memoryMb += worker->TotalDemand().m_memoryMb;
       capacity.m_cpuMilli += worker->Report().m_capacity.m_cpuMilli;
@@ -152,7 +156,7 @@
   first.m_index = 0;
   int64_t room = 0;
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
-    if (worker->m_failsAll || worker->Report().m_draining) {
+    if (worker->m_failsAll || worker->HasLeft() || worker->Report().m_draining) {
       continue;
     }
     const Demand used = worker->TotalDemand();
@@ -183,11 +187,11 @@
 }
 
 void
-SchedulerWorld::CheckJobRuns(GraphId aId, const JobHistory& aJob)
+SchedulerWorld::CheckJobRuns(GraphId aId, const JobHistory& aJob, double aShareInUse)
 {
   const Graph& graph = aJob.m_submission.m_graph;
   std::string waiting;
-  if (ShareInUse() < kMaxShareInUse && !IsAnythingRunning(aId, aJob)) {
+  if (aShareInUse < kMaxShareInUse && !IsAnythingRunning(aId, aJob)) {
     for (uint32_t k = 0; k < std::max<uint32_t>(1, graph.m_occurrences); ++k) {
       for (size_t s = 0; s < graph.m_steps.size() && waiting.empty(); ++s) {
         for (uint32_t i = 0; i < graph.m_steps[s].m_count && waiting.empty(); ++i) {
@@ -216,7 +220,9 @@
       }
       const auto last = m_lastRunAt.find(name);
       const bool recent = last != m_lastRunAt.end() && m_now - last->second < kTimeAfterLastRun;
-      NoteRunnable("task " + name, !running && !recent && FitsTwice(task, steps[s]));
+      const bool away = !running && !recent;
+      m_asked += away && m_now >= m_calmSince + kCalmBefore ? 1 : 0;
+      NoteRunnable("task " + name, away && FitsTwice(task, steps[s]));
     }
   }
 }
@@ -231,6 +237,7 @@
     return;
   }
   m_nextRunnableCheckAt = m_now + kCheckInterval;
+  const double shareInUse = ShareInUse();
   for (const std::pair<const GraphId, JobHistory>& jobEntry : m_oracle.m_jobs) {
     const GraphId id = jobEntry.first;
     const JobHistory& job = jobEntry.second;
@@ -240,7 +247,7 @@
     } else if (job.m_submission.m_graph.m_steps[0].m_longRunning) {
       CheckLongRunningJob(id, job);
     } else {
-      CheckJobRuns(id, job);
+      CheckJobRuns(id, job, shareInUse);
     }
   }
 }
--- a/unittests/Scheduler/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduler/SchedulerFuzzTest.cpp
@@ -1,5 +1,6 @@
 // Injects random faults into the scheduler; an oracle checks the result. A seed reproduces a
 // sequence.
+#include "FullFleet.h"
 #include "RandomFaults.h"
 
 #include "egretturn/Support/Log.h"
@@ -15,6 +16,8 @@
 static constexpr uint64_t kSeeds = 60;
 static constexpr uint64_t kCalmSeeds = 60;
 static constexpr uint64_t kFirstCalmSeed = 3001;
+static constexpr uint64_t kFullSeeds = 6;
+static constexpr uint64_t kFirstFullSeed = 4105;
 
 // Guards against a task that runs twice: a superseded leader goes on calling workers that only it
 // can reach while two epochs begin one after the other.
@@ -167,3 +170,18 @@
   }
   StopLogging();
 }
+
+// Guards against long-running tasks that stay away in a fleet that they fill nearly: short tasks
+// take each piece of room that becomes free while workers drain and leave, and others join.
+TEST_CASE("long-running tasks come back while short tasks keep a nearly full fleet busy")
+{
+  uint64_t asked = 0;
+  for (uint64_t seed : ListSeeds(kFullSeeds, kFirstFullSeed)) {
+    SchedulerWorld world(seed, 0);
+    FullFleet(world).Play();
+    CheckViolations(world, seed);
+    asked += world.CountAsked();
+  }
+  StopLogging();
+  CHECK(asked > 0);
+}
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -23,22 +23,30 @@
   : m_random(aSeed)
 {
   for (size_t i = 0; i < aWorkers; ++i) {
-    WorkerReport report;
-    report.m_id = "w" + std::to_string(i);
-    report.m_service = "desk";
-    report.m_address = "10.0.0." + std::to_string(i + 1) + ":80";
-    report.m_zone = "z" + std::to_string(i % 2);
-    report.m_rack = "r" + std::to_string(i / 4);
-    report.m_labels = { i % 2 ? "b" : "a", report.m_rack };
-    report.m_capacity = { 8000, 16000, 0 };
-    report.m_incarnation = WallMs();
-    m_workers.push_back(std::make_unique<FakeWorker>(report, m_oracle, m_random));
+    AddWorker({ 8000, 16000, 0 });
     if (aSeed % kShortListSeeds == 0) {
       m_workers.back()->m_maxListedEnds = kShortList;
     }
   }
 }
 
+FakeWorker&
+SchedulerWorld::AddWorker(const Demand& aCapacity)
+{
+  const size_t index = m_workers.size();
+  WorkerReport report;
+  report.m_id = "w" + std::to_string(index);
+  report.m_service = "desk";
+  report.m_address = "10.0.0." + std::to_string(index + 1) + ":80";
+  report.m_zone = "z" + std::to_string(index % 2);
+  report.m_rack = "r" + std::to_string(index / 4);
+  report.m_labels = { index % 2 ? "b" : "a", report.m_rack };
+  report.m_capacity = aCapacity;
+  report.m_incarnation = WallMs();
+  m_workers.push_back(std::make_unique<FakeWorker>(report, m_oracle, m_random));
+  return *m_workers.back();
+}
+
 void
 SchedulerWorld::After(Duration aDelay, std::function<void()> aCallback)
 {
@@ -633,6 +641,9 @@
   m_busyUntil = m_now;
   m_faults = Faults();
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    if (worker->HasLeft()) {
+      continue;
+    }
     worker->m_unreachableUntil = m_now;
     worker->m_deregisteredUntil = m_now;
     worker->m_failsAll = false;
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -36,6 +36,9 @@
   SchedulerWorld(uint64_t aSeed, size_t aWorkers);
   virtual ~SchedulerWorld() = default;
 
+  /// Adds a worker; the directory lists it when it is read next.
+  FakeWorker& AddWorker(const Demand& aCapacity);
+
   /// Submits a random job and returns its id.
   GraphId SubmitRandom();
   void Submit(Submission aSubmission);
@@ -96,6 +99,8 @@
   Random m_random;
   std::vector<std::unique_ptr<FakeWorker>> m_workers;
   Instant Now() const { return m_now; }
+  /// Returns how often it was asked whether a long-running task that was away could run, in calm.
+  uint64_t CountAsked() const { return m_asked; }
   /// Returns the number of parts of progress that leaders have written.
   uint64_t CountParts() const { return m_parts; }
   std::optional<JobState> StateOf(GraphId aId);
@@ -177,7 +182,7 @@
   bool FitsTwice(const TaskRef& aTask, const GraphStep& aStep) const;
   /// Returns the larger share in use of what sound workers have in processors and memory.
   double ShareInUse() const;
-  void CheckJobRuns(GraphId aId, const JobHistory& aJob);
+  void CheckJobRuns(GraphId aId, const JobHistory& aJob, double aShareInUse);
   void CheckLongRunningJob(GraphId aId, const JobHistory& aJob);
   /// Records whether \p aWhat could run, and reports it once it could for long without running.
   void NoteRunnable(const std::string& aWhat, bool aRunnable);
@@ -212,6 +217,7 @@
   std::map<std::string, std::string> m_store;
   size_t m_maxRecordBytes = SchedulerLimits().m_maxRecordBytes;
   uint64_t m_parts = 0;
+  uint64_t m_asked = 0;
   size_t m_storeEnd = 0;
   std::map<WorkerName, Instant> m_goneWorkers; ///< Until when the directory lists each of them.
   uint64_t m_epoch = 0;
--- a/unittests/Scheduler/WorldChecks.cpp
+++ b/unittests/Scheduler/WorldChecks.cpp
@@ -135,6 +135,9 @@
 SchedulerWorld::CheckRestarts()
 {
   for (const std::unique_ptr<FakeWorker>& worker : m_workers) {
+    if (worker->HasLeft()) {
+      continue;
+    }
     worker->m_firstClockMs = kRestartClockMs;
     worker->Restart(m_now);
   }
@@ -146,7 +149,10 @@
     }
   }
   GraphStep step;
-  step.m_count = static_cast<uint32_t>(m_workers.size());
+  step.m_count = static_cast<uint32_t>(std::count_if(
+    m_workers.begin(), m_workers.end(), [](const std::unique_ptr<FakeWorker>& aWorker) {
+      return !aWorker->HasLeft();
+    }));
   step.m_demand = { 1000, 1000, 0 };
   step.m_estimateMs = 1000;
   step.m_maxPerWorker = 1;
