Grant draining workers leases that end before callers miss what was stopped

Change: a lease granted to a draining worker is 7.3 s at most, and counts for 7.65 s. What other leaders grant, and calls that may reach a restarted process, count by the longest lease as before (ExtendLeaseOfAnyCall), and a worker with an unanswered start gets the full length: a process that has restarted might execute it and take any lease for the longest. Sites with 6,000 are unchanged.

Evidence: "a stopped run on a worker that drains and exits counts no longer than callers bear", leases of 10 s: with the full length the task is not at work 8.5 s after the exit beside short work (and is without it); passes now.

--- a/include/egretturn/Scheduler/Fleet.h
+++ b/include/egretturn/Scheduler/Fleet.h
@@ -168,6 +168,9 @@
 struct LeaseLimits
 {
   Duration m_maxDuration = std::chrono::milliseconds(6000); ///< Workers shorten longer leases.
+  /// Of a lease granted to a draining worker: it may exit at any time, and what it was told to stop
+  /// then counts until the lease has expired. Callers miss a task that is away for 9 s.
+  Duration m_maxWhileDraining = std::chrono::milliseconds(7300);
   double m_maxClockSlowness = 0.02; ///< How much slower a worker's clock may run, as a share.
   /// A superseded leader sends its last call to a worker no later than this after the claim of its
   /// successor.
@@ -234,15 +237,23 @@
   /// unknown.
   int64_t LeaseEnd(const Worker& aWorker, Instant aNow) const;
 
-  /// Records that a call with a new lease is sent at \p aNow.
+  /// Records that a call with the lease of LeaseEnd() is sent at \p aNow.
   void ExtendLease(Worker& aWorker, Instant aNow) const;
 
+  /// Records that a call of any leader with the longest lease may have arrived until \p aNow.
+  void ExtendLeaseOfAnyCall(Worker& aWorker, Instant aNow) const;
+
   /// Returns by when all leases that were granted until \p aGrantedUntil have expired.
   Instant LatestLeaseExpiry(Instant aGrantedUntil) const;
 
   const LeaseLimits& Limits() const { return m_limits; }
 
 private:
+  /// Returns the length of a lease for \p aWorker, on its clock.
+  Duration LengthOfGrant(const Worker& aWorker) const;
+  /// Returns by when a lease of \p aLength that is granted at \p aGrantedAt has expired.
+  Instant ExpiryOf(Duration aLength, Instant aGrantedAt) const;
+
   LeaseLimits m_limits;
   ZoneEvacuations m_evacuations;
   std::vector<std::unique_ptr<Worker>> m_workers;
--- a/lib/Scheduler/AttemptEnds.cpp
+++ b/lib/Scheduler/AttemptEnds.cpp
@@ -453,7 +453,8 @@
   }
   if (worker->m_fenceRaised) {
     worker->m_fenceRaised = false;
-    m_fleet.ExtendLease(*worker, aNow); // a call to the process before may have arrived until now
+    // A call to the process before may have arrived until now.
+    m_fleet.ExtendLeaseOfAnyCall(*worker, aNow);
   }
   if (worker->m_failedPolls > 0) {
     Log(LogLine(LogLevel::Info, "worker_regained_contact")
--- a/lib/Scheduler/Fleet.cpp
+++ b/lib/Scheduler/Fleet.cpp
@@ -257,7 +257,7 @@
   // ExtendLease() records.
   const double sinceMs = static_cast<double>(ToMillis(aNow - aWorker.m_clockReadAt)) *
                          (1.0 - m_limits.m_maxClockSlowness);
-  return aWorker.m_clockMs + static_cast<int64_t>(sinceMs) + ToMillis(m_limits.m_maxDuration);
+  return aWorker.m_clockMs + static_cast<int64_t>(sinceMs) + ToMillis(LengthOfGrant(aWorker));
 }
 
 void
@@ -274,16 +274,50 @@
   return it == m_lateStartsByTask.end() ? nullptr : &it->second;
 }
 
+/// Returns whether a start that was sent to \p aWorker may still be executed unknown to the leader,
+/// also by a process that has restarted there and takes the lease for the longest.
+static bool
+MayExecuteLate(const Worker& aWorker)
+{
+  return !aWorker.m_lateStarts.empty() ||
+         std::any_of(aWorker.m_attempts.begin(),
+                     aWorker.m_attempts.end(),
+                     [](const std::pair<const TaskRef, AttemptState>& aAttempt) {
+                       return aAttempt.second.m_phase == AttemptPhase::Sent ||
+                              aAttempt.second.m_phase == AttemptPhase::Unconfirmed;
+                     });
+}
+
+Duration
+Fleet::LengthOfGrant(const Worker& aWorker) const
+{
+  const bool draining = aWorker.m_report.m_draining && !MayExecuteLate(aWorker);
+  return draining ? std::min(m_limits.m_maxDuration, m_limits.m_maxWhileDraining)
+                  : m_limits.m_maxDuration;
+}
+
+Instant
+Fleet::ExpiryOf(Duration aLength, Instant aGrantedAt) const
+{
+  const double length = static_cast<double>(aLength.count()) / (1.0 - m_limits.m_maxClockSlowness);
+  return aGrantedAt + Duration(static_cast<int64_t>(length)) + kLeaseMargin;
+}
+
 Instant
 Fleet::LatestLeaseExpiry(Instant aGrantedUntil) const
 {
-  const double maxDuration = static_cast<double>(m_limits.m_maxDuration.count());
-  const Duration length(static_cast<int64_t>(maxDuration / (1.0 - m_limits.m_maxClockSlowness)));
-  return aGrantedUntil + length + kLeaseMargin;
+  return ExpiryOf(m_limits.m_maxDuration, aGrantedUntil);
 }
 
 void
 Fleet::ExtendLease(Worker& aWorker, Instant aNow) const
+{
+  const Instant expiry = ExpiryOf(LengthOfGrant(aWorker), aNow);
+  aWorker.m_leaseExpiresAt = std::max(aWorker.m_leaseExpiresAt, expiry);
+}
+
+void
+Fleet::ExtendLeaseOfAnyCall(Worker& aWorker, Instant aNow) const
 {
   aWorker.m_leaseExpiresAt = std::max(aWorker.m_leaseExpiresAt, LatestLeaseExpiry(aNow));
 }
--- a/lib/Scheduler/WorkerRestarts.cpp
+++ b/lib/Scheduler/WorkerRestarts.cpp
@@ -59,7 +59,7 @@
   aWorker.m_statusStale = true;
   aWorker.m_clockMs = aStatus.m_clockMs;
   aWorker.m_clockReadAt = aNow;
-  m_fleet.ExtendLease(aWorker, aNow);
+  m_fleet.ExtendLeaseOfAnyCall(aWorker, aNow);
   SendPoll(aWorker, aNow);
 }
 
--- a/unittests/Scheduler/ContactWorld.h
+++ b/unittests/Scheduler/ContactWorld.h
@@ -15,7 +15,11 @@
 public:
   static constexpr const char* kAddress = "10.0.0.1:80";
 
-  ContactWorld() { m_scheduler.OnDirectoryRead(); }
+  explicit ContactWorld(const SchedulerLimits& aLimits = SchedulerLimits())
+    : m_scheduler(aLimits, 1, m_now)
+  {
+    m_scheduler.OnDirectoryRead();
+  }
 
   void RegisterWorker(const WorkerName& aName,
                       int64_t aIncarnation = 0,
@@ -56,7 +60,7 @@
 
   Duration m_tickInterval = std::chrono::milliseconds(20);
   Instant m_now{ std::chrono::hours(1) };
-  Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
+  Scheduler m_scheduler;
   std::set<WorkerName> m_unreachable;
   std::set<WorkerName> m_ordersLost; ///< Starts and stops get no response there, polls do.
   std::set<WorkerName> m_pollsLost;  ///< Polls get no response there, orders do.
--- a/unittests/Scheduler/LeaseExpiryTest.cpp
+++ b/unittests/Scheduler/LeaseExpiryTest.cpp
@@ -117,3 +117,47 @@
   }
   CHECK(freed <= 2);
 }
+
+// Guards against LOST on days on which workers drain: one exits before the end of a run that it was
+// told to stop is read, and short work beside it has extended the lease until the exit.
+TEST_CASE("a stopped run on a worker that drains and exits counts no longer than callers bear")
+{
+  SchedulerLimits limits;
+  limits.m_lease.m_maxDuration = seconds(10);
+  const bool beside = GENERATE(false, true);
+  ContactWorld world(limits);
+  world.RegisterWorker("a");
+  world.SubmitLongRunning(1, 5000);
+  if (beside) {
+    world.SubmitOneMinute(2, 1000);
+  }
+  world.Advance(seconds(2));
+  REQUIRE(world.m_running["a"].size() == (beside ? 2 : 1));
+  world.RegisterWorker("b");
+  world.m_ordersLost.insert("a"); // it goes on, though told to stop
+  world.RegisterWorker("a", 0, ContactWorld::kAddress, true);
+  world.Advance(seconds(4));
+  world.m_unreachable.insert("a");
+  world.m_scheduler.DeregisterWorker("a", world.m_now);
+  world.Advance(milliseconds(8500)); // of 9 s
+  CHECK_FALSE(world.m_running["b"].empty());
+}
+
+TEST_CASE("a lease is as long as the platform allows unless the worker drains")
+{
+  LeaseLimits limits;
+  limits.m_maxDuration = seconds(10);
+  const Fleet fleet(limits);
+  const Instant now{ std::chrono::hours(1) };
+  Worker worker;
+  worker.m_polled = true;
+  worker.m_clockReadAt = now;
+  CHECK(fleet.LeaseEnd(worker, now) == 10000);
+  worker.m_report.m_draining = true;
+  CHECK(fleet.LeaseEnd(worker, now) == 7300);
+  worker.m_lateStarts.emplace_back(); // may be executed by a process that takes any lease
+  CHECK(fleet.LeaseEnd(worker, now) == 10000);
+  limits.m_maxDuration = seconds(6);
+  worker.m_lateStarts.clear();
+  CHECK(Fleet(limits).LeaseEnd(worker, now) == 6000);
+}
