--- a/review/stand-ins-3/Cases.cc
+++ b/review/stand-ins-3/Cases.cc
@@ -23,15 +23,16 @@
   return "{\"spec\":\"ms=" + std::to_string(aTaskMs) + "\",\"steps\":[" + aSteps + "]}";
 }
 
-/// Workers are replaced one after the other while large jobs come.
+/// Workers are replaced one after the other while large jobs come. Then a small job comes in calm.
 static int
 PlayReplacedWorkers(World& aWorld, bool aDisrupted)
 {
   static constexpr size_t kTasks = 3072;
-  static constexpr int kReplacedSeconds = 80;
-  static constexpr int64_t kDrainMs = 4000;
+  static constexpr int kReplacements = 95; // one a second
+  static constexpr int64_t kDrainMs = 2500;
+  static constexpr int64_t kMaxStandstillMs = 3000;
   std::map<size_t, int64_t> leaving; // with the time of their exit
-  for (int second = 0; second < kReplacedSeconds; ++second) {
+  for (int second = 0; second < kReplacements; ++second) {
     const int64_t next = aWorld.NowMs() + 1000;
     if (second % 2 == 0) {
       const std::string id = aWorld.NewId();
@@ -60,27 +61,35 @@
       it = leaving.erase(it);
     }
     if (second % 5 == 0) {
-      aWorld.Record(
-        "leader " + aWorld.Claim().m_instance + " has " +
-        std::to_string(World::CountDescriptors(aWorld.Instances()[aWorld.Leader()].m_pid)) +
-        " descriptors; workers replaced: " + std::to_string(aDisrupted ? second : 0));
+      const pid_t leader = aWorld.Instances()[aWorld.Leader()].m_pid;
+      aWorld.Record("leader " + aWorld.Claim().m_instance + " has " +
+                    std::to_string(World::CountDescriptors(leader)) +
+                    " descriptors; workers replaced: " + std::to_string(aDisrupted ? second : 0));
     }
     aWorld.Reap();
     aWorld.RunFor(milliseconds(std::max<int64_t>(0, next - aWorld.NowMs())));
   }
-  aWorld.RunFor(seconds(8));
-  const std::string id = aWorld.NewId();
-  const int64_t sentAt = aWorld.NowMs();
-  const Answer answer = aWorld.Ask(0, http::verb::post, id, Job(300, Step(8, 1100, 300)));
-  aWorld.Record("last job " + id + " answer " + std::to_string(answer.m_status));
-  std::string state;
-  while (aWorld.NowMs() - sentAt < 20000 && state != "done") {
-    aWorld.RunFor(milliseconds(500));
-    state = aWorld.StateOf(id);
+  aWorld.RunFor(milliseconds(kDrainMs));
+  for (const std::pair<const size_t, int64_t>& entry : leaving) {
+    aWorld.SetListed(entry.first, false);
+    aWorld.KillWorker(entry.first);
+  }
+  aWorld.RunFor(milliseconds(4200)); // calm
+  const std::string job = aWorld.NewId();
+  const Answer answer = aWorld.Ask(0, http::verb::post, job, Job(300, Step(8, 1100, 300)));
+  const int64_t acceptedAt = aWorld.NowMs();
+  aWorld.Record("last job " + job + " answer " + std::to_string(answer.m_status));
+  aWorld.RunFor(milliseconds(kMaxStandstillMs + 2000));
+  int64_t firstStart = 0;
+  for (const RunEvent& event : aWorld.ReadRuns()) {
+    const bool ofJob = event.m_task.compare(0, job.size(), job) == 0;
+    firstStart = ofJob && firstStart == 0 ? event.m_atMs : firstStart;
   }
-  aWorld.Record("last job is " + state + " after " + std::to_string(aWorld.NowMs() - sentAt) +
-                " ms");
-  return state == "done" ? 0 : 1;
+  const int64_t waited = (firstStart == 0 ? aWorld.NowMs() : firstStart) - acceptedAt;
+  aWorld.Record("last job had nothing running for " + std::to_string(waited) + " ms" +
+                (firstStart == 0 ? ", and still has not; state " : "; state ") +
+                aWorld.StateOf(job));
+  return answer.m_status != 200 || waited > kMaxStandstillMs ? 1 : 0;
 }
 
 /// A job that was accepted, with the tasks of its two steps.
@@ -358,7 +367,7 @@
 int
 PlayCase(const std::string& aName, WorldSettings aSettings, bool aDisrupted)
 {
-  aSettings.m_workers = aName == "replaced" ? 24 : aName == "lost" ? 48 : 8;
+  aSettings.m_workers = aName == "replaced" || aName == "lost" ? 48 : 8;
   World world(std::move(aSettings));
   if (!world.Start()) {
     world.Record("the instances are not ready");
