--- a/review/stand-ins-3/Cases.cc
+++ b/review/stand-ins-3/Cases.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <map>
+#include <memory>
 #include <set>
 
 namespace review {
@@ -286,6 +287,103 @@
   return both > 0 ? 1 : 0;
 }
 
+/// A start goes unanswered, and the task is done by the next one. Later the worker crashes, starts
+/// again under its id, and carries the first start out.
+static int
+PlayDoneAgain(World& aWorld, bool aDisrupted)
+{
+  static constexpr int64_t kLateMs = 10000; // the pages: 2 to 12 s
+  static constexpr int64_t kCrashMs = 8000; // after the start
+  static constexpr int64_t kDownMs = 2100;
+  if (aDisrupted) {
+    aWorld.LeaveNextStartUnanswered(kLateMs);
+  }
+  const std::string job = aWorld.NewId();
+  const int64_t sentAt = aWorld.NowMs();
+  const Answer accepted = aWorld.Ask(0, http::verb::post, job, Job(500, Step(1, 2000, 500)));
+  aWorld.Record("job " + job + " sent, answer " + std::to_string(accepted.m_status));
+  aWorld.RunFor(milliseconds(std::max<int64_t>(0, sentAt + kCrashMs - aWorld.NowMs())));
+  const std::string state = aWorld.StateOf(job);
+  const int64_t shownAt = aWorld.NowMs();
+  aWorld.Record("job " + job + " is shown as " + state);
+  const size_t worker = FindUnanswering(aWorld);
+  if (accepted.m_status != 200 || state != "done" ||
+      (aDisrupted && worker == aWorld.Workers().size())) {
+    return 2;
+  }
+  if (aDisrupted) {
+    aWorld.KillWorker(worker);
+    aWorld.Record("worker " + aWorld.Workers()[worker].m_id + " crashes");
+    aWorld.RunFor(milliseconds(kDownMs));
+    aWorld.RestartWorker(worker);
+    aWorld.Record("worker " + aWorld.Workers()[worker].m_id + " is back");
+  }
+  aWorld.RunFor(seconds(10));
+  bool again = false;
+  for (const RunEvent& event : aWorld.ReadRuns()) {
+    if (event.m_task.compare(0, job.size(), job) != 0) {
+      continue;
+    }
+    aWorld.Record("at " + std::to_string(event.m_atMs) + " ms " + event.m_worker + ": " +
+                  event.m_what + " " + event.m_task + " run " + std::to_string(event.m_run) + " " +
+                  event.m_how);
+    again = again || (event.m_what == "start" && event.m_atMs > shownAt + 1000);
+  }
+  aWorld.Record(again ? "it was started again over a second after it was shown as done"
+                      : "it was not started again");
+  return again ? 1 : 0;
+}
+
+/// A caller hands a job in at an instance that stands still, leaves, and cancels it at another one.
+static int
+PlayCancelled(World& aWorld, bool aDisrupted)
+{
+  static constexpr int64_t kFrozenMs = 4000;
+  static constexpr int64_t kLeavesMs = 450;
+  static constexpr int64_t kCancelledMs = 3000; // cancel_ms
+  const size_t frozen = (aWorld.Leader() + 1) % aWorld.Instances().size();
+  const size_t other = (aWorld.Leader() + 2) % aWorld.Instances().size();
+  const int64_t startedAt = aWorld.NowMs();
+  if (aDisrupted) {
+    aWorld.SignalInstance(frozen, SIGSTOP);
+  }
+  const std::string job = aWorld.NewId();
+  unsigned status = 0;
+  const std::shared_ptr<egretturn::ClientCall> call =
+    aWorld.Call(frozen,
+                http::verb::post,
+                job,
+                Job(1000, Step(2, 2000, 1000)),
+                [&status](const Answer& aAnswer) { status = aAnswer.m_status; });
+  aWorld.RunFor(milliseconds(kLeavesMs));
+  call->Cancel();
+  aWorld.Record("job " + job + " sent to " + aWorld.Instances()[frozen].m_name + ", answer " +
+                std::to_string(status) + "; its caller leaves");
+  const Answer cancelled = aWorld.Ask(other, http::verb::delete_, job, "");
+  const int64_t cancelledAt = aWorld.NowMs();
+  aWorld.Record("job " + job + " cancelled at " + aWorld.Instances()[other].m_name + ", answer " +
+                std::to_string(cancelled.m_status));
+  aWorld.RunFor(milliseconds(std::max<int64_t>(0, startedAt + kFrozenMs - aWorld.NowMs())));
+  aWorld.SignalInstance(frozen, SIGCONT);
+  aWorld.RunFor(seconds(8));
+  if (cancelled.m_status != 200 && cancelled.m_status != 410) {
+    return 2;
+  }
+  bool asked = true;
+  for (const RunEvent& event : aWorld.ReadRuns()) {
+    if (event.m_task.compare(0, job.size(), job) != 0) {
+      continue;
+    }
+    aWorld.Record("at " + std::to_string(event.m_atMs) + " ms " + event.m_worker + ": " +
+                  event.m_what + " " + event.m_task + " run " + std::to_string(event.m_run) + " " +
+                  event.m_how);
+    asked = asked && !(event.m_what == "start" && event.m_atMs > cancelledAt + kCancelledMs);
+  }
+  aWorld.Record("job " + job + " is " + aWorld.StateOf(job) +
+                (asked ? "" : "; it started over 3 s after its cancel was acknowledged"));
+  return asked ? 0 : 1;
+}
+
 /// A start of a lasting task goes unanswered. Its worker crashes, starts again under its id, and
 /// then carries it out. Later the caller cancels the job.
 static int
@@ -382,6 +480,12 @@
   if (aName == "cut-off") {
     return PlayCutOff(world, aDisrupted);
   }
+  if (aName == "done-again") {
+    return PlayDoneAgain(world, aDisrupted);
+  }
+  if (aName == "cancelled") {
+    return PlayCancelled(world, aDisrupted);
+  }
   if (aName == "earlier-life") {
     return PlayEarlierLife(world, aDisrupted);
   }
--- a/review/stand-ins-3/World.cc
+++ b/review/stand-ins-3/World.cc
@@ -400,7 +400,7 @@
   m_io.run_for(aTime);
 }
 
-void
+std::shared_ptr<ClientCall>
 World::Call(size_t aInstance,
             boost::beast::http::verb aMethod,
             const std::string& aPath,
@@ -411,17 +411,17 @@
   request.set(boost::beast::http::field::host, kHost);
   request.set(boost::beast::http::field::content_type, "application/json");
   request.set("Deadline-Ms", std::to_string(ToMillis(kCallTimeout)));
-  m_client.Send("127.0.0.1:" + std::to_string(m_instances[aInstance].m_front),
-                std::move(request),
-                kCallTimeout,
-                [aDone = std::move(aDone)](const ClientResponse& aResponse) {
-                  Answer answer;
-                  if (aResponse.m_result == ClientResult::Completed) {
-                    answer.m_status = aResponse.m_response.result_int();
-                    answer.m_body = aResponse.m_response.body();
-                  }
-                  aDone(answer);
-                });
+  return m_client.Send("127.0.0.1:" + std::to_string(m_instances[aInstance].m_front),
+                       std::move(request),
+                       kCallTimeout,
+                       [aDone = std::move(aDone)](const ClientResponse& aResponse) {
+                         Answer answer;
+                         if (aResponse.m_result == ClientResult::Completed) {
+                           answer.m_status = aResponse.m_response.result_int();
+                           answer.m_body = aResponse.m_response.body();
+                         }
+                         aDone(answer);
+                       });
 }
 
 Answer
--- a/review/stand-ins-3/World.hh
+++ b/review/stand-ins-3/World.hh
@@ -92,12 +92,12 @@
   int64_t NowMs() const;
   void Record(const std::string& aLine);
 
-  /// Sends a request and calls \p aDone with the answer.
-  void Call(size_t aInstance,
-            boost::beast::http::verb aMethod,
-            const std::string& aPath,
-            const std::string& aBody,
-            std::function<void(Answer)> aDone);
+  /// Sends a request and calls \p aDone with the answer. The result can be cancelled.
+  std::shared_ptr<egretturn::ClientCall> Call(size_t aInstance,
+                                              boost::beast::http::verb aMethod,
+                                              const std::string& aPath,
+                                              const std::string& aBody,
+                                              std::function<void(Answer)> aDone);
 
   /// The same; waits for the answer.
   Answer Ask(size_t aInstance,
