Keep a job from being accepted after its cancel was answered 410

Cause: "no such job" is a promise about the future, for which the leader kept nothing. It answered and forgot the id, so the submission found one that had never been seen. The logs did not show the cancel; cancel_of_unknown_job and job_refused reason=cancelled_before do now.

Change: a cancel of an unknown job appends a tombstone, and is answered 410 once that is durable. The append is conditional, so it shows that nobody else leads, for which an empty append was needed before; every later leader reads the record. Submissions of the id are refused with 503 without Retry-After: it is true that the job never runs, and 200 would let a caller that has changed its mind wait for work that never starts. A submission that comes before the tombstone is durable is accepted as cancelled. Kept for status_s, at most 20,000; one more cancel of an unknown job is refused with 503.

CancelTest: its world confirmed each append, which now answers the cancel; it withholds them, and one more check says that a confirmation without a tombstone is not enough. The oracle of the random tests now holds 410 against starts, too.

--- a/include/egretturn/Node/LeaderSession.h
+++ b/include/egretturn/Node/LeaderSession.h
@@ -23,6 +23,7 @@
   std::vector<StoredJob> m_jobs;
   std::vector<std::pair<GraphId, StoredProgress>> m_progress;
   std::vector<RecoveredProgressPart> m_progressParts;
+  std::vector<std::pair<GraphId, StoredTombstone>> m_tombstones;
   std::vector<WorkerReport> m_workers;
   StoredModels m_models;
   LogOffset m_end = 0;   ///< End of the topic of jobs, after the claim.
--- a/include/egretturn/Node/PeerProtocol.h
+++ b/include/egretturn/Node/PeerProtocol.h
@@ -112,11 +112,12 @@
 
 enum class PeerOutcome : uint8_t
 {
-  Ok,      ///< Done; the response holds the requested state or count.
-  NotRun,  ///< Refused; the job never runs.
-  Unknown, ///< The result is not known; the caller may retry.
-  NoSuchJob,
+  Ok,        ///< Done; the response holds the requested state or count.
+  NotRun,    ///< Refused; the job of a submission never runs.
+  Unknown,   ///< The result is not known; the caller may retry.
+  NoSuchJob, ///< To a cancellation: and none of this id will be accepted.
   NotLeader, ///< Nothing was done; \c m_leader names the leader, if known.
+  Cancelled, ///< As NotRun, and retries are useless: the job was cancelled before it was accepted.
 };
 
 struct PeerResponse
--- a/include/egretturn/Scheduler/Actions.h
+++ b/include/egretturn/Scheduler/Actions.h
@@ -199,11 +199,12 @@
 /// The result of a submission or cancellation.
 enum class SubmitResult
 {
-  Accepted, ///< Accepted and durable.
-  NotRun,   ///< Refused: the job has not run and never will.
-  TooLarge, ///< As NotRun: the store can't keep the job's record.
-  Unknown,  ///< The job may have been accepted.
-  NoSuchJob,
+  Accepted,  ///< Accepted and durable.
+  NotRun,    ///< Refused: the job has not run and never will, or nothing was cancelled.
+  TooLarge,  ///< As NotRun: the store can't keep the job's record.
+  Cancelled, ///< As NotRun, for good: the job's cancellation was answered with NoSuchJob before.
+  Unknown,   ///< The job may have been accepted, or cancelled.
+  NoSuchJob, ///< No submission of the job has been accepted, and none is from now on.
 };
 
 /// Reports the result of a caller's request.
--- a/include/egretturn/Scheduler/Records.h
+++ b/include/egretturn/Scheduler/Records.h
@@ -143,6 +143,18 @@
   }
 };
 
+/// A job that was cancelled before it was accepted, and that no leader accepts any more.
+struct StoredTombstone
+{
+  int64_t m_readingMs = 0; ///< Reading of the retention clock by which the record was durable.
+
+  template<typename Self, typename Visit>
+  static void Fields(Self& aSelf, Visit&& aVisit)
+  {
+    aVisit("reading_ms", aSelf.m_readingMs);
+  }
+};
+
 /// An instance that has to follow a leader while the store does not confirm the leader's claim.
 struct Witness
 {
@@ -229,6 +241,7 @@
 /// Returns the key of a record. Thread-safe.
 std::string JobKey(GraphId aId);
 std::string ProgressKey(GraphId aId);
+std::string TombstoneKey(GraphId aId);
 std::string WorkerKey(std::string_view aWorker);
 
 /// Returns the key of the part of a job's progress that begins at the task \p aFirst. Thread-safe.
@@ -244,6 +257,7 @@
   Job,
   Progress,
   ProgressPart,
+  Tombstone,
   Worker,
   Learned,
   Unknown,
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "egretturn/Scheduler/AbsenceLog.h"
+#include "egretturn/Scheduler/CancelTombstones.h"
 #include "egretturn/Scheduler/HeldPlaces.h"
 #include "egretturn/Scheduler/JobRanking.h"
 #include "egretturn/Scheduler/JobRegistry.h"
@@ -16,7 +17,6 @@
 #include "egretturn/Scheduler/RoomModel.h"
 #include "egretturn/Scheduler/SchedulerTypes.h"
 #include "egretturn/Scheduler/SlownessModel.h"
-#include "egretturn/Scheduler/UnconfirmedCancels.h"
 #include "egretturn/Scheduler/WaitingReport.h"
 #include "egretturn/Scheduler/WaitingSteps.h"
 
@@ -58,6 +58,9 @@
   /// Goes on from the last stored reading of the retention clock. Call before RestoreProgress().
   void RestoreRetentionClock(int64_t aReadingMs) { m_retentionClock.Restore(aReadingMs); }
 
+  /// Adds a job that was cancelled before it was accepted. Call after RestoreRetentionClock().
+  void RestoreTombstone(GraphId aId, const StoredTombstone& aStored);
+
   /// Restores the models that an earlier epoch has learned. Call before RestoreJob().
   void RestoreModels(const StoredModels& aStored);
 
@@ -76,12 +79,15 @@
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. A job whose
-  /// record is larger than the store's limit is refused as TooLarge. \pre The graph is valid.
+  /// record is larger than the store's limit is refused as TooLarge, and one whose cancellation was
+  /// answered with NoSuchJob as Cancelled, however late it comes within
+  /// SchedulerLimits::m_endedJobRetention. \pre The graph is valid.
   void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
 
   /// Cancels a job; the result follows as a CompleteRequest action once the cancellation is
-  /// durable. That there is no such job is said once the store has confirmed that no other leader
-  /// can have accepted it before the request came; Unknown if that takes too long.
+  /// durable. That there is no such job is said once the store has a tombstone of it: no leader has
+  /// accepted the job before, and none accepts it afterwards. Unknown if that takes too long, and
+  /// NotRun if there are too many tombstones.
   void Cancel(RequestToken aRequest, GraphId aId, Instant aNow, int64_t aWallMs);
 
   /// Returns the state reported to callers, or nothing for an unknown job.
@@ -136,20 +142,17 @@
 
   /// Handles that the store refuses the record \p aKey of the batch in flight for good. A new job
   /// is refused, and a worker gets no task; anything else is written again with its next change.
-  void OnRecordRefused(const std::string& aKey);
+  void OnRecordRefused(const std::string& aKey, Instant aNow);
 
   /// Records that no other instance had claimed the leadership at \p aSince. Confirmed batches say
   /// so, too.
   void OnConfirmed(Instant aSince, Instant aNow);
 
-  /// Answers Unknown to requests to cancel unknown jobs that have waited for a confirmation for too
+  /// Answers Unknown to requests to cancel unknown jobs that have waited for the store for too
   /// long, so that the callers try another instance. Call regularly, also while Tick() is not due
   /// because there is no evidence that this leader leads.
   void ExpireUnconfirmedCancels(Instant aNow);
 
-  /// Returns whether callers wait for a confirmation.
-  bool HasUnconfirmedCancels() const { return !m_unconfirmedCancels.IsEmpty(); }
-
   /// Sets whether the store accepts appends. While it does not, new jobs are refused immediately.
   void SetStoreAvailable(bool aAvailable) { m_storeAvailable = aAvailable; }
 
@@ -176,6 +179,8 @@
   size_t JobCount() { return m_jobs.All().size(); }
   /// Returns the bytes that the jobs in memory are counted with.
   size_t JobBytes() const { return m_jobs.Budget().Bytes(); }
+  /// Returns the number of jobs that are remembered as cancelled before they were accepted.
+  size_t TombstoneCount() const { return m_tombstones.Size(); }
   bool IsRecovered() const { return m_recovered; }
 
   /// Returns what contradicts itself in the records of jobs that have not ended; for tests. A task
@@ -487,8 +492,9 @@
   KeyedRecord PackModels() const;
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
-  /// Handles the requests to cancel unknown jobs for which the last confirmation is recent enough.
-  void CompleteUnconfirmedCancels(Instant aNow);
+  void AppendTombstones(BatchDraft& aDraft);
+  /// Answers the requests whose tombstones are durable.
+  void CompleteTombstones();
 
   // Recovery.cpp
   void CheckRecovery(Instant aNow);
@@ -539,7 +545,12 @@
   void RetryStops(Instant aNow);
   void CheckWorkers(Instant aNow);
   void OpenOccurrences(int64_t aWallMs, Instant aNow);
+  /// Answers with NoSuchJob once a tombstone is durable.
+  void CancelUnknownJob(const UnknownJobCancel& aCancel);
+  /// Accepts a job whose earlier cancellation is not durable yet, as cancelled.
+  void CancelNewJob(Job& aJob, Instant aNow);
   void RemoveEndedJobs();
+  void RemoveOldTombstones();
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
 
   SchedulerLimits m_limits;
@@ -570,7 +581,7 @@
   uint64_t m_batch = 0;
   uint64_t m_pollNumber = 0;
   bool m_batchInFlight = false;
-  UnconfirmedCancels m_unconfirmedCancels;
+  CancelTombstones m_tombstones;
   Instant m_confirmedSince;             ///< Nobody else had claimed the leadership then.
   Instant m_confirmedAt;                ///< When that was learned.
   bool m_confirmationUnused = false;    ///< It was requested, and no placement pass has run since.
--- a/include/egretturn/Scheduler/SchedulerTypes.h
+++ b/include/egretturn/Scheduler/SchedulerTypes.h
@@ -16,8 +16,9 @@
 struct SchedulerLimits
 {
   LeaseLimits m_lease;
-  size_t m_maxJobs = 20000;                                 ///< Maximum number of jobs in memory.
-  size_t m_maxJobBytes = kDefaultMaxJobBytes;               ///< Of the jobs in memory.
+  size_t m_maxJobs = 20000;                   ///< Maximum number of jobs in memory.
+  size_t m_maxJobBytes = kDefaultMaxJobBytes; ///< Of the jobs in memory.
+  size_t m_maxTombstones = 20000; ///< Maximum number of jobs cancelled before they were accepted.
   Duration m_endedJobRetention = std::chrono::seconds(120); ///< How long its state can be queried.
   Duration m_gangTimeout = std::chrono::seconds(3);
   size_t m_maxBatchBytes = 1024 * 1024; ///< Of the records of one append, with their lengths.
@@ -53,6 +54,8 @@
 {
   uint64_t m_accepted = 0;
   uint64_t m_refused = 0;
+  uint64_t m_refusedAsCancelled = 0; ///< The part of m_refused whose cancellation came before.
+  uint64_t m_cancelsRefused = 0;     ///< Cancellations of unknown jobs beyond m_maxTombstones.
   uint64_t m_starts = 0;
   uint64_t m_endsDone = 0;
   uint64_t m_endsFailed = 0;
--- a/lib/Node/LeaderSession.cpp
+++ b/lib/Node/LeaderSession.cpp
@@ -16,8 +16,6 @@
 static constexpr Duration kBatchingDelay = std::chrono::milliseconds(2);
 static constexpr Duration kBatchingDelayPerWorker = std::chrono::microseconds(3);
 static constexpr Duration kConfirmInterval = std::chrono::milliseconds(400);
-// While callers wait for a confirmation; those that come together share one.
-static constexpr Duration kAwaitedConfirmInterval = std::chrono::milliseconds(25);
 static constexpr Duration kReadingInterval =
   std::chrono::milliseconds(1000); // between readings of the retention clock in the store
 static constexpr Duration kSuspendedInterval =
@@ -64,6 +62,9 @@
   for (const RecoveredProgressPart& part : aState.m_progressParts) {
     m_scheduler.RestoreProgressPart(part.m_key, part.m_job, part.m_part, now);
   }
+  for (const std::pair<GraphId, StoredTombstone>& tombstoneEntry : aState.m_tombstones) {
+    m_scheduler.RestoreTombstone(tombstoneEntry.first, tombstoneEntry.second);
+  }
   if (aState.m_earlierLeadersActive) {
     m_scheduler.ExpectEarlierLeaders();
   }
@@ -243,9 +244,7 @@
 bool
 LeaderSession::NeedsConfirmation(Instant aNow) const
 {
-  const Duration age = aNow - m_confirmedAt;
-  const bool awaited = m_scheduler.HasUnconfirmedCancels() && age >= kAwaitedConfirmInterval;
-  return awaited || age >= kConfirmInterval || m_witnesses != m_storedWitnesses;
+  return aNow - m_confirmedAt >= kConfirmInterval || m_witnesses != m_storedWitnesses;
 }
 
 void
@@ -268,9 +267,6 @@
   if (m_stopped) {
     return;
   }
-  if (m_scheduler.HasUnconfirmedCancels()) {
-    WakeAt(now + kAwaitedConfirmInterval);
-  }
   WakeAt(mayCall ? std::max(m_scheduler.NextTickAt(now), now + BatchingDelay())
                  : now + kSuspendedInterval);
 }
@@ -466,7 +462,7 @@
   }
   Log(LogLine(LogLevel::Error, "record_left_out").Add("epoch", m_claim.m_epoch).Add("key", key));
   m_refusals = 0;
-  m_scheduler.OnRecordRefused(key);
+  m_scheduler.OnRecordRefused(key, BootClockNow());
   m_appending = std::exchange(m_postponed, {});
   if (m_appending.empty()) {
     m_appending.push_back(MakeClaimRecord()); // only an append confirms the claim
--- a/lib/Node/LeadershipClaimer.cpp
+++ b/lib/Node/LeadershipClaimer.cpp
@@ -192,6 +192,7 @@
     StoredJob job;
     StoredProgress progress;
     StoredProgressPart part;
+    StoredTombstone tombstone;
     WorkerReport worker;
     if (kind == RecordKind::Job && UnpackCompact(value, job)) {
       outcome.m_state.m_jobs.push_back(std::move(job));
@@ -199,6 +200,8 @@
       outcome.m_state.m_progress.emplace_back(id, std::move(progress));
     } else if (kind == RecordKind::ProgressPart && UnpackCompact(value, part)) {
       outcome.m_state.m_progressParts.push_back({ key, id, std::move(part) });
+    } else if (kind == RecordKind::Tombstone && UnpackCompact(value, tombstone)) {
+      outcome.m_state.m_tombstones.emplace_back(id, tombstone);
     } else if (kind == RecordKind::Learned && UnpackCompact(value, outcome.m_state.m_models)) {
       continue;
     } else if (kind == RecordKind::Worker && UnpackCompact(value, worker)) {
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -345,6 +345,9 @@
     case SubmitResult::TooLarge:
       response.m_outcome = PeerOutcome::NotRun;
       break;
+    case SubmitResult::Cancelled:
+      response.m_outcome = PeerOutcome::Cancelled;
+      break;
     case SubmitResult::Unknown:
       response.m_outcome = PeerOutcome::Unknown;
       break;
@@ -557,6 +560,9 @@
     { "egretturn_job_bytes", m_session->GetScheduler().JobBytes() },
     { "egretturn_jobs_accepted_total", counters.m_accepted },
     { "egretturn_jobs_refused_total", counters.m_refused },
+    { "egretturn_jobs_refused_as_cancelled_total", counters.m_refusedAsCancelled },
+    { "egretturn_cancels_refused_total", counters.m_cancelsRefused },
+    { "egretturn_tombstones", m_session->GetScheduler().TombstoneCount() },
     { "egretturn_starts_total", counters.m_starts },
     { "egretturn_ends_done_total", counters.m_endsDone },
     { "egretturn_ends_failed_total", counters.m_endsFailed },
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -197,7 +197,8 @@
 bool
 Scheduler::HasUnwrittenChanges() const
 {
-  return !m_dirtyJobs.empty() || !m_keysToDelete.empty() || m_hasUnrecordedWorkers;
+  return !m_dirtyJobs.empty() || !m_keysToDelete.empty() || m_hasUnrecordedWorkers ||
+         m_tombstones.NextUnwritten();
 }
 
 Instant
@@ -244,6 +245,20 @@
   m_nextDirtyJob = 0;
 }
 
+void
+Scheduler::AppendTombstones(BatchDraft& aDraft)
+{
+  const StoredTombstone stored{ m_retentionClock.DurableByMs() };
+  while (const std::optional<GraphId> id = m_tombstones.NextUnwritten()) {
+    KeyedRecord record{ TombstoneKey(*id), PackCompact(stored) };
+    if (!HasRoom(aDraft, AppendedBytes(record))) {
+      return;
+    }
+    AddRecord(aDraft, std::move(record));
+    m_tombstones.OnWritten(*id);
+  }
+}
+
 void
 Scheduler::AppendModels(BatchDraft& aDraft, Instant aNow)
 {
@@ -302,9 +317,10 @@
   }
   BatchDraft draft;
   draft.m_append.m_batch = ++m_batch;
-  // Before the others, because a worker or a job may have been added again under a deleted key.
+  // Before the others, because what has a deleted key may have been added again.
   if (AppendDeletions(draft)) {
     AppendWorkerRecords(draft);
+    AppendTombstones(draft);
     AppendJobs(draft);
     AppendModels(draft, aNow);
   }
@@ -365,6 +381,7 @@
     }
   }
   m_batchJobs.clear();
+  CompleteTombstones();
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     if (worker->m_record == RecordState::InBatch) {
       worker->m_record = RecordState::Durable;
@@ -378,7 +395,7 @@
 }
 
 void
-Scheduler::OnRecordRefused(const std::string& aKey)
+Scheduler::OnRecordRefused(const std::string& aKey, Instant)
 {
   GraphId id = 0;
   const RecordKind kind = ClassifyKey(aKey, id);
@@ -402,6 +419,10 @@
     m_waitingJobs.erase(id);
     m_dirtyJobs.erase(id);
     m_jobs.Erase(id);
+  } else if (kind == RecordKind::Tombstone) {
+    for (RequestToken request : m_tombstones.OnRecordRefused(id)) {
+      Emit(CompleteRequest{ request, SubmitResult::Unknown });
+    }
   }
 }
 
@@ -413,7 +434,6 @@
   }
   m_confirmedSince = aSince;
   m_confirmedAt = aNow;
-  CompleteUnconfirmedCancels(aNow);
   if (std::exchange(m_confirmationRequested, false)) {
     m_confirmationUnused = true;
     m_placementNeeded = true;
@@ -422,22 +442,18 @@
 }
 
 void
-Scheduler::CompleteUnconfirmedCancels(Instant aNow)
+Scheduler::CompleteTombstones()
 {
-  for (const UnconfirmedCancel& cancel : m_unconfirmedCancels.TakeConfirmed(m_confirmedSince)) {
-    if (m_jobs.Find(cancel.m_id)) {
-      Cancel(cancel.m_request, cancel.m_id, aNow, m_wallMs);
-    } else {
-      Emit(CompleteRequest{ cancel.m_request, SubmitResult::NoSuchJob });
-    }
+  for (RequestToken request : m_tombstones.OnBatchDurable(m_retentionClock.NowMs())) {
+    Emit(CompleteRequest{ request, SubmitResult::NoSuchJob });
   }
 }
 
 void
 Scheduler::ExpireUnconfirmedCancels(Instant aNow)
 {
-  for (const UnconfirmedCancel& cancel : m_unconfirmedCancels.TakeExpired(aNow)) {
-    Emit(CompleteRequest{ cancel.m_request, SubmitResult::Unknown });
+  for (RequestToken request : m_tombstones.TakeExpiredRequests(aNow)) {
+    Emit(CompleteRequest{ request, SubmitResult::Unknown });
   }
 }
 
--- a/lib/Scheduler/Records.cpp
+++ b/lib/Scheduler/Records.cpp
@@ -16,6 +16,7 @@
 static constexpr std::string_view kJobPrefix = "job/";
 static constexpr std::string_view kProgressPrefix = "progress/";
 static constexpr std::string_view kProgressPartPrefix = "progress-part/";
+static constexpr std::string_view kTombstonePrefix = "cancelled/";
 static constexpr std::string_view kWorkerPrefix = "worker/";
 static constexpr size_t kKeyLengthBytes = 1;
 static constexpr size_t kRecordLengthBytes = 4;
@@ -38,6 +39,12 @@
   return std::string(kProgressPrefix) + FormatGraphId(aId);
 }
 
+std::string
+TombstoneKey(GraphId aId)
+{
+  return std::string(kTombstonePrefix) + FormatGraphId(aId);
+}
+
 std::string
 WorkerKey(std::string_view aWorker)
 {
@@ -113,6 +120,9 @@
   if (ReadKey(aKey, kJobPrefix, aId)) {
     return RecordKind::Job;
   }
+  if (ReadKey(aKey, kTombstonePrefix, aId)) {
+    return RecordKind::Tombstone;
+  }
   return ReadKey(aKey, kProgressPrefix, aId) ? RecordKind::Progress : RecordKind::Unknown;
 }
 
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -52,6 +52,13 @@
   }
 }
 
+void
+Scheduler::RestoreTombstone(GraphId aId, const StoredTombstone& aStored)
+{
+  // The record has not become durable later than now, whatever it says.
+  m_tombstones.Restore(aId, std::min(aStored.m_readingMs, m_retentionClock.NowMs()));
+}
+
 void
 Scheduler::RestoreProgressPart(const std::string& aKey,
                                GraphId aId,
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -23,6 +23,7 @@
   , m_epoch(aEpoch)
   , m_fleet(aLimits.m_lease)
   , m_jobs(aLimits.m_maxJobBytes)
+  , m_tombstones(aLimits.m_maxTombstones)
   , m_confirmedSince(aNow)
   , m_batchSentAt(aNow)
   , m_nextBatchAt(aNow)
@@ -60,6 +61,15 @@
     }
     return;
   }
+  if (m_tombstones.IsDurable(aSubmission.m_id)) {
+    ++m_counters.m_refused;
+    ++m_counters.m_refusedAsCancelled;
+    Log(LogLine(LogLevel::Info, "job_refused")
+          .Add("job", FormatGraphId(aSubmission.m_id))
+          .Add("reason", "cancelled_before"));
+    Emit(CompleteRequest{ aRequest, SubmitResult::Cancelled });
+    return;
+  }
   if (const char* reason = FindRefusal(aSubmission)) {
     ++m_counters.m_refused;
     Log(LogLine(LogLevel::Info, "job_refused")
@@ -88,6 +98,16 @@
   m_jobsWithFutureOccurrences.insert(job.m_stored.m_id);
   MarkDirty(job);
   m_urgent = true;
+  if (m_tombstones.Contains(job.m_stored.m_id)) {
+    CancelNewJob(job, aNow);
+  }
+}
+
+void
+Scheduler::CancelNewJob(Job& aJob, Instant aNow)
+{
+  aJob.m_cancelRequests = m_tombstones.TakeRequests(aJob.m_stored.m_id);
+  EndJob(aJob, JobState::Cancelled, aNow);
 }
 
 void
@@ -96,7 +116,7 @@
   m_wallMs = aWallMs;
   Job* job = m_jobs.Find(aId);
   if (!job) {
-    m_unconfirmedCancels.Add({ aRequest, aId, aNow });
+    CancelUnknownJob({ aRequest, aId, aNow });
     return;
   }
   if (IsEnded(job->m_durableState)) {
@@ -110,6 +130,22 @@
   m_urgent = true;
 }
 
+void
+Scheduler::CancelUnknownJob(const UnknownJobCancel& aCancel)
+{
+  const bool added = m_tombstones.Add(aCancel);
+  Log(LogLine(LogLevel::Info, added ? "cancel_of_unknown_job" : "cancel_refused")
+        .Add("job", FormatGraphId(aCancel.m_id))
+        .Add("epoch", m_epoch)
+        .Add("tombstones", uint64_t{ m_tombstones.Size() }));
+  if (!added) {
+    ++m_counters.m_cancelsRefused;
+    Emit(CompleteRequest{ aCancel.m_request, SubmitResult::NotRun });
+    return;
+  }
+  m_urgent = true;
+}
+
 std::optional<JobState>
 Scheduler::StateOf(GraphId aId)
 {
@@ -368,6 +404,15 @@
   }
 }
 
+void
+Scheduler::RemoveOldTombstones()
+{
+  const int64_t keepMs = ToMillis(m_limits.m_endedJobRetention);
+  for (const GraphId id : m_tombstones.RemoveOlderThan(m_retentionClock.NowMs() - keepMs)) {
+    m_keysToDelete.push_back(TombstoneKey(id));
+  }
+}
+
 void
 Scheduler::Tick(Instant aNow, int64_t aWallMs)
 {
@@ -380,6 +425,7 @@
     CheckWorkers(aNow);
     CheckRecovery(aNow);
     RemoveEndedJobs();
+    RemoveOldTombstones();
   }
   PlaceWaitingSteps(aNow);
   PollDueWorkers(aNow);
--- a/unittests/Node/ForwardingTest.cpp
+++ b/unittests/Node/ForwardingTest.cpp
@@ -122,6 +122,28 @@
   CHECK(fixture.m_outcomes == std::vector<PeerOutcome>{ PeerOutcome::Unknown });
 }
 
+// Guards against a caller that is left in doubt about a job that it has cancelled: a try got no
+// result, and the leader knows that no try can have been accepted.
+TEST_CASE("that a job was cancelled before is a definite result after any try")
+{
+  NodeFixture fixture(ClaimOf(1, kOldLeader));
+  PeerResponse response;
+  response.m_outcome = PeerOutcome::Unknown;
+  HttpServer leader(fixture.m_io,
+                    HttpLimits(),
+                    [&](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+                      if (aRequest.target() == "/v1/peer/submit") {
+                        aReply->Send(
+                          MakeResponse(200, "application/msgpack", PackCompact(response)));
+                        response.m_outcome = PeerOutcome::Cancelled;
+                      }
+                    });
+  REQUIRE(leader.Listen(kOldLeader));
+  fixture.Submit();
+  fixture.RunFor(milliseconds(300));
+  CHECK(fixture.m_outcomes == std::vector<PeerOutcome>{ PeerOutcome::Cancelled });
+}
+
 TEST_CASE("a leader that a peer names is tried next, without waiting for the store")
 {
   NodeFixture fixture(ClaimOf(1, kOldLeader));
--- a/unittests/Scheduler/CancelTest.cpp
+++ b/unittests/Scheduler/CancelTest.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// A leader that is asked to cancel job kJob, which it does not know.
+/// A leader that is asked to cancel job kJob, which it does not know. Its appends are confirmed
+/// only by ConfirmAppends().
 class CancelWorld
 {
 public:
@@ -27,7 +28,7 @@
   {
     RunScheduler(m_scheduler, m_now, aTime, [this](const Action& aAction) {
       if (const AppendRecords* append = std::get_if<AppendRecords>(&aAction)) {
-        m_scheduler.OnAppended(append->m_batch, m_now);
+        m_batch = append->m_batch;
       } else if (const CompleteRequest* complete = std::get_if<CompleteRequest>(&aAction)) {
         m_result = complete->m_request == kRequest ? complete->m_result : m_result;
       }
@@ -41,11 +42,21 @@
     Advance(milliseconds(100));
   }
 
+  /// Confirms the append in flight, and those that follow it.
+  void ConfirmAppends()
+  {
+    for (int i = 0; i < 3; ++i) {
+      m_scheduler.OnAppended(m_batch, m_now);
+      Advance(milliseconds(100));
+    }
+  }
+
   static constexpr RequestToken kRequest = 5;
   Instant m_now{ std::chrono::hours(1) };
   Scheduler m_scheduler{ SchedulerLimits(), 1, m_now };
   Instant m_requestedAt;
   std::optional<SubmitResult> m_result; ///< Of the cancellation.
+  uint64_t m_batch = 0;                 ///< The last one.
 };
 
 } // namespace
@@ -58,6 +69,8 @@
   world.Confirm(world.m_requestedAt - milliseconds(1)); // a successor may have claimed after that
   CHECK_FALSE(world.m_result);
   world.Confirm(world.m_requestedAt);
+  CHECK_FALSE(world.m_result); // a later leader would not know
+  world.ConfirmAppends();
   CHECK(world.m_result == SubmitResult::NoSuchJob);
 }
 
@@ -69,7 +82,8 @@
   step.m_count = 1;
   step.m_demand = { 1000, 500, 0 };
   world.m_scheduler.Submit(1, MakeSubmission(kJob, step), world.m_now, 0);
-  world.Advance(seconds(1)); // its append is the confirmation
+  world.Advance(milliseconds(100));
+  world.ConfirmAppends();
   CHECK(world.m_result == SubmitResult::Accepted);
   CHECK(world.m_scheduler.StateOf(kJob) == JobState::Cancelled);
 }
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -20,6 +20,7 @@
   bool m_refused = false;
   bool m_cancelled = false; ///< The cancellation was acknowledged.
   Instant m_cancelledAt;
+  bool m_unknownWhenCancelled = false; ///< The caller was told that there is no such job.
 };
 
 /// Checks starts and ends as callers and workers observe them.
--- a/unittests/Scheduler/LargeRecordsTest.cpp
+++ b/unittests/Scheduler/LargeRecordsTest.cpp
@@ -450,7 +450,7 @@
   StoredJob job = MakeJob(kLargeJob, 1, 1);
   leader.m_scheduler.Submit(1, { job.m_id, job.m_terms, job.m_graph }, leader.m_now, 0);
   leader.Advance(milliseconds(200));
-  leader.m_scheduler.OnRecordRefused(JobKey(kLargeJob));
+  leader.m_scheduler.OnRecordRefused(JobKey(kLargeJob), leader.m_now);
   leader.Advance(milliseconds(200));
   CHECK(leader.m_results.at(1) == SubmitResult::TooLarge);
   CHECK_FALSE(leader.m_scheduler.StateOf(kLargeJob).has_value());
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -16,7 +16,9 @@
 static constexpr uint64_t kMaxDueDelayMs = 4000;
 static constexpr uint64_t kMinFlapMs = 400; // a flapping worker is down or up this long
 static constexpr uint64_t kMaxFlapMs = 3000;
-static constexpr uint64_t kShortListSeeds = 4; // in each fourth seed, workers list few ends
+static constexpr uint64_t kMaxLatenessMs = 12000;   // of a submission that is cancelled
+static constexpr uint64_t kMaxCancelDelayMs = 2000; // after that submission was sent
+static constexpr uint64_t kShortListSeeds = 4;      // in each fourth seed, workers list few ends
 static constexpr size_t kShortList = 3;
 
 SchedulerWorld::SchedulerWorld(uint64_t aSeed, size_t aWorkers)
@@ -80,8 +82,8 @@
   return step;
 }
 
-GraphId
-SchedulerWorld::SubmitRandom()
+Submission
+SchedulerWorld::MakeRandomSubmission()
 {
   Submission submission;
   submission.m_id = m_random.Next();
@@ -96,11 +98,35 @@
     submission.m_graph.m_firstDueMs =
       WallMs() + static_cast<int64_t>(m_random.Below(kMaxDueDelayMs));
   }
+  return submission;
+}
+
+GraphId
+SchedulerWorld::SubmitRandom()
+{
+  Submission submission = MakeRandomSubmission();
   const GraphId id = submission.m_id;
   Submit(std::move(submission));
   return id;
 }
 
+void
+SchedulerWorld::CancelBeforeSubmission()
+{
+  const Submission submission = MakeRandomSubmission();
+  const GraphId id = submission.m_id;
+  m_oracle.m_jobs[id].m_submission = submission;
+  const uint64_t copies = 1 + m_random.Below(3);
+  for (uint64_t i = 0; i < copies; ++i) {
+    After(milliseconds(m_random.Below(kMaxLatenessMs)), [this, submission] {
+      if (!m_leaders.empty()) {
+        SubmitTo(m_leaders[m_random.Below(m_leaders.size())], submission);
+      }
+    });
+  }
+  After(milliseconds(m_random.Below(kMaxCancelDelayMs)), [this, id] { Cancel(id); });
+}
+
 GraphId
 SchedulerWorld::SubmitRepeated()
 {
@@ -126,14 +152,18 @@
 SchedulerWorld::Submit(Submission aSubmission)
 {
   m_oracle.m_jobs[aSubmission.m_id].m_submission = aSubmission;
-  if (m_leaders.empty()) {
-    return;
+  if (!m_leaders.empty()) {
+    SubmitTo(m_leaders.back(), std::move(aSubmission));
   }
-  const std::shared_ptr<Leader> leader = m_leaders.back();
+}
+
+void
+SchedulerWorld::SubmitTo(const std::shared_ptr<Leader>& aLeader, Submission aSubmission)
+{
   const RequestToken token = ++m_request;
-  leader->m_requests[token] = { aSubmission.m_id, false };
-  leader->m_scheduler->Submit(token, std::move(aSubmission), m_now, WallMs(*leader));
-  RunScheduler(leader);
+  aLeader->m_requests[token] = { aSubmission.m_id, false };
+  aLeader->m_scheduler->Submit(token, std::move(aSubmission), m_now, WallMs(*aLeader));
+  RunScheduler(aLeader);
 }
 
 void
@@ -420,13 +450,21 @@
   const bool cancel = it->second.second;
   aLeader->m_requests.erase(it);
   JobHistory& job = m_oracle.m_jobs[id];
-  if (cancel && aCompletion.m_result == SubmitResult::Accepted && !job.m_cancelled) {
+  const bool answered = aCompletion.m_result == SubmitResult::Accepted ||
+                        aCompletion.m_result == SubmitResult::NoSuchJob;
+  m_refusedAsCancelled += aCompletion.m_result == SubmitResult::Cancelled ? 1 : 0;
+  if (cancel && answered && !job.m_cancelled) {
     job.m_cancelled = true;
     job.m_cancelledAt = m_now;
+    job.m_unknownWhenCancelled = aCompletion.m_result == SubmitResult::NoSuchJob;
   } else if (!cancel) {
+    if (aCompletion.m_result == SubmitResult::Accepted && job.m_unknownWhenCancelled) {
+      m_oracle.ReportViolation("accepted after its cancel was answered: " + FormatGraphId(id));
+    }
     job.m_accepted = job.m_accepted || aCompletion.m_result == SubmitResult::Accepted;
     job.m_refused = job.m_refused || aCompletion.m_result == SubmitResult::NotRun ||
-                    aCompletion.m_result == SubmitResult::TooLarge;
+                    aCompletion.m_result == SubmitResult::TooLarge ||
+                    aCompletion.m_result == SubmitResult::Cancelled;
   }
 }
 
--- a/unittests/Scheduler/SchedulerWorld.h
+++ b/unittests/Scheduler/SchedulerWorld.h
@@ -42,6 +42,10 @@
   /// Submits a random job and returns its id.
   GraphId SubmitRandom();
   void Submit(Submission aSubmission);
+
+  /// Cancels a random job. Its submission arrives before or after that, once or more often, at a
+  /// leader or at one that has not noticed that it was superseded.
+  void CancelBeforeSubmission();
   void Cancel(GraphId aId);
 
   /// Lets a new instance claim the leadership; if \p aKeepPrevious, the previous leader keeps
@@ -103,6 +107,8 @@
   uint64_t CountAsked() const { return m_asked; }
   /// Returns the number of parts of progress that leaders have written.
   uint64_t CountParts() const { return m_parts; }
+  /// Returns how often a submission was refused since its cancel had been answered.
+  uint64_t CountRefusedAsCancelled() const { return m_refusedAsCancelled; }
   std::optional<JobState> StateOf(GraphId aId);
   /// Returns the number of starts that the current leader has sent. \pre There is a leader.
   uint64_t CountStarts() const { return m_leaders.back()->m_scheduler->Counters().m_starts; }
@@ -157,6 +163,8 @@
     }
   };
 
+  Submission MakeRandomSubmission();
+  void SubmitTo(const std::shared_ptr<Leader>& aLeader, Submission aSubmission);
   void FlapUntil(FakeWorker& aWorker, Instant aEnd);
   /// Returns how long a busy instance may let pass what is due; nothing if it isn't busy.
   Duration MaxDelay() const;
@@ -218,6 +226,7 @@
   size_t m_maxRecordBytes = SchedulerLimits().m_maxRecordBytes;
   uint64_t m_parts = 0;
   uint64_t m_asked = 0;
+  uint64_t m_refusedAsCancelled = 0;
   size_t m_storeEnd = 0;
   std::map<WorkerName, Instant> m_goneWorkers; ///< Until when the directory lists each of them.
   uint64_t m_epoch = 0;
--- a/unittests/Scheduler/WorldLeaders.cpp
+++ b/unittests/Scheduler/WorldLeaders.cpp
@@ -39,6 +39,7 @@
     StoredJob job;
     StoredProgress one;
     StoredProgressPart part;
+    StoredTombstone tombstone;
     WorkerReport report;
     if (kind == RecordKind::Job && UnpackCompact(value, job)) {
       aLeader.m_scheduler->RestoreJob(std::move(job), m_now, WallMs(aLeader));
@@ -46,6 +47,8 @@
       progress.emplace_back(id, std::move(one));
     } else if (kind == RecordKind::ProgressPart && UnpackCompact(value, part)) {
       parts.emplace_back(key, std::move(part));
+    } else if (kind == RecordKind::Tombstone && UnpackCompact(value, tombstone)) {
+      aLeader.m_scheduler->RestoreTombstone(id, tombstone);
     } else if (kind == RecordKind::Worker && UnpackCompact(value, report)) {
       aLeader.m_workerPort->SetWorkerZone(report.m_id, report.m_zone);
       aLeader.m_scheduler->RestoreWorker(report, m_now);
