Answer the cancel of a job that the store refuses once it has a tombstone

What callers saw: a submission and its cancel wait for the same append, the store takes no record of the job, and the cancel is answered 410 at once. No record keeps a late copy of the submission from being accepted, by a leader with other limits for one.

Change: the job is forgotten and its cancel is handled as that of an unknown job. Test "a cancel of a job that the store refuses is answered with a tombstone": fails without the change (NoSuchJob before anything is stored), passes with it.

--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -395,7 +395,7 @@
 }
 
 void
-Scheduler::OnRecordRefused(const std::string& aKey, Instant)
+Scheduler::OnRecordRefused(const std::string& aKey, Instant aNow)
 {
   GraphId id = 0;
   const RecordKind kind = ClassifyKey(aKey, id);
@@ -413,12 +413,13 @@
     for (RequestToken request : job->m_submitRequests) {
       Emit(CompleteRequest{ request, SubmitResult::TooLarge });
     }
-    for (RequestToken request : job->m_cancelRequests) {
-      Emit(CompleteRequest{ request, SubmitResult::NoSuchJob });
-    }
+    const std::vector<RequestToken> cancels = std::move(job->m_cancelRequests);
     m_waitingJobs.erase(id);
     m_dirtyJobs.erase(id);
     m_jobs.Erase(id);
+    for (RequestToken request : cancels) {
+      CancelUnknownJob({ request, id, aNow });
+    }
   } else if (kind == RecordKind::Tombstone) {
     for (RequestToken request : m_tombstones.OnRecordRefused(id)) {
       Emit(CompleteRequest{ request, SubmitResult::Unknown });
--- a/unittests/Scheduler/LateSubmissionTest.cpp
+++ b/unittests/Scheduler/LateSubmissionTest.cpp
@@ -243,6 +243,22 @@
   CHECK(world.ResultOf(world.Cancel(kJob + 3)) == SubmitResult::NoSuchJob);
 }
 
+// Guards against an answer without a tombstone when the store refuses the job's own record.
+TEST_CASE("a cancel of a job that the store refuses is answered with a tombstone")
+{
+  LateSubmissionWorld world;
+  world.m_storeAvailable = false;
+  const RequestToken submit = world.Submit(kJob);
+  const RequestToken cancel = world.Cancel(kJob);
+  CHECK_FALSE(world.ResultOf(cancel));
+  world.m_scheduler->OnRecordRefused(JobKey(kJob), world.m_now);
+  CHECK(world.ResultOf(submit) == SubmitResult::TooLarge);
+  CHECK_FALSE(world.ResultOf(cancel));
+  world.RegainStore();
+  CHECK(world.ResultOf(cancel) == SubmitResult::NoSuchJob);
+  CHECK(world.HasRecord(kJob));
+}
+
 // Guards against a caller that waits for a tombstone that the store refuses.
 TEST_CASE("a cancel gets no definite answer if the store refuses its tombstone")
 {
