Keep a cancelled id for two minutes at least

What callers would see: on a platform that asks to keep the state of ended jobs for a few seconds only, a submission that is late by more is accepted after its cancel was answered 410.

Cause: a tombstone was kept for status_s, which says how long callers may ask for a state, and nothing about how late a submission may be.

Change: it is kept for 120 s at least. Test "a tombstone outlives any submission that is under way": fails without the change (the job is accepted), passes with it. Still open: a submission that is later than that.

--- a/include/egretturn/Scheduler/CancelTombstones.h
+++ b/include/egretturn/Scheduler/CancelTombstones.h
@@ -12,6 +12,10 @@
 
 namespace egretturn {
 
+/// For how long a cancelled id is kept at least, also where the state of ended jobs is kept for a
+/// shorter time: a submission that is under way may be late all the same.
+constexpr Duration kMinTombstoneTime = std::chrono::seconds(120);
+
 /// A request to cancel a job that is not known here.
 struct UnknownJobCancel
 {
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -80,8 +80,8 @@
 
   /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. A job whose
   /// record is larger than the store's limit is refused as TooLarge, and one whose cancellation was
-  /// answered with NoSuchJob as Cancelled, however late it comes within
-  /// SchedulerLimits::m_endedJobRetention. \pre The graph is valid.
+  /// answered with NoSuchJob as Cancelled, for kMinTombstoneTime or longer. \pre The
+  /// graph is valid.
   void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
 
   /// Cancels a job; the result follows as a CompleteRequest action once the cancellation is
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -407,7 +407,7 @@
 void
 Scheduler::RemoveOldTombstones()
 {
-  const int64_t keepMs = ToMillis(m_limits.m_endedJobRetention);
+  const int64_t keepMs = ToMillis(std::max(m_limits.m_endedJobRetention, kMinTombstoneTime));
   for (const GraphId id : m_tombstones.RemoveOlderThan(m_retentionClock.NowMs() - keepMs)) {
     m_keysToDelete.push_back(TombstoneKey(id));
   }
--- a/unittests/Scheduler/LateSubmissionTest.cpp
+++ b/unittests/Scheduler/LateSubmissionTest.cpp
@@ -214,6 +214,18 @@
   CHECK_FALSE(world.HasRecord(kJob));
 }
 
+// Guards against a promise that is shorter than a submission can be late, where the platform asks
+// to keep the state of ended jobs for a short time only.
+TEST_CASE("a tombstone outlives any submission that is under way")
+{
+  SchedulerLimits limits;
+  limits.m_endedJobRetention = seconds(5);
+  LateSubmissionWorld world(limits);
+  REQUIRE(world.ResultOf(world.Cancel(kJob)) == SubmitResult::NoSuchJob);
+  world.Advance(kMinTombstoneTime - seconds(1));
+  CHECK(world.ResultOf(world.Submit(kJob)) == SubmitResult::Cancelled);
+}
+
 // Guards against a promise that ends with an earlier one.
 TEST_CASE("a cancel that is asked again keeps the job away for as long again")
 {
