--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -79,8 +79,8 @@
   // Callers.
 
   /// Accepts or refuses \p aSubmission; the result follows as a CompleteRequest action. A job whose
-  /// record is larger than the store's limit is refused as TooLarge, and one whose cancellation was
-  /// answered with NoSuchJob as Cancelled, for kMinTombstoneTime or longer. \pre The
+  /// record is larger than the store's limit is refused as TooLarge. A job whose cancellation was
+  /// answered with NoSuchJob is refused as Cancelled, for kMinTombstoneTime or longer. \pre The
   /// graph is valid.
   void Submit(RequestToken aRequest, Submission aSubmission, Instant aNow, int64_t aWallMs);
 
@@ -492,6 +492,7 @@
   KeyedRecord PackModels() const;
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
+  /// Adds the tombstones that have to be written, as far as they fit.
   void AppendTombstones(BatchDraft& aDraft);
   /// Answers the requests whose tombstones are durable.
   void CompleteTombstones();
@@ -545,7 +546,7 @@
   void RetryStops(Instant aNow);
   void CheckWorkers(Instant aNow);
   void OpenOccurrences(int64_t aWallMs, Instant aNow);
-  /// Answers with NoSuchJob once a tombstone is durable.
+  /// Answers with NoSuchJob once a tombstone is durable, or refuses if there are too many.
   void CancelUnknownJob(const UnknownJobCancel& aCancel);
   /// Accepts a job whose earlier cancellation is not durable yet, as cancelled.
   void CancelNewJob(Job& aJob, Instant aNow);
