Let the soak's callers cancel jobs before they are answered

With each sixth job a caller does now, at an instance that stands still or is cut off if there is one; it stays or leaves, cancels within 0.9 s, and a 410 is held against every start and against an acceptance. The random tests of the scheduler share this oracle, so there a 410 allows no start any more, where a start within 3 s was let pass.

The callers draw from a generator of their own, so that the troubles of a seed stay as they were.

--- a/unittests/Scheduler/FakeFleet.cpp
+++ b/unittests/Scheduler/FakeFleet.cpp
@@ -103,12 +103,38 @@
   if (job.m_refused && !job.m_accepted) {
     ReportViolation("a refused job was started: " + key);
   }
+  if (job.m_unknownWhenCancelled) {
+    ReportViolation("started although its cancel was told that there is no such job: " + key);
+  }
   if (job.m_cancelled && !aLate && aNow - job.m_cancelledAt > milliseconds(3000)) {
     ReportViolation("started after its cancellation: " + key);
   }
   m_running[key].insert(aWorker);
 }
 
+void
+Oracle::OnCancelAnswered(GraphId aId, bool aKnown, Instant aNow)
+{
+  JobHistory& job = m_jobs.at(aId);
+  if (job.m_cancelled) {
+    return;
+  }
+  job.m_cancelled = true;
+  job.m_cancelledAt = aNow;
+  job.m_unknownWhenCancelled = !aKnown;
+}
+
+void
+Oracle::OnAccepted(GraphId aId)
+{
+  JobHistory& job = m_jobs.at(aId);
+  job.m_accepted = true;
+  if (job.m_unknownWhenCancelled) {
+    ReportViolation("accepted although its cancel was told that there is no such job: " +
+                    FormatGraphId(aId));
+  }
+}
+
 void
 Oracle::OnEnded(const TaskRef& aTask,
                 AttemptNumber aAttempt,
--- a/unittests/Scheduler/FakeFleet.h
+++ b/unittests/Scheduler/FakeFleet.h
@@ -30,6 +30,12 @@
   std::map<GraphId, JobHistory> m_jobs;
   std::vector<std::string> m_violations;
 
+  /// Records that a cancel of the job was answered: it is cancelled, or there is no such job.
+  void OnCancelAnswered(GraphId aId, bool aKnown, Instant aNow);
+
+  /// Records that a submission of the job was accepted.
+  void OnAccepted(GraphId aId);
+
   void ReportViolation(const std::string& aWhat) { m_violations.push_back(aWhat); }
   void OnStarted(const TaskRef& aTask, const WorkerName& aWorker, Instant aNow, bool aLate);
   void OnEnded(const TaskRef& aTask,
--- a/unittests/Scheduler/SchedulerWorld.cpp
+++ b/unittests/Scheduler/SchedulerWorld.cpp
@@ -449,23 +449,22 @@
   const GraphId id = it->second.first;
   const bool cancel = it->second.second;
   aLeader->m_requests.erase(it);
-  JobHistory& job = m_oracle.m_jobs[id];
-  const bool answered = aCompletion.m_result == SubmitResult::Accepted ||
-                        aCompletion.m_result == SubmitResult::NoSuchJob;
   m_refusedAsCancelled += aCompletion.m_result == SubmitResult::Cancelled ? 1 : 0;
-  if (cancel && answered && !job.m_cancelled) {
-    job.m_cancelled = true;
-    job.m_cancelledAt = m_now;
-    job.m_unknownWhenCancelled = aCompletion.m_result == SubmitResult::NoSuchJob;
-  } else if (!cancel) {
-    if (aCompletion.m_result == SubmitResult::Accepted && job.m_unknownWhenCancelled) {
-      m_oracle.ReportViolation("accepted after its cancel was answered: " + FormatGraphId(id));
+  const bool accepted = aCompletion.m_result == SubmitResult::Accepted;
+  if (cancel) {
+    if (accepted || aCompletion.m_result == SubmitResult::NoSuchJob) {
+      m_oracle.OnCancelAnswered(id, accepted, m_now);
     }
-    job.m_accepted = job.m_accepted || aCompletion.m_result == SubmitResult::Accepted;
-    job.m_refused = job.m_refused || aCompletion.m_result == SubmitResult::NotRun ||
-                    aCompletion.m_result == SubmitResult::TooLarge ||
-                    aCompletion.m_result == SubmitResult::Cancelled;
+    return;
   }
+  if (accepted) {
+    m_oracle.OnAccepted(id);
+    return;
+  }
+  JobHistory& job = m_oracle.m_jobs[id];
+  job.m_refused = job.m_refused || aCompletion.m_result == SubmitResult::NotRun ||
+                  aCompletion.m_result == SubmitResult::TooLarge ||
+                  aCompletion.m_result == SubmitResult::Cancelled;
 }
 
 void
--- a/unittests/Soak/SoakCallers.cpp
+++ b/unittests/Soak/SoakCallers.cpp
@@ -13,7 +13,8 @@
 static constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 static constexpr Duration kSettleTime = std::chrono::seconds(40);
 static constexpr Duration kCheckInterval = std::chrono::seconds(2);
-static constexpr int kTries = 6; // of one request
+static constexpr int kTries = 6;                // of one request
+static constexpr uint64_t kMaxPatienceMs = 900; // of a caller that cancels soon
 
 void
 SoakWorld::SubmitRandom()
@@ -25,6 +26,40 @@
   SendRequest({ id, false, kTries, false });
 }
 
+size_t
+SoakWorld::ChooseDisturbedInstance()
+{
+  std::vector<size_t> disturbed;
+  const Instant now = BootClockNow();
+  for (size_t i = 0; i < m_instances.Count(); ++i) {
+    if (m_suspendedUntil[i] > now || m_cutUntil[i] > now) {
+      disturbed.push_back(i);
+    }
+  }
+  return disturbed.empty() ? NextInstance() : disturbed[m_callerRandom.Below(disturbed.size())];
+}
+
+void
+SoakWorld::SubmitAndCancel()
+{
+  Submission submission = MakeRandomJob(m_callerRandom);
+  const GraphId id = submission.m_id;
+  m_jobs.push_back(id);
+  m_oracle.m_jobs[id].m_submission = std::move(submission);
+  const size_t instance = ChooseDisturbedInstance();
+  const bool leaves = m_callerRandom.Below(2) == 0;
+  const std::shared_ptr<ClientCall> call = SendRequestTo(instance, { id, false, kTries, false });
+  Record("to be cancelled soon " + FormatGraphId(id) + ", sent to " + std::to_string(instance));
+  const Duration patience = std::chrono::milliseconds(m_callerRandom.Below(kMaxPatienceMs));
+  After(patience, [this, id, instance, leaves, call] {
+    if (leaves) {
+      call->Cancel();
+    }
+    const size_t other = NextInstance();
+    SendRequestTo(other == instance ? NextInstance() : other, { id, true, kTries, false });
+  });
+}
+
 void
 SoakWorld::CancelRandom()
 {
@@ -33,7 +68,7 @@
   }
 }
 
-void
+std::shared_ptr<ClientCall>
 SoakWorld::Call(size_t aInstance,
                 http::verb aMethod,
                 GraphId aId,
@@ -43,23 +78,29 @@
   HttpRequest request =
     MakeRequest(aMethod, std::string(kPathPrefix) + FormatGraphId(aId), std::move(aBody));
   request.set(http::field::host, kHost);
-  m_client.Send("127.0.0.1:" + std::to_string(m_instances.Site(aInstance).m_ingressPort),
-                std::move(request),
-                kCallTimeout,
-                std::move(aDone));
+  return m_client.Send("127.0.0.1:" + std::to_string(m_instances.Site(aInstance).m_ingressPort),
+                       std::move(request),
+                       kCallTimeout,
+                       std::move(aDone));
 }
 
 void
 SoakWorld::SendRequest(const Request& aRequest)
 {
-  const size_t instance = m_nextInstance++ % m_instances.Count();
+  SendRequestTo(NextInstance(), aRequest);
+}
+
+std::shared_ptr<ClientCall>
+SoakWorld::SendRequestTo(size_t aInstance, const Request& aRequest)
+{
   const std::string body =
     aRequest.m_cancel ? "" : EncodeJob(m_oracle.m_jobs.at(aRequest.m_id).m_submission.m_graph);
-  Call(instance,
-       aRequest.m_cancel ? http::verb::delete_ : http::verb::post,
-       aRequest.m_id,
-       body,
-       [this, aRequest](const ClientResponse& aResponse) { OnResponse(aRequest, aResponse); });
+  return Call(
+    aInstance,
+    aRequest.m_cancel ? http::verb::delete_ : http::verb::post,
+    aRequest.m_id,
+    body,
+    [this, aRequest](const ClientResponse& aResponse) { OnResponse(aRequest, aResponse); });
 }
 
 void
@@ -70,10 +111,10 @@
   schedtest::JobHistory& job = m_oracle.m_jobs.at(aRequest.m_id);
   if (status == 200) {
     Record((aRequest.m_cancel ? "cancelled " : "accepted ") + FormatGraphId(aRequest.m_id));
-    job.m_accepted = job.m_accepted || !aRequest.m_cancel;
-    if (aRequest.m_cancel && !job.m_cancelled) {
-      job.m_cancelled = true;
-      job.m_cancelledAt = BootClockNow();
+    if (aRequest.m_cancel) {
+      m_oracle.OnCancelAnswered(aRequest.m_id, true, BootClockNow());
+    } else {
+      m_oracle.OnAccepted(aRequest.m_id);
     }
     return;
   }
@@ -82,6 +123,11 @@
                              FormatGraphId(aRequest.m_id));
     return;
   }
+  if (status == 410 && aRequest.m_cancel) {
+    Record("no such job " + FormatGraphId(aRequest.m_id));
+    m_oracle.OnCancelAnswered(aRequest.m_id, false, BootClockNow());
+    return;
+  }
   const bool refused = status == 503 || aResponse.m_result == ClientResult::NotSent;
   aRequest.m_mayHaveReached = aRequest.m_mayHaveReached || !refused;
   if (--aRequest.m_triesLeft > 0) {
@@ -129,8 +175,7 @@
 void
 SoakWorld::CheckState(GraphId aId)
 {
-  const size_t instance = m_nextInstance++ % m_instances.Count();
-  Call(instance, http::verb::get, aId, "", [this, aId](const ClientResponse& aResponse) {
+  Call(NextInstance(), http::verb::get, aId, "", [this, aId](const ClientResponse& aResponse) {
     if (aResponse.m_result != ClientResult::Completed) {
       return;
     }
--- a/unittests/Soak/SoakMain.cpp
+++ b/unittests/Soak/SoakMain.cpp
@@ -42,6 +42,7 @@
 static constexpr uint64_t kMinJobIntervalMs = 100;
 static constexpr uint64_t kJobIntervalRangeMs = 200;
 static constexpr uint64_t kJobsPerCancellation = 15;
+static constexpr uint64_t kJobsPerEarlyCancellation = 6;
 
 /// What is played, and for how long.
 struct SoakPlan
@@ -93,8 +94,11 @@
   world.Run(kCalmStart);
   const Instant end = BootClockNow() + aPlan.m_time;
   Instant nextTroubleAt = BootClockNow() + kCalmStart;
-  while (BootClockNow() < end) {
+  for (uint64_t job = 0; BootClockNow() < end; ++job) {
     world.SubmitRandom();
+    if (job % kJobsPerEarlyCancellation == 0) {
+      world.SubmitAndCancel();
+    }
     if (world.m_random.Below(kJobsPerCancellation) == 0) {
       world.CancelRandom();
     }
--- a/unittests/Soak/SoakWorld.cpp
+++ b/unittests/Soak/SoakWorld.cpp
@@ -40,6 +40,7 @@
       })
   , m_instances(aSettings.m_program, aSettings.m_folder, aSettings.m_processorShare)
   , m_client(m_io, kMaxResponseBytes)
+  , m_callerRandom(Mix(aSettings.m_seed))
 {
   for (size_t i = 0; i < m_settings.m_instances; ++i) {
     m_instances.Add(MakeSite(i));
@@ -48,6 +49,7 @@
   OpenRelays();
   AddWorkers();
   m_cutUntil.resize(m_settings.m_instances);
+  m_suspendedUntil.resize(m_settings.m_instances);
   m_paths.assign(m_settings.m_instances,
                  std::vector<PathMode>(m_settings.m_workers, PathMode::Open));
   m_store.Put(kOperatorTopic, "config", EncodeConfiguration());
@@ -293,6 +295,7 @@
 {
   for (const size_t instance : aInstances) {
     m_instances.Signal(instance, SIGSTOP);
+    m_suspendedUntil[instance] = BootClockNow() + aTime;
     After(aTime, [this, instance] { m_instances.Signal(instance, SIGCONT); });
   }
 }
@@ -427,12 +430,17 @@
     accepted += job.second.m_accepted ? 1 : 0;
     refused += job.second.m_refused && !job.second.m_accepted ? 1 : 0;
   }
+  size_t unknown = 0;
+  for (const std::pair<const GraphId, schedtest::JobHistory>& job : m_oracle.m_jobs) {
+    unknown += job.second.m_unknownWhenCancelled ? 1 : 0;
+  }
   size_t done = 0;
   for (const std::pair<const GraphId, JobState>& shown : m_shown) {
     done += shown.second == JobState::Done ? 1 : 0;
   }
   return "jobs " + std::to_string(m_oracle.m_jobs.size()) + ", accepted " +
-         std::to_string(accepted) + ", refused " + std::to_string(refused) + ", shown as done " +
+         std::to_string(accepted) + ", refused " + std::to_string(refused) +
+         ", cancelled before they were accepted " + std::to_string(unknown) + ", shown as done " +
          std::to_string(done) + ", epochs " + std::to_string(m_leaderOf.size());
 }
 
--- a/unittests/Soak/SoakWorld.h
+++ b/unittests/Soak/SoakWorld.h
@@ -39,6 +39,10 @@
   /// Submits a random job; tries at other instances follow until it is accepted or refused.
   void SubmitRandom();
 
+  /// Submits a random job at an instance that stands still or is cut off, if there is one, and
+  /// cancels it soon at another one. The caller may have left before without a response.
+  void SubmitAndCancel();
+
   /// Cancels a job that was submitted, if any.
   void CancelRandom();
 
@@ -127,16 +131,22 @@
   void Throttle(size_t aInstance, Instant aUntil);
   /// Reports a start in a zone whose evacuation has been in force for long without delays.
   void CheckEvacuated(const WorkerName& aWorker, size_t aZone);
+  /// Returns the instance for the next request.
+  size_t NextInstance() { return m_nextInstance++ % m_instances.Count(); }
+  /// Returns an instance that stands still or is cut off, or the next one if there is none.
+  size_t ChooseDisturbedInstance();
   void SendRequest(const Request& aRequest);
+  /// Sends it to \p aInstance. The tries that follow go to others.
+  std::shared_ptr<ClientCall> SendRequestTo(size_t aInstance, const Request& aRequest);
   void OnResponse(Request aRequest, const ClientResponse& aResponse);
   void CheckState(GraphId aId);
   void CheckAllDone(GraphId aId);
   bool AllEnded();
-  void Call(size_t aInstance,
-            boost::beast::http::verb aMethod,
-            GraphId aId,
-            std::string aBody,
-            ClientCallback aDone);
+  std::shared_ptr<ClientCall> Call(size_t aInstance,
+                                   boost::beast::http::verb aMethod,
+                                   GraphId aId,
+                                   std::string aBody,
+                                   ClientCallback aDone);
 
   SoakSettings m_settings;
   PortBlock m_ports;
@@ -154,6 +164,8 @@
   std::vector<std::vector<std::unique_ptr<Relay>>> m_relays; ///< From an instance to another one.
   std::vector<std::vector<uint16_t>> m_relayPorts;
   std::vector<Instant> m_cutUntil;            ///< By instance.
+  std::vector<Instant> m_suspendedUntil;      ///< By instance.
+  Random m_callerRandom;                      ///< Apart from m_random, so that troubles stay.
   std::vector<std::vector<PathMode>> m_paths; ///< By instance and worker.
   std::map<uint64_t, size_t> m_leaderOf;      ///< Instance by epoch.
   std::map<GraphId, JobState> m_shown;        ///< The last state that a caller was shown.
