--- a/unittests/Soak/SoakCallers.cpp
+++ b/unittests/Soak/SoakCallers.cpp
@@ -16,14 +16,20 @@
 static constexpr int kTries = 6;                // of one request
 static constexpr uint64_t kMaxPatienceMs = 900; // of a caller that cancels soon
 
-void
-SoakWorld::SubmitRandom()
+GraphId
+SoakWorld::AddRandomJob(Random& aRandom)
 {
-  Submission submission = MakeRandomJob(m_random);
+  Submission submission = MakeRandomJob(aRandom);
   const GraphId id = submission.m_id;
   m_jobs.push_back(id);
   m_oracle.m_jobs[id].m_submission = std::move(submission);
-  SendRequest({ id, false, kTries, false });
+  return id;
+}
+
+void
+SoakWorld::SubmitRandom()
+{
+  SendRequest({ AddRandomJob(m_random), false, kTries, false });
 }
 
 size_t
@@ -42,10 +48,7 @@
 void
 SoakWorld::SubmitAndCancel()
 {
-  Submission submission = MakeRandomJob(m_callerRandom);
-  const GraphId id = submission.m_id;
-  m_jobs.push_back(id);
-  m_oracle.m_jobs[id].m_submission = std::move(submission);
+  const GraphId id = AddRandomJob(m_callerRandom);
   const size_t instance = ChooseDisturbedInstance();
   const bool leaves = m_callerRandom.Below(2) == 0;
   const std::shared_ptr<ClientCall> call = SendRequestTo(instance, { id, false, kTries, false });
--- a/unittests/Soak/SoakWorld.h
+++ b/unittests/Soak/SoakWorld.h
@@ -131,6 +131,8 @@
   void Throttle(size_t aInstance, Instant aUntil);
   /// Reports a start in a zone whose evacuation has been in force for long without delays.
   void CheckEvacuated(const WorkerName& aWorker, size_t aZone);
+  /// Makes a job, which is not submitted yet, and tells the oracle of it.
+  GraphId AddRandomJob(Random& aRandom);
   /// Returns the instance for the next request.
   size_t NextInstance() { return m_nextInstance++ % m_instances.Count(); }
   /// Returns an instance that stands still or is cut off, or the next one if there is none.
