Let the test of a succession wait for the succession, not for two seconds

Under load the fixed times could be too short. The checks are the same, and the submissions have their steps left out, which no leader reads before it refuses them.

--- a/unittests/Node/LateSubmissionTest.cpp
+++ b/unittests/Node/LateSubmissionTest.cpp
@@ -7,16 +7,36 @@
 using std::chrono::seconds;
 
 static constexpr GraphId kJob = 7;
+static constexpr Duration kMaxWait = seconds(10);
 
-/// Returns the body of a submission of kJob.
-static std::string
-PackSubmission()
+/// Runs \p aFixture until \p aDone is true, or for kMaxWait.
+static void
+RunUntil(NodeFixture& aFixture, const std::function<bool()>& aDone)
 {
-  SubmitMessage message;
-  message.m_id = kJob;
-  message.m_terms = { "route", "desk", 0, 3, 2.0, 500 };
-  message.m_graph.m_steps.emplace_back();
-  return PackCompact(message);
+  const Instant end = BootClockNow() + kMaxWait;
+  while (!aDone() && BootClockNow() < end) {
+    aFixture.m_io.run_for(milliseconds(10));
+  }
+}
+
+/// Submits kJob at \p aNode and returns the outcome.
+static PeerOutcome
+Submit(NodeFixture& aFixture, Node& aNode)
+{
+  std::optional<PeerOutcome> outcome;
+  const Submission submission{ kJob, { "route", "desk", 0, 3, 2.0, 500 }, Graph() };
+  aNode.Submit(
+    submission, seconds(5), [&](const PeerResponse& aResponse) { outcome = aResponse.m_outcome; });
+  RunUntil(aFixture, [&] { return outcome.has_value(); });
+  REQUIRE(outcome);
+  return *outcome;
+}
+
+/// Returns whether \p aNode leads.
+static bool
+Leads(Node& aNode)
+{
+  return aNode.Metrics().find("egretturn_deciding 1") != std::string::npos;
 }
 
 // Guards against work that nobody asks for any more (UNASKED): the leader that answered the cancel
@@ -25,9 +45,12 @@
 {
   NodeFixture fixture;
   fixture.StartAsLeader();
-  const std::string cancel = PackCompact(JobMessage{ kJob, "" });
-  CHECK(fixture.Ask(PeerOperation::Cancel, cancel).m_outcome == PeerOutcome::NoSuchJob);
-  CHECK(fixture.Ask(PeerOperation::Submit, PackSubmission()).m_outcome == PeerOutcome::Cancelled);
+  std::optional<PeerOutcome> cancelled;
+  fixture.m_node->Cancel(
+    kJob, seconds(5), [&](const PeerResponse& aResponse) { cancelled = aResponse.m_outcome; });
+  RunUntil(fixture, [&] { return cancelled.has_value(); });
+  CHECK(cancelled == PeerOutcome::NoSuchJob);
+  CHECK(Submit(fixture, *fixture.m_node) == PeerOutcome::Cancelled);
 
   NodeSettings settings;
   settings.m_id = "successor";
@@ -36,15 +59,10 @@
   const std::shared_ptr<Node> successor =
     std::make_shared<Node>(fixture.m_io, settings, fixture.m_store, fixture.m_workers, RejectEntry);
   REQUIRE(successor->Start());
-  fixture.m_io.run_for(seconds(2)); // it pings the leader
+  RunUntil(fixture, [&] { return successor->IsReady(); }); // it has pinged the leader
   fixture.m_node->HandOver();
-  fixture.m_io.run_for(seconds(2));
-  REQUIRE(successor->Metrics().find("egretturn_deciding 1") != std::string::npos);
-  PeerResponse response;
-  successor->Submit({ kJob, { "route", "desk", 0, 3, 2.0, 500 }, Graph() },
-                    seconds(1),
-                    [&](const PeerResponse& aResponse) { response = aResponse; });
-  fixture.m_io.run_for(milliseconds(200));
-  CHECK(response.m_outcome == PeerOutcome::Cancelled);
+  RunUntil(fixture, [&] { return Leads(*successor); });
+  REQUIRE(Leads(*successor));
+  CHECK(Submit(fixture, *successor) == PeerOutcome::Cancelled);
   CHECK(successor->Metrics().find("egretturn_tombstones 1") != std::string::npos);
 }
