Split Node.cpp by job

Cause: lib/Node/Node.cpp had 602 lines with four jobs: the life of an instance and its claims, what it serves to others, its metrics, and the paths of the operations between instances.

Change: PeerRequests.cpp, NodeMetrics.cpp and PeerProtocol.cpp (which PeerProtocol.h lacked) take three of them; 347 lines stay. A pure move: sorted, the lines are the same but for includes, namespaces and two first comments.

Conclusion: no change of behaviour.

--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -1,51 +1,20 @@
 #include "egretturn/Node/Node.h"
 
 #include "egretturn/Journal/Codec.h"
-#include "egretturn/Support/EnumTable.h"
 #include "egretturn/Support/Log.h"
 
-#include <algorithm>
-
 namespace egretturn {
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(150);
 static constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 static constexpr Duration kPingTimeout = std::chrono::milliseconds(1700);
 
-static constexpr Duration kMaxClaimAge = std::chrono::milliseconds(1800);
 static constexpr Duration kAnnouncementWait = std::chrono::seconds(5);
 static constexpr Duration kAnnouncementRetry = std::chrono::milliseconds(250);
-// Far more than instances; a stranger may claim any number of names.
-static constexpr size_t kMaxPeers = 4096;
 
 static constexpr size_t kMaxPeerBodyBytes =
   1024 * 1024; // request or response; lists of placed tasks are long
 
-static constexpr EnumTable<PeerOperation, 10> kPaths{ {
-  { PeerOperation::Submit, "/v1/peer/submit" },
-  { PeerOperation::Cancel, "/v1/peer/cancel" },
-  { PeerOperation::State, "/v1/peer/state" },
-  { PeerOperation::Pending, "/v1/peer/pending" },
-  { PeerOperation::Ping, "/v1/peer/ping" },
-  { PeerOperation::Claim, "/v1/peer/claim" },
-  { PeerOperation::Placed, "/v1/peer/placed" },
-  { PeerOperation::LinkOrders, "/v1/peer/link/orders" },
-  { PeerOperation::LinkResults, "/v1/peer/link/results" },
-  { PeerOperation::Follow, "/v1/peer/follow" },
-} };
-
-std::string_view
-PathOf(PeerOperation aOperation)
-{
-  return NameIn(kPaths, aOperation);
-}
-
-std::optional<PeerOperation>
-OperationAt(std::string_view aPath)
-{
-  return ValueIn(kPaths, aPath);
-}
-
 /// Returns that no zone is open before the operator's requests have been read, if they count.
 static ZoneEvacuations
 MakeEvacuations(const NodeSettings& aSettings)
@@ -327,37 +296,6 @@
                  });
 }
 
-void
-Node::OnRequestComplete(RequestToken aRequest, SubmitResult aResult)
-{
-  const auto it = m_requests.find(aRequest);
-  if (it == m_requests.end()) {
-    return;
-  }
-  const PeerCallback done = std::move(it->second);
-  m_requests.erase(it);
-  PeerResponse response;
-  switch (aResult) {
-    case SubmitResult::Accepted:
-      response.m_outcome = PeerOutcome::Ok;
-      break;
-    case SubmitResult::NotRun:
-    case SubmitResult::TooLarge:
-      response.m_outcome = PeerOutcome::NotRun;
-      break;
-    case SubmitResult::Cancelled:
-      response.m_outcome = PeerOutcome::Cancelled;
-      break;
-    case SubmitResult::Unknown:
-      response.m_outcome = PeerOutcome::Unknown;
-      break;
-    case SubmitResult::NoSuchJob:
-      response.m_outcome = PeerOutcome::NoSuchJob;
-      break;
-  }
-  done(response);
-}
-
 void
 Node::EndSession()
 {
@@ -400,203 +338,10 @@
   }
 }
 
-PeerResponse
-Node::MakeNotLeaderResponse() const
-{
-  PeerResponse response;
-  response.m_outcome = PeerOutcome::NotLeader;
-  if (m_election.Leader()) {
-    response.m_leader = *m_election.Leader();
-  }
-  if (const std::shared_ptr<LeadershipClaimer> claimer = m_claimer.lock()) {
-    response.m_claimedEpoch = claimer->ClaimedEpoch();
-  }
-  return response;
-}
-
-void
-Node::Serve(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone)
-{
-  if (aOperation == PeerOperation::Ping) {
-    ServePing(aBody, aDone);
-  } else if (aOperation == PeerOperation::Claim) {
-    ServeClaim(aDone);
-  } else if (m_session) {
-    ServeAsLeader(aOperation, aBody, std::move(aDone));
-  } else {
-    aDone(MakeNotLeaderResponse());
-  }
-}
-
-/// Returns whether the texts of \p aPing are as long as those of an instance may be.
-static bool
-IsPlausible(const PingMessage& aPing)
-{
-  const std::string* texts[] = {
-    &aPing.m_instance, &aPing.m_address, &aPing.m_zone, &aPing.m_region
-  };
-  return std::all_of(std::begin(texts), std::end(texts), [](const std::string* aText) {
-    return aText->size() <= kMaxNameBytes;
-  });
-}
-
-const Node::Peer*
-Node::RecordPing(PingMessage aPing)
-{
-  if (!IsPlausible(aPing)) {
-    return nullptr;
-  }
-  const auto known = m_peers.find(aPing.m_instance);
-  if (known == m_peers.end() && m_peers.size() >= kMaxPeers) {
-    return nullptr; // RankPeers() makes room as soon as others are silent
-  }
-  Peer& peer = known == m_peers.end() ? m_peers[aPing.m_instance] : known->second;
-  peer.m_ping = std::move(aPing);
-  peer.m_lastHeardAt = BootClockNow();
-  return &peer;
-}
-
-void
-Node::ServePing(const std::string& aBody, const PeerCallback& aDone)
-{
-  if (!m_session) {
-    aDone(MakeNotLeaderResponse());
-    return;
-  }
-  PeerResponse response;
-  PingMessage ping;
-  if (UnpackCompact(aBody, ping)) {
-    if (const Peer* peer = RecordPing(std::move(ping))) {
-      response.m_rank = peer->m_rank;
-    }
-  }
-  response.m_outcome = PeerOutcome::Ok;
-  response.m_leader = m_session->Claim();
-  response.m_storeAvailable = m_session->IsStoreAvailable();
-  const Peer* strongest = StrongestPeer();
-  response.m_maxWeight =
-    std::max(m_settings.m_weight, strongest ? strongest->m_ping.m_weight : 0.0);
-  aDone(response);
-}
-
-void
-Node::ServeState(GraphId aId, const PeerCallback& aDone)
-{
-  PeerResponse response;
-  const std::optional<JobState> state = m_session->StateOf(aId);
-  if (state) {
-    response.m_outcome = PeerOutcome::Ok;
-    response.m_state = *state;
-  } else if (BootClockNow() - m_session->ConfirmedAt() < kMaxClaimAge) {
-    response.m_outcome = PeerOutcome::NoSuchJob;
-  } else {
-    m_session
-      ->RenewClaim(); // another instance may have claimed the leadership and accepted the job
-    response.m_outcome = PeerOutcome::Unknown;
-  }
-  aDone(response);
-}
-
-void
-Node::ServeAsLeader(PeerOperation aOperation, const std::string& aBody, PeerCallback aDone)
-{
-  PeerResponse response;
-  if (aOperation == PeerOperation::Submit) {
-    SubmitMessage message;
-    if (!UnpackCompact(aBody, message)) {
-      response.m_outcome = PeerOutcome::NotRun;
-      aDone(response);
-      return;
-    }
-    const RequestToken token = m_nextRequest++;
-    m_requests.emplace(token, std::move(aDone));
-    m_session->Submit(token,
-                      { message.m_id, std::move(message.m_terms), std::move(message.m_graph) });
-    return;
-  }
-  JobMessage message;
-  if (!UnpackCompact(aBody, message)) {
-    aDone(response);
-    return;
-  }
-  if (aOperation == PeerOperation::Cancel) {
-    const RequestToken token = m_nextRequest++;
-    m_requests.emplace(token, std::move(aDone));
-    m_session->Cancel(token, message.m_id);
-  } else if (aOperation == PeerOperation::State) {
-    ServeState(message.m_id, aDone);
-  } else {
-    response.m_outcome = PeerOutcome::Ok;
-    response.m_count = m_session->CountPending(message.m_route);
-    aDone(response);
-  }
-}
-
 bool
 Node::IsReady() const
 {
   return !m_shuttingDown && (m_session || m_election.HasLeader(BootClockNow()));
 }
 
-/// A metric and its name on /metrics.
-struct MetricRow
-{
-  const char* m_name;
-  uint64_t m_value;
-};
-
-std::string
-Node::Metrics()
-{
-  std::string text = "egretturn_deciding " + std::to_string(m_session ? 1 : 0) + "\n";
-  text += ShardMetrics() + m_server->Metrics("peers");
-  if (!m_session) {
-    return text;
-  }
-  const SchedulerCounters& counters = m_session->GetScheduler().Counters();
-  const Room room = m_session->GetScheduler().GetRoom().TotalRoom();
-  const MetricRow rows[] = {
-    { "egretturn_jobs", m_session->GetScheduler().JobCount() },
-    { "egretturn_job_bytes", m_session->GetScheduler().JobBytes() },
-    { "egretturn_jobs_accepted_total", counters.m_accepted },
-    { "egretturn_jobs_refused_total", counters.m_refused },
-    { "egretturn_jobs_refused_as_cancelled_total", counters.m_refusedAsCancelled },
-    { "egretturn_cancels_refused_total", counters.m_cancelsRefused },
-    { "egretturn_tombstones", m_session->GetScheduler().TombstoneCount() },
-    { "egretturn_starts_total", counters.m_starts },
-    { "egretturn_ends_done_total", counters.m_endsDone },
-    { "egretturn_ends_failed_total", counters.m_endsFailed },
-    { "egretturn_ends_other_total", counters.m_endsOther },
-    { "egretturn_stops_total", counters.m_stops },
-    { "egretturn_paces_total", counters.m_throttles },
-    { "egretturn_slow_worker_moves_total", counters.m_moves },
-    { "egretturn_looks_total", counters.m_polls },
-    { "egretturn_batches_total", counters.m_batches },
-    { "egretturn_passes_cut_total", counters.m_passesCut },
-    { "egretturn_places_cleared_total", counters.m_placesCleared },
-    { "egretturn_tasks_waiting", counters.m_tasksWaiting },
-    { "egretturn_tasks_passed_over", counters.m_tasksSkipped },
-    { "egretturn_tasks_recovering", counters.m_tasksRecovering },
-    { "egretturn_tasks_unconfirmed", counters.m_tasksUnconfirmed },
-    { "egretturn_tasks_zone_evacuated", counters.m_tasksEvacuated },
-    { "egretturn_jobs_waiting", counters.m_jobsWaiting },
-    { "egretturn_long_running_tasks_away", counters.m_longRunningAway },
-    { "egretturn_long_running_longest_away_ms", counters.m_longRunningLongestAwayMs },
-    { "egretturn_long_running_tasks_not_followed", counters.m_longRunningNotFollowed },
-    { "egretturn_starts_put_off_total", counters.m_startsPutOff },
-    { "egretturn_starts_far_total", counters.m_startsFar },
-    { "egretturn_workers_listed", counters.m_workersRegistered },
-    { "egretturn_workers_out_of_contact", counters.m_workersUnreachable },
-    { "egretturn_room_free_mcpu", static_cast<uint64_t>(room.m_free) },
-    { "egretturn_room_usable_mcpu", static_cast<uint64_t>(room.m_usable) },
-    { "egretturn_room_splintered_mcpu", static_cast<uint64_t>(room.m_splintered) },
-    { "egretturn_directory_age_ms",
-      static_cast<uint64_t>(ToMillis(m_session->DirectoryAge(BootClockNow()))) },
-  };
-  for (const MetricRow& row : rows) {
-    text.append(row.m_name).append(1, ' ').append(std::to_string(row.m_value)).append(1, '\n');
-  }
-  return text + LinkMetrics();
-}
-
 } // namespace egretturn
