Move decisions of the scheduler into modules that it asks

Change: PreviousPlacements keeps what the previous leader has reported, LeadershipConfirmation says whether the last confirmation covers a start, BatchDraft puts a batch together within the store's limits, and CancelTombstones decides itself how long an id is kept. Two functions that went through the workers of a task in the same way share one now (FindUnreadWorkerOf). Three private functions of one caller and a few lines each are gone.

--- a/include/egretturn/Scheduler/CancelTombstones.h
+++ b/include/egretturn/Scheduler/CancelTombstones.h
@@ -28,11 +28,9 @@
 class CancelTombstones
 {
 public:
-  /// At most \p aMaxIds ids are remembered at a time.
-  explicit CancelTombstones(size_t aMaxIds)
-    : m_maxIds(aMaxIds)
-  {
-  }
+  /// At most \p aMaxIds ids are remembered at a time, each for \p aKeepTime and kMinTombstoneTime
+  /// at least.
+  CancelTombstones(size_t aMaxIds, Duration aKeepTime);
 
   /// Adds a request, which waits for a record that is written from now on, also if there is one
   /// already: the id is remembered anew. Returns false if there are too many ids.
@@ -69,8 +67,9 @@
   /// wait for it.
   std::vector<RequestToken> OnRecordRefused(GraphId aId);
 
-  /// Forgets and returns the ids whose records were durable before \p aReadingMs.
-  std::vector<GraphId> RemoveOlderThan(int64_t aReadingMs);
+  /// Forgets and returns the ids that have been kept for long enough at \p aNowMs of the retention
+  /// clock. Their records are to be deleted.
+  std::vector<GraphId> RemoveOld(int64_t aNowMs);
 
   /// Returns the number of ids.
   size_t Size() const { return m_ids.size(); }
@@ -89,6 +88,7 @@
   std::vector<RequestToken> Take(const Predicate& aIsTaken);
 
   size_t m_maxIds;
+  Duration m_keepTime;
   std::unordered_map<GraphId, Tombstone> m_ids;
   std::set<std::pair<int64_t, GraphId>> m_byReading; ///< Those that wait for no record.
   std::set<GraphId> m_unwritten;
--- a/include/egretturn/Scheduler/Scheduler.h
+++ b/include/egretturn/Scheduler/Scheduler.h
@@ -4,15 +4,18 @@
 #pragma once
 
 #include "egretturn/Scheduler/AbsenceLog.h"
+#include "egretturn/Scheduler/BatchDraft.h"
 #include "egretturn/Scheduler/CancelTombstones.h"
 #include "egretturn/Scheduler/HeldPlaces.h"
 #include "egretturn/Scheduler/JobRanking.h"
 #include "egretturn/Scheduler/JobRegistry.h"
 #include "egretturn/Scheduler/JobWait.h"
+#include "egretturn/Scheduler/LeadershipConfirmation.h"
 #include "egretturn/Scheduler/LongRunningShare.h"
 #include "egretturn/Scheduler/PassBudget.h"
 #include "egretturn/Scheduler/PassCursor.h"
 #include "egretturn/Scheduler/PlaceWait.h"
+#include "egretturn/Scheduler/PreviousPlacements.h"
 #include "egretturn/Scheduler/QuotaFloors.h"
 #include "egretturn/Scheduler/RoomModel.h"
 #include "egretturn/Scheduler/SchedulerTypes.h"
@@ -205,9 +208,6 @@
   /// job has nothing running.
   static constexpr double kLowReservation = 0.55;
 
-  /// The workers on which the previous epoch has placed each task.
-  using PlacedIndex = std::unordered_map<TaskRef, std::vector<WorkerName>, TaskRefHash>;
-
   /// A job as written in the batch in flight.
   struct BatchedJob
   {
@@ -461,18 +461,7 @@
 
   // Batches.cpp
   void MarkDirty(const Job& aJob) { m_dirtyJobs.insert(aJob.m_stored.m_id); }
-  /// The batch that is being put together.
-  struct BatchDraft
-  {
-    AppendRecords m_append;
-    size_t m_bytes = 0;
-  };
-
   bool HasUnwrittenChanges() const;
-  /// Returns whether \p aBytes more fit into the batch. Anything fits into an empty one.
-  bool HasRoom(const BatchDraft& aDraft, size_t aBytes) const;
-  /// Adds a record, or logs an error if it is larger than the store's limit. Returns false then.
-  bool AddRecord(BatchDraft& aDraft, KeyedRecord aRecord);
   /// Returns false if a deletion has to wait for the next batch.
   bool AppendDeletions(BatchDraft& aDraft);
   void AppendJobs(BatchDraft& aDraft);
@@ -488,14 +477,11 @@
   bool AppendProgress(Job& aJob, BatchDraft& aDraft);
   /// Returns the parts of the progress by key, each below the store's limit of a record.
   std::map<std::string, KeyedRecord> PackProgressParts(const Job& aJob) const;
-  bool FitsRecord(const KeyedRecord& aRecord) const;
-  KeyedRecord PackModels() const;
+  KeyedRecord PackModels(const BatchDraft& aDraft) const;
   void SetEndsDurable(Worker& aWorker, uint64_t aNumber);
 
   /// Adds the tombstones that have to be written, as far as they fit.
   void AppendTombstones(BatchDraft& aDraft);
-  /// Answers the requests whose tombstones are durable.
-  void CompleteTombstones();
 
   // Recovery.cpp
   void CheckRecovery(Instant aNow);
@@ -512,8 +498,9 @@
   const Worker* FindAwaitedWorker(const Job& aJob, const TaskRef& aTask, Instant aNow) const;
   /// Returns the worker whose lease ends last of those that may run tasks of earlier epochs.
   const Worker* FindLastUnread(Instant aNow) const;
-  /// Returns whether the worker \p aUnread may run tasks that the previous leader did not list.
-  bool MayRunUnknownTasks(const WorkerName& aUnread) const;
+  /// Returns a worker on which the previous leader had placed \p aTask and that has not been read
+  /// in full yet, or nullptr.
+  const Worker* FindUnreadWorkerOf(const TaskRef& aTask, Instant aNow) const;
   /// Forgets the workers with unknown tasks that have been polled or whose leases have expired.
   void UpdateUnknownTasks(Instant aNow);
 
@@ -548,10 +535,8 @@
   void OpenOccurrences(int64_t aWallMs, Instant aNow);
   /// Answers with NoSuchJob once a tombstone is durable, or refuses if there are too many.
   void CancelUnknownJob(const UnknownJobCancel& aCancel);
-  /// Accepts a job whose earlier cancellation is not durable yet, as cancelled.
-  void CancelNewJob(Job& aJob, Instant aNow);
+  /// Forgets the jobs, and the cancelled ids, that have been kept for long enough.
   void RemoveEndedJobs();
-  void RemoveOldTombstones();
   void Emit(Action aAction) { m_actions.push_back(std::move(aAction)); }
 
   SchedulerLimits m_limits;
@@ -583,21 +568,17 @@
   uint64_t m_pollNumber = 0;
   bool m_batchInFlight = false;
   CancelTombstones m_tombstones;
-  Instant m_confirmedSince;             ///< Nobody else had claimed the leadership then.
-  Instant m_confirmedAt;                ///< When that was learned.
-  bool m_confirmationUnused = false;    ///< It was requested, and no placement pass has run since.
-  Instant m_batchSentAt;                ///< When the batch in flight was sent.
-  Instant m_unreadLeasesEnd;            ///< End of the last lease that expired on an unread worker.
-  bool m_confirmationRequested = false; ///< Tasks wait for the next confirmation.
-  bool m_hasUnrecordedWorkers = false;  ///< A worker has no record in the store yet.
+  LeadershipConfirmation m_confirmation;
+  Instant m_batchSentAt;               ///< When the batch in flight was sent.
+  Instant m_unreadLeasesEnd;           ///< End of the last lease that expired on an unread worker.
+  bool m_hasUnrecordedWorkers = false; ///< A worker has no record in the store yet.
   Instant m_nextBatchAt;
   bool m_urgent = false; ///< A caller waits for the next batch.
   bool m_storeAvailable = true;
   bool m_directoryRead = false;
   bool m_recovered = false;
   bool m_earlierLeadersActive = false;
-  std::optional<PlacedIndex> m_previouslyPlaced;     ///< If the previous leader has reported it.
-  std::vector<WorkerName> m_workersWithUnknownTasks; ///< By the previous leader's report.
+  PreviousPlacements m_previousPlacements;
   Instant m_createdAt;
   Instant m_nextRecoveryReportAt;
   int64_t m_wallMs = 0;
--- a/lib/Scheduler/Batches.cpp
+++ b/lib/Scheduler/Batches.cpp
@@ -16,34 +16,6 @@
 // Failed attempts of a task and the numbers of a task, at their usual size.
 static constexpr size_t kTaskOverheadBytes = 128;
 
-bool
-Scheduler::FitsRecord(const KeyedRecord& aRecord) const
-{
-  return RecordBytes(aRecord) <= m_limits.m_maxRecordBytes;
-}
-
-bool
-Scheduler::HasRoom(const BatchDraft& aDraft, size_t aBytes) const
-{
-  return aDraft.m_append.m_records.empty() || aDraft.m_bytes + aBytes <= m_limits.m_maxBatchBytes;
-}
-
-bool
-Scheduler::AddRecord(BatchDraft& aDraft, KeyedRecord aRecord)
-{
-  if (!FitsRecord(aRecord)) {
-    Log(LogLine(LogLevel::Error, "record_too_large")
-          .Add("key", aRecord.m_key)
-          .Add("bytes", uint64_t{ RecordBytes(aRecord) })
-          .Add("limit", uint64_t{ m_limits.m_maxRecordBytes })
-          .Add("remedy", "raise the store's limit of a record"));
-    return false;
-  }
-  aDraft.m_bytes += AppendedBytes(aRecord);
-  aDraft.m_append.m_records.push_back(std::move(aRecord));
-  return true;
-}
-
 /// Packs a part of the progress. If it has more than \p aMaxBytes, which takes very many failed
 /// attempts, checkpoints are left out, and then all but the last failed attempts of each task.
 static KeyedRecord
@@ -95,11 +67,11 @@
   const std::string key = ProgressKey(aJob.m_stored.m_id);
   KeyedRecord whole{ key, PackCompact(DescribeProgress(aJob, ProgressDetail::Full)) };
   std::map<std::string, KeyedRecord> parts;
-  if (!FitsRecord(whole)) {
+  if (!aDraft.IsStorable(whole)) {
     parts = PackProgressParts(aJob);
     whole.m_value = PackCompact(DescribeProgress(aJob, ProgressDetail::WithoutCheckpoints));
   }
-  if (!FitsRecord(whole)) {
+  if (!aDraft.IsStorable(whole)) {
     whole.m_value = PackCompact(DescribeProgress(aJob, ProgressDetail::Outline));
   }
   // The record of the whole comes last: what it leaves out is in the store by then.
@@ -109,25 +81,25 @@
     if (it != aJob.m_progressParts.end() && it->second == hash) {
       continue;
     }
-    if (!HasRoom(aDraft, AppendedBytes(partEntry.second))) {
+    if (!aDraft.HasRoomFor(partEntry.second)) {
       return false;
     }
-    if (AddRecord(aDraft, std::move(partEntry.second))) {
+    if (aDraft.Add(std::move(partEntry.second))) {
       aJob.m_progressParts[partEntry.first] = hash;
     }
   }
-  if (!HasRoom(aDraft, AppendedBytes(whole))) {
+  if (!aDraft.HasRoomFor(whole)) {
     return false;
   }
-  AddRecord(aDraft, std::move(whole));
+  aDraft.Add(std::move(whole));
   for (auto it = aJob.m_progressParts.begin(); it != aJob.m_progressParts.end();) {
     if (parts.count(it->first) > 0) {
       ++it;
       continue;
     }
     KeyedRecord deletion{ it->first, "" };
-    if (HasRoom(aDraft, AppendedBytes(deletion))) {
-      AddRecord(aDraft, std::move(deletion));
+    if (aDraft.HasRoomFor(deletion)) {
+      aDraft.Add(std::move(deletion));
     } else {
       m_keysToDelete.push_back(it->first); // with the next batch
     }
@@ -144,10 +116,10 @@
   }
   if (!aJob.m_recordWritten) {
     KeyedRecord job = MakeJobRecord(aJob.m_stored);
-    if (!HasRoom(aDraft, AppendedBytes(job))) {
+    if (!aDraft.HasRoomFor(job)) {
       return false;
     }
-    AddRecord(aDraft, std::move(job));
+    aDraft.Add(std::move(job));
     aJob.m_recordWritten = true;
     if (aJob.m_state == JobState::Queued) {
       return true; // the job has no progress yet
@@ -172,11 +144,11 @@
       report.m_address = worker->m_lastAddress; // the directory's entry may be wrong
     }
     KeyedRecord record{ WorkerKey(report.m_id), PackCompact(report) };
-    if (!HasRoom(aDraft, AppendedBytes(record))) {
+    if (!aDraft.HasRoomFor(record)) {
       m_hasUnrecordedWorkers = true;
       return;
     }
-    if (AddRecord(aDraft, std::move(record))) {
+    if (aDraft.Add(std::move(record))) {
       worker->m_record = RecordState::InBatch;
       worker->m_recordedAddress = report.m_address;
     }
@@ -213,10 +185,10 @@
   size_t added = 0;
   while (added < m_keysToDelete.size()) {
     KeyedRecord deletion{ m_keysToDelete[added], "" };
-    if (!HasRoom(aDraft, AppendedBytes(deletion))) {
+    if (!aDraft.HasRoomFor(deletion)) {
       break;
     }
-    AddRecord(aDraft, std::move(deletion));
+    aDraft.Add(std::move(deletion));
     ++added;
   }
   m_keysToDelete.erase(m_keysToDelete.begin(),
@@ -251,10 +223,10 @@
   const StoredTombstone stored{ m_retentionClock.DurableByMs() };
   while (const std::optional<GraphId> id = m_tombstones.NextUnwritten()) {
     KeyedRecord record{ TombstoneKey(*id), PackCompact(stored) };
-    if (!HasRoom(aDraft, AppendedBytes(record))) {
+    if (!aDraft.HasRoomFor(record)) {
       return;
     }
-    AddRecord(aDraft, std::move(record));
+    aDraft.Add(std::move(record));
     m_tombstones.OnWritten(*id);
   }
 }
@@ -263,24 +235,24 @@
 Scheduler::AppendModels(BatchDraft& aDraft, Instant aNow)
 {
   // Only with a batch that is written anyway.
-  if (aDraft.m_append.m_records.empty() || aNow - m_modelsWrittenAt < kModelsWriteInterval) {
+  if (aDraft.IsEmpty() || aNow - m_modelsWrittenAt < kModelsWriteInterval) {
     return;
   }
-  KeyedRecord learned = PackModels();
-  if (HasRoom(aDraft, AppendedBytes(learned))) {
+  KeyedRecord learned = PackModels(aDraft);
+  if (aDraft.HasRoomFor(learned)) {
     m_modelsWrittenAt = aNow;
-    AddRecord(aDraft, std::move(learned));
+    aDraft.Add(std::move(learned));
   }
 }
 
 KeyedRecord
-Scheduler::PackModels() const
+Scheduler::PackModels(const BatchDraft& aDraft) const
 {
   StoredModels models{ m_interference.Describe(), m_durations.Describe() };
   std::vector<StoredImagePair>& pairs = models.m_interference.m_pairs;
   std::vector<StoredDurations>& durations = models.m_durations;
   KeyedRecord learned{ std::string(kLearnedKey), PackCompact(models) };
-  if (FitsRecord(learned)) {
+  if (aDraft.IsStorable(learned)) {
     return learned;
   }
   Log(LogLine(LogLevel::Warning, "models_cut")
@@ -298,7 +270,7 @@
             [](const StoredDurations& aOne, const StoredDurations& aTwo) {
               return aOne.m_count > aTwo.m_count;
             });
-  while (!FitsRecord(learned) && !(pairs.empty() && durations.empty())) {
+  while (!aDraft.IsStorable(learned) && !(pairs.empty() && durations.empty())) {
     pairs.resize(pairs.size() / 2);
     durations.resize(durations.size() / 2);
     learned.m_value = PackCompact(models);
@@ -315,8 +287,7 @@
   if (aNow < BatchDueAt()) {
     return;
   }
-  BatchDraft draft;
-  draft.m_append.m_batch = ++m_batch;
+  BatchDraft draft(++m_batch, m_limits.m_maxBatchBytes, m_limits.m_maxRecordBytes);
   // Before the others, because what has a deleted key may have been added again.
   if (AppendDeletions(draft)) {
     AppendWorkerRecords(draft);
@@ -325,7 +296,7 @@
     AppendModels(draft, aNow);
   }
   m_urgent = HasUnwrittenChanges();
-  if (draft.m_append.m_records.empty()) {
+  if (draft.IsEmpty()) {
     m_batchJobs.clear();
     return;
   }
@@ -336,7 +307,7 @@
   m_batchInFlight = true;
   m_batchSentAt = aNow;
   ++m_counters.m_batches;
-  Emit(std::move(draft.m_append));
+  Emit(draft.Finish());
 }
 
 void
@@ -381,7 +352,9 @@
     }
   }
   m_batchJobs.clear();
-  CompleteTombstones();
+  for (RequestToken request : m_tombstones.OnBatchDurable(m_retentionClock.NowMs())) {
+    Emit(CompleteRequest{ request, SubmitResult::NoSuchJob });
+  }
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
     if (worker->m_record == RecordState::InBatch) {
       worker->m_record = RecordState::Durable;
@@ -430,26 +403,12 @@
 void
 Scheduler::OnConfirmed(Instant aSince, Instant aNow)
 {
-  if (aSince <= m_confirmedSince) {
-    return;
-  }
-  m_confirmedSince = aSince;
-  m_confirmedAt = aNow;
-  if (std::exchange(m_confirmationRequested, false)) {
-    m_confirmationUnused = true;
+  if (m_confirmation.OnConfirmed(aSince, aNow)) {
     m_placementNeeded = true;
     m_nextPlacementAt = std::min(m_nextPlacementAt, aNow); // the sooner, the less has changed
   }
 }
 
-void
-Scheduler::CompleteTombstones()
-{
-  for (RequestToken request : m_tombstones.OnBatchDurable(m_retentionClock.NowMs())) {
-    Emit(CompleteRequest{ request, SubmitResult::NoSuchJob });
-  }
-}
-
 void
 Scheduler::ExpireUnconfirmedCancels(Instant aNow)
 {
--- a/lib/Scheduler/CancelTombstones.cpp
+++ b/lib/Scheduler/CancelTombstones.cpp
@@ -26,6 +26,12 @@
   return requests;
 }
 
+CancelTombstones::CancelTombstones(size_t aMaxIds, Duration aKeepTime)
+  : m_maxIds(aMaxIds)
+  , m_keepTime(std::max(aKeepTime, kMinTombstoneTime))
+{
+}
+
 bool
 CancelTombstones::Add(const UnknownJobCancel& aCancel)
 {
@@ -124,10 +130,11 @@
 }
 
 std::vector<GraphId>
-CancelTombstones::RemoveOlderThan(int64_t aReadingMs)
+CancelTombstones::RemoveOld(int64_t aNowMs)
 {
+  const int64_t oldestKeptMs = aNowMs - ToMillis(m_keepTime);
   std::vector<GraphId> removed;
-  while (!m_byReading.empty() && m_byReading.begin()->first < aReadingMs) {
+  while (!m_byReading.empty() && m_byReading.begin()->first < oldestKeptMs) {
     removed.push_back(m_byReading.begin()->second);
     m_ids.erase(removed.back());
     m_byReading.erase(m_byReading.begin());
--- a/lib/Scheduler/PlacementPass.cpp
+++ b/lib/Scheduler/PlacementPass.cpp
@@ -364,7 +364,7 @@
   FinishPass(order, triedFirst, triedOthers);
   m_heldPlaces.ReleaseAll();
   FinishWaitingReport(failedSteps, aNow);
-  m_confirmationUnused = false;
+  m_confirmation.OnPlacementPass();
 }
 
 } // namespace egretturn
--- a/lib/Scheduler/Recovery.cpp
+++ b/lib/Scheduler/Recovery.cpp
@@ -8,9 +8,6 @@
 
 namespace egretturn {
 
-// A start that needs a confirmation follows it this closely, or in the first pass after it.
-static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(50);
-
 // Earlier leaders are taken as stopped after this time if none of their witnesses can be reached:
 // they have all been lost, or a cut separates an instance that none of them knew.
 static constexpr Duration kMaxActiveTime = std::chrono::seconds(30);
@@ -133,14 +130,6 @@
   return !aWorker.m_readInFull && aNow < aWorker.m_leaseExpiresAt;
 }
 
-bool
-Scheduler::MayRunUnknownTasks(const WorkerName& aUnread) const
-{
-  return !m_previouslyPlaced ||
-         std::count(m_workersWithUnknownTasks.begin(), m_workersWithUnknownTasks.end(), aUnread) >
-           0;
-}
-
 Placements
 Scheduler::ListPlacements(Instant aNow) const
 {
@@ -162,13 +151,13 @@
     if (unread || runsKnownTasks) {
       const Duration remaining = std::max(worker->m_leaseExpiresAt - aNow, Duration::zero());
       placements.m_leases.push_back(
-        { name, ToMillis(remaining) + 1, unread && MayRunUnknownTasks(name) });
+        { name, ToMillis(remaining) + 1, unread && m_previousPlacements.MayRunUnknownTasks(name) });
     }
   }
-  if (m_recovered || !m_previouslyPlaced) {
+  if (m_recovered) {
     return placements;
   }
-  for (const std::pair<const TaskRef, std::vector<WorkerName>>& taskEntry : *m_previouslyPlaced) {
+  for (const PreviousPlacements::Index::value_type& taskEntry : m_previousPlacements.Tasks()) {
     for (const WorkerName& name : taskEntry.second) {
       const Worker* worker = m_fleet.Find(name);
       if (worker && MayRunEarlierTasks(*worker, aNow)) {
@@ -187,17 +176,14 @@
   }
   m_placementNeeded = true;
   m_unreadLeasesEnd = aNow; // the previous leader may have given up tasks until now
-  m_previouslyPlaced.emplace();
-  for (const PlacedTask& placed : aPlacements.m_tasks) {
-    (*m_previouslyPlaced)[placed.m_task].push_back(placed.m_worker);
-  }
+  m_previousPlacements.Restore(aPlacements.m_tasks);
   std::unordered_map<WorkerName, Instant> expiries;
   for (const WorkerLease& lease : aPlacements.m_leases) {
     // Of the leader before the previous one as well, which may not have noticed yet.
     expiries[lease.m_worker] = aNow + std::chrono::milliseconds(lease.m_remainingMs);
     const Worker* worker = m_fleet.Find(lease.m_worker);
     if (worker && !worker->m_readInFull && lease.m_hasUnknownTasks) {
-      m_workersWithUnknownTasks.push_back(lease.m_worker);
+      m_previousPlacements.AddWorkerWithUnknownTasks(lease.m_worker);
     }
   }
   for (const std::unique_ptr<Worker>& worker : m_fleet.All()) {
@@ -213,21 +199,17 @@
 void
 Scheduler::UpdateUnknownTasks(Instant aNow)
 {
-  const auto end = std::remove_if(m_workersWithUnknownTasks.begin(),
-                                  m_workersWithUnknownTasks.end(),
-                                  [&](const WorkerName& aName) {
-                                    const Worker* worker = m_fleet.Find(aName);
-                                    return !worker || !MayRunEarlierTasks(*worker, aNow);
-                                  });
-  m_placementNeeded = m_placementNeeded || end != m_workersWithUnknownTasks.end();
-  m_workersWithUnknownTasks.erase(end, m_workersWithUnknownTasks.end());
+  const bool settled = m_previousPlacements.RemoveSettled([&](const WorkerName& aName) {
+    const Worker* worker = m_fleet.Find(aName);
+    return !worker || !MayRunEarlierTasks(*worker, aNow);
+  });
+  m_placementNeeded = m_placementNeeded || settled;
 }
 
 bool
 Scheduler::IsBlockedByRecovery(const Job& aJob) const
 {
-  const bool unknownTasks = !m_previouslyPlaced || !m_workersWithUnknownTasks.empty();
-  return aJob.m_recovered && !m_recovered && unknownTasks;
+  return aJob.m_recovered && !m_recovered && m_previousPlacements.HasUnknownTasks();
 }
 
 bool
@@ -236,18 +218,20 @@
   if (m_recovered || !aJob.m_recovered) {
     return false;
   }
-  if (IsBlockedByRecovery(aJob)) {
-    return true;
-  }
-  const auto it = m_previouslyPlaced->find(aTask);
-  if (it == m_previouslyPlaced->end()) {
-    return false;
-  }
+  return IsBlockedByRecovery(aJob) || FindUnreadWorkerOf(aTask, aNow) != nullptr;
+}
+
+const Worker*
+Scheduler::FindUnreadWorkerOf(const TaskRef& aTask, Instant aNow) const
+{
   // A restored worker is only removed once none of its leases can be valid.
-  return std::any_of(it->second.begin(), it->second.end(), [&](const WorkerName& aName) {
-    const Worker* worker = m_fleet.Find(aName);
-    return worker && MayRunEarlierTasks(*worker, aNow);
-  });
+  for (const WorkerName& name : m_previousPlacements.WorkersOf(aTask)) {
+    const Worker* worker = m_fleet.Find(name);
+    if (worker && MayRunEarlierTasks(*worker, aNow)) {
+      return worker;
+    }
+  }
+  return nullptr;
 }
 
 const Worker*
@@ -264,23 +248,12 @@
 const Worker*
 Scheduler::FindAwaitedWorker(const Job& aJob, const TaskRef& aTask, Instant aNow) const
 {
-  if (!m_previouslyPlaced) {
+  if (!m_previousPlacements.IsKnown()) {
     return FindLastUnread(aNow);
   }
-  if (IsBlockedByRecovery(aJob)) {
-    return m_fleet.Find(m_workersWithUnknownTasks.front());
-  }
-  const auto it = m_previouslyPlaced->find(aTask);
-  if (it == m_previouslyPlaced->end()) {
-    return nullptr;
-  }
-  for (const WorkerName& name : it->second) {
-    const Worker* worker = m_fleet.Find(name);
-    if (worker && MayRunEarlierTasks(*worker, aNow)) {
-      return worker;
-    }
-  }
-  return nullptr;
+  return IsBlockedByRecovery(aJob)
+           ? m_fleet.Find(m_previousPlacements.WorkersWithUnknownTasks().front())
+           : FindUnreadWorkerOf(aTask, aNow);
 }
 
 void
@@ -298,12 +271,7 @@
 {
   const Instant expiredAt =
     std::max(aJob.m_attemptExpiredAt, aJob.m_recovered ? m_unreadLeasesEnd : Instant());
-  if (expiredAt == Instant()) {
-    return false;
-  }
-  // On a busy instance the first pass comes late, but it does come.
-  const bool recent = m_confirmationUnused || aNow - m_confirmedAt <= kMaxConfirmationAge;
-  return !recent || m_confirmedSince <= expiredAt;
+  return expiredAt != Instant() && !m_confirmation.Covers(expiredAt, aNow);
 }
 
 bool
@@ -312,7 +280,7 @@
   if (!NeedsConfirmation(aJob, aNow)) {
     return true;
   }
-  m_confirmationRequested = true;
+  m_confirmation.Request();
   MarkDirty(aJob); // any append is a confirmation, also of a record that has not changed
   m_urgent = true;
   return false;
@@ -338,9 +306,10 @@
   line.Add("epoch", m_epoch)
     .Add("ms", ToMillis(aNow - m_createdAt))
     .Add("directory_read", m_directoryRead ? 1 : 0)
-    .Add("placed_known", m_previouslyPlaced ? 1 : 0)
+    .Add("placed_known", m_previousPlacements.IsKnown() ? 1 : 0)
     .Add("workers", awaited)
-    .Add("workers_with_unknown_tasks", uint64_t{ m_workersWithUnknownTasks.size() })
+    .Add("workers_with_unknown_tasks",
+         uint64_t{ m_previousPlacements.WorkersWithUnknownTasks().size() })
     .Add("unlisted", unregistered);
   if (const Worker* last = FindLastUnread(aNow)) {
     line.Add("last_worker", last->m_report.m_id)
@@ -366,8 +335,7 @@
     return;
   }
   m_recovered = true;
-  m_previouslyPlaced.reset();
-  m_workersWithUnknownTasks.clear();
+  m_previousPlacements.Clear();
   m_placementNeeded = true;
   Log(LogLine(LogLevel::Info, "recovered")
         .Add("epoch", m_epoch)
--- a/lib/Scheduler/Scheduler.cpp
+++ b/lib/Scheduler/Scheduler.cpp
@@ -23,8 +23,8 @@
   , m_epoch(aEpoch)
   , m_fleet(aLimits.m_lease)
   , m_jobs(aLimits.m_maxJobBytes)
-  , m_tombstones(aLimits.m_maxTombstones)
-  , m_confirmedSince(aNow)
+  , m_tombstones(aLimits.m_maxTombstones, aLimits.m_endedJobRetention)
+  , m_confirmation(aNow)
   , m_batchSentAt(aNow)
   , m_nextBatchAt(aNow)
   , m_createdAt(aNow)
@@ -98,18 +98,12 @@
   m_jobsWithFutureOccurrences.insert(job.m_stored.m_id);
   MarkDirty(job);
   m_urgent = true;
-  if (m_tombstones.Contains(job.m_stored.m_id)) {
-    CancelNewJob(job, aNow);
+  if (m_tombstones.Contains(job.m_stored.m_id)) { // not durable yet
+    job.m_cancelRequests = m_tombstones.TakeRequests(job.m_stored.m_id);
+    EndJob(job, JobState::Cancelled, aNow);
   }
 }
 
-void
-Scheduler::CancelNewJob(Job& aJob, Instant aNow)
-{
-  aJob.m_cancelRequests = m_tombstones.TakeRequests(aJob.m_stored.m_id);
-  EndJob(aJob, JobState::Cancelled, aNow);
-}
-
 void
 Scheduler::Cancel(RequestToken aRequest, GraphId aId, Instant aNow, int64_t aWallMs)
 {
@@ -402,13 +396,7 @@
   for (const GraphId id : removed) {
     m_jobs.Erase(id);
   }
-}
-
-void
-Scheduler::RemoveOldTombstones()
-{
-  const int64_t keepMs = ToMillis(std::max(m_limits.m_endedJobRetention, kMinTombstoneTime));
-  for (const GraphId id : m_tombstones.RemoveOlderThan(m_retentionClock.NowMs() - keepMs)) {
+  for (const GraphId id : m_tombstones.RemoveOld(nowMs)) {
     m_keysToDelete.push_back(TombstoneKey(id));
   }
 }
@@ -425,7 +413,6 @@
     CheckWorkers(aNow);
     CheckRecovery(aNow);
     RemoveEndedJobs();
-    RemoveOldTombstones();
   }
   PlaceWaitingSteps(aNow);
   PollDueWorkers(aNow);
--- a/lib/Scheduler/TaskWaits.cpp
+++ b/lib/Scheduler/TaskWaits.cpp
@@ -445,9 +445,9 @@
     aWait.m_cause = WaitCause::NoWorker;
   } else if (NeedsConfirmation(*aWaiting.m_step.m_job, aNow)) {
     aWait.m_cause = WaitCause::Unconfirmed;
-    aWait.m_confirmationRequested = m_confirmationRequested;
-    if (m_confirmedAt != Instant()) {
-      aWait.m_confirmationAge = aNow - m_confirmedAt;
+    aWait.m_confirmationRequested = m_confirmation.IsRequested();
+    if (m_confirmation.LearnedAt() != Instant()) {
+      aWait.m_confirmationAge = aNow - m_confirmation.LearnedAt();
     }
   }
 }
